--- /dev/null
+++ b/flamingoway/worker.py
@@ -0,0 +1,327 @@
+"""Links to workers: the port, and the adapter for the gRPC worker protocol."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import grpc
+from absl import logging
+
+from .context import Context
+from .core.effects import AckResult, StartTask, StopTask
+from .core.reports import Attempt, Finished, RefusedStart, WorkerReport
+from .model import Resources, WorkerInfo
+from .proto import worker_pb2 as pb
+from .proto import worker_pb2_grpc
+from .registry import Registry
+
+# A result travels in one log record, and a store value holds at most a megabyte.
+MAX_RESULT_BYTES = 256 * 1024
+MAX_REPORT_BYTES = 16 * 1024 * 1024
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 3.0
+# A stream without a report for this many intervals is opened again; the platform
+# does not close the connection of a machine that has disappeared.
+SILENT_INTERVALS = 2.5
+
+CHANNEL_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_REPORT_BYTES),
+    ("grpc.max_send_message_length", MAX_REPORT_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.enable_http_proxy", 0),
+]
+
+OUTCOMES = {
+    pb.FinishedTask.SUCCEEDED: "succeeded",
+    pb.FinishedTask.FAILED: "failed",
+    pb.FinishedTask.STOPPED: "stopped",
+    pb.FinishedTask.CHECKPOINTED: "checkpointed",
+    pb.FinishedTask.LEASE_LAPSED: "lost",
+}
+
+
+@dataclass(slots=True)
+class WorkerCommand:
+    """What the owner sends to a worker.
+
+    Attributes:
+        ack_seq: Report from whose sending the worker counts leases and starts.
+        lease_s: Length of the lease, in seconds.
+    """
+
+    ack_seq: int
+    lease_s: float
+    starts: list[StartTask] = field(default_factory=list)
+    stops: list[StopTask] = field(default_factory=list)
+    acks: list[AckResult] = field(default_factory=list)
+    renewals: list[Attempt] = field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        """Whether the command asks for nothing."""
+        return not (self.starts or self.stops or self.acks or self.renewals)
+
+
+@dataclass(frozen=True, slots=True)
+class ReportReceived:
+    """A report arrived.
+
+    Attributes:
+        connection: Number of the stream, which grows with each reconnection.
+        command_seq: Last command of this stream that the worker has handled.
+        received_at: Monotonic clock, in seconds.
+    """
+
+    worker_id: str
+    connection: int
+    command_seq: int
+    received_at: float
+    report: WorkerReport
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """The stream to a worker ended; the link connects again by itself."""
+
+    worker_id: str
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkFenced:
+    """The worker has seen a higher epoch; the link has ended."""
+
+    worker_id: str
+
+
+LinkEvent = ReportReceived | LinkDown | LinkFenced
+
+
+class WorkerClient(Protocol):
+    """Link of one shard owner to one worker.
+
+    Built as ``client(context, info, shard, epoch, events)``; events go to the
+    queue ``events``.
+    """
+
+    async def run(self) -> None:
+        """Stay attached until cancelled or fenced."""
+
+    def send(self, command: WorkerCommand) -> int:
+        """Queue a command on the current stream; return its number there.
+
+        Returns 0 if there is no stream.
+        """
+
+
+WORKER_CLIENTS: Registry[type] = Registry("worker client")
+
+
+@WORKER_CLIENTS.register("grpc")
+class GrpcWorkerClient:
+    """Keeps one bidirectional stream to a worker and reconnects with backoff."""
+
+    def __init__(
+        self,
+        context: Context,
+        info: WorkerInfo,
+        shard: str,
+        epoch: int,
+        events: asyncio.Queue[LinkEvent],
+    ):
+        self._context = context
+        self._info = info
+        self._shard = shard
+        self._epoch = epoch
+        self._events = events
+        self._connection = 0
+        self._command_seq = 0
+        self._outgoing: asyncio.Queue[pb.Command] | None = None
+        self._failing = False
+
+    def send(self, command: WorkerCommand) -> int:
+        """Queue a command on the current stream; return its number there."""
+        if self._outgoing is None:
+            return 0
+        self._command_seq += 1
+        message = to_command(command, self._shard, self._epoch, self._command_seq)
+        self._outgoing.put_nowait(message)
+        return self._command_seq
+
+    async def run(self) -> None:
+        """Stay attached until cancelled or fenced."""
+        backoff_s = MIN_BACKOFF_S
+        while True:
+            before = self._connection
+            try:
+                await self._attach_once()
+            except grpc.aio.AioRpcError as exc:
+                if exc.code() == grpc.StatusCode.FAILED_PRECONDITION:
+                    self._events.put_nowait(LinkFenced(self._info.worker_id))
+                    return
+                self._note_failure(exc.code().name)
+            except TimeoutError:
+                self._note_failure("no report in time")
+            if self._connection > before:
+                backoff_s = MIN_BACKOFF_S
+            # Jitter keeps a returning rack from being attached to in one burst.
+            await asyncio.sleep(backoff_s * self._context.rng.uniform(0.5, 1.5))
+            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+
+    async def _attach_once(self) -> None:
+        async with grpc.aio.insecure_channel(
+            self._info.address, options=CHANNEL_OPTIONS
+        ) as channel:
+            call = worker_pb2_grpc.WorkerStub(channel).Attach()
+            writer = None
+            try:
+                await call.write(pb.Command(epoch=self._epoch, shard=self._shard))
+                first = await self._read(call)
+                self._open()
+                writer = asyncio.create_task(self._write(call, self._outgoing))
+                await self._receive(call, first)
+            finally:
+                self._close()
+                if writer is not None:
+                    writer.cancel()
+                call.cancel()
+
+    def _open(self) -> None:
+        self._connection += 1
+        self._command_seq = 0
+        self._outgoing = asyncio.Queue()
+        self._failing = False
+
+    def _close(self) -> None:
+        if self._outgoing is None:
+            return
+        self._outgoing = None
+        self._events.put_nowait(LinkDown(self._info.worker_id, self._connection))
+
+    async def _receive(self, call, message) -> None:
+        while message is not grpc.aio.EOF:
+            self._events.put_nowait(self._to_event(message))
+            message = await self._read(call)
+
+    def _to_event(self, message: pb.Report) -> ReportReceived:
+        return ReportReceived(
+            worker_id=self._info.worker_id,
+            connection=self._connection,
+            command_seq=message.command_seq,
+            received_at=self._context.clock(),
+            report=from_report(message, self._info.worker_id),
+        )
+
+    async def _read(self, call):
+        interval_s = self._context.settings.limits.report_interval_s
+        message = await asyncio.wait_for(call.read(), interval_s * SILENT_INTERVALS)
+        if message is grpc.aio.EOF:
+            # Ends the stream with the status that the worker gave, as an error.
+            status = await call.code()
+            if status != grpc.StatusCode.OK:
+                raise grpc.aio.AioRpcError(
+                    status,
+                    await call.initial_metadata(),
+                    await call.trailing_metadata(),
+                )
+        return message
+
+    async def _write(self, call, outgoing: asyncio.Queue[pb.Command]) -> None:
+        while True:
+            command = await outgoing.get()
+            try:
+                await call.write(command)
+            except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+                # The reader gets the status of the broken stream.
+                return
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._failing:
+            entry = {
+                "event": "worker_unreachable",
+                "worker": self._info.worker_id,
+                "address": self._info.address,
+                "reason": reason,
+            }
+            logging.warning(json.dumps(entry))
+        self._failing = True
+
+
+def to_command(
+    command: WorkerCommand, shard: str, epoch: int, command_seq: int
+) -> pb.Command:
+    """Encode a command; ``command_seq`` numbers the commands of one stream."""
+    stops = [stop for stop in command.stops if not stop.checkpoint]
+    checkpoints = [stop for stop in command.stops if stop.checkpoint]
+    return pb.Command(
+        epoch=epoch,
+        shard=shard,
+        seq=command_seq,
+        ack_seq=command.ack_seq,
+        lease_ms=round(command.lease_s * 1000),
+        starts=[_to_start(start) for start in command.starts],
+        stops=[_to_ref(stop) for stop in stops],
+        checkpoints=[_to_ref(stop) for stop in checkpoints],
+        acked_results=[_to_ref(ack) for ack in command.acks],
+        renewals=[_to_ref(attempt) for attempt in command.renewals],
+    )
+
+
+def from_report(message: pb.Report, worker_id: str) -> WorkerReport:
+    """Decode a report; results above ``MAX_RESULT_BYTES`` become failures."""
+    return WorkerReport(
+        worker_id=worker_id,
+        seq=message.seq,
+        capacity=_from_resources(message.capacity),
+        running=[Attempt(ref.task_id, ref.attempt) for ref in message.running],
+        finished=[_from_finished(entry) for entry in message.finished],
+        refused=[
+            RefusedStart(
+                entry.task.task_id,
+                entry.task.attempt,
+                pb.RefusedStart.Reason.Name(entry.reason).lower(),
+            )
+            for entry in message.refused
+        ],
+        usage={
+            entry.task.task_id: _from_resources(entry.used) for entry in message.usage
+        },
+    )
+
+
+def _from_finished(entry: pb.FinishedTask) -> Finished:
+    outcome = OUTCOMES.get(entry.outcome, "failed")
+    result, error = entry.result, entry.error
+    if len(result) > MAX_RESULT_BYTES:
+        error = f"the result has {len(result)} bytes; allowed: {MAX_RESULT_BYTES}"
+        outcome, result = "failed", b""
+    return Finished(entry.task.task_id, entry.task.attempt, outcome, result, error)
+
+
+def _to_start(start: StartTask) -> pb.StartTask:
+    spec = start.spec
+    return pb.StartTask(
+        task_id=start.task_id,
+        attempt=start.attempt,
+        kind=spec.kind,
+        member=spec.member,
+        resources=pb.Resources(
+            cores_milli=spec.resources.cores_milli,
+            memory_mb=spec.resources.memory_mb,
+            accelerators=spec.resources.accelerators,
+        ),
+        params=spec.params,
+        traceparent=spec.traceparent,
+        checkpoint=start.checkpoint,
+        resumable=spec.resumable,
+    )
+
+
+def _to_ref(item: StartTask | StopTask | AckResult | Attempt) -> pb.TaskRef:
+    return pb.TaskRef(task_id=item.task_id, attempt=item.attempt)
+
+
+def _from_resources(message: pb.Resources) -> Resources:
+    return Resources(message.cores_milli, message.memory_mb, message.accelerators)
--- /dev/null
+++ b/tests/test_vmlist.py
@@ -0,0 +1,62 @@
+"""Guards against a VM list that is lost, stale or fetched without need."""
+
+import asyncio
+
+import msgspec
+import tornado.httpserver
+import tornado.netutil
+
+from flamingoway.vmlist import VmList
+from standins.vmlist import VmState, make_application
+from tests.owner_bench import make_context
+
+VM = {
+    "id": "w1",
+    "role": "worker",
+    "ip": "127.0.0.1",
+    "port": 7000,
+    "region": "r",
+    "zone": "z1",
+    "cores": 1.5,
+    "memory_mb": 64,
+}
+
+
+def context_for(port):
+    context = make_context()
+    vm_list = msgspec.structs.replace(
+        context.settings.vm_list, url=f"http://127.0.0.1:{port}/vms"
+    )
+    context.settings = msgspec.structs.replace(context.settings, vm_list=vm_list)
+    return context
+
+
+async def follow():
+    state = VmState([VM], lag_s=0)
+    server = tornado.httpserver.HTTPServer(make_application(state))
+    sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    vms = VmList(context_for(sockets[0].getsockname()[1]))
+    queue = vms.subscribe()
+    await vms.poll()
+    assert vms.vms["w1"].worker_info.capacity.cores_milli == 1500
+    assert queue.get_nowait().version == 1
+    await vms.poll()
+    assert queue.empty()
+    state.change([{**VM, "state": "leaving"}])
+    await asyncio.sleep(0.01)
+    await vms.poll()
+    assert vms.vms["w1"].state == "leaving"
+    state.change([{"id": "broken"}])
+    await asyncio.sleep(0.01)
+    for _ in range(2):
+        await vms.poll()
+        assert vms.vms["w1"].state == "leaving"
+    server.stop()
+    await server.close_all_connections()
+    await vms.poll()
+    assert vms.vms["w1"].state == "leaving"
+
+
+def test_changes_are_told_and_failures_keep_the_last_known_list():
+    asyncio.run(follow())
