--- a/flamingoway/store/__init__.py
+++ b/flamingoway/store/__init__.py
@@ -9,9 +9,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ..errors import StoreUnavailable
 from ..registry import Registry
 
 
+class LeaseLapsed(StoreUnavailable):
+    """The lease that a write names does not exist any more; nothing was written."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """One key with its value and revisions."""
@@ -116,7 +121,12 @@
         operations: list[Put | Delete],
         read_on_failure: list[str] | None = None,
     ) -> TxnResult:
-        """Apply ``operations`` atomically if all ``compares`` hold."""
+        """Apply ``operations`` atomically if all ``compares`` hold.
+
+        Raises:
+            LeaseLapsed: If a put names a lease that has lapsed.
+            BadRequest: If a value is larger than the service accepts.
+        """
 
     async def grant_lease(self, ttl: int) -> int:
         """Return the id of a new lease of ``ttl`` seconds."""
@@ -125,7 +135,7 @@
         """Renew a lease; return its remaining seconds, 0 if it has lapsed."""
 
     async def revoke_lease(self, lease_id: int) -> None:
-        """End a lease and delete its keys."""
+        """End a lease and delete its keys; no error if it has lapsed."""
 
     def watch(self, prefix: str, start_revision: int) -> AsyncIterator[WatchBatch]:
         """Yield changes under ``prefix`` from ``start_revision`` on.
--- /dev/null
+++ b/flamingoway/store/etcd.py
@@ -0,0 +1,320 @@
+"""Adapter of the ``Store`` port for the public etcd v3 gRPC API.
+
+A call is sent only on a connected channel, so that "not sent" is known. After
+that, reads fail with ``StoreUnavailable``, and writes with ``StoreOutcomeUnknown``
+unless the answer itself says that the write was refused.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Iterator
+from contextlib import contextmanager
+
+import grpc
+
+from ..errors import (
+    BadRequest,
+    FlamingowayError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from ..proto import etcd_pb2 as pb
+from ..proto import etcd_pb2_grpc
+from . import (
+    STORES,
+    Compare,
+    Delete,
+    KeyValue,
+    LeaseLapsed,
+    Put,
+    RangeResult,
+    TxnResult,
+    WatchBatch,
+    WatchEvent,
+)
+from .keys import prefix_end
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+
+# Servers drop connections that are pinged more often than every 5 s.
+PING_INTERVAL_MS = 6000
+PING_TIMEOUT_MS = 2000
+
+CHANNEL_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_ANSWER_BYTES),
+    ("grpc.max_send_message_length", MAX_ANSWER_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.keepalive_time_ms", PING_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", PING_TIMEOUT_MS),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.enable_http_proxy", 0),
+]
+
+# With this header a server without a leader refuses a call before handling it.
+METADATA = (("hasleader", "true"),)
+NO_LEADER = "etcdserver: no leader"
+LEASE_NOT_FOUND = "etcdserver: requested lease not found"
+
+COMPARE_TARGETS = {
+    "create_revision": pb.Compare.CREATE,
+    "mod_revision": pb.Compare.MOD,
+    "value": pb.Compare.VALUE,
+}
+
+
+@STORES.register("etcd")
+class EtcdStore:
+    """Client of one etcd v3 endpoint.
+
+    Must be created inside a running event loop.
+
+    Args:
+        endpoint: ``IP:port``.
+        timeout_s: Longest wait for one answer, in seconds.
+    """
+
+    def __init__(self, endpoint: str, timeout_s: float = 2.0):
+        self._endpoint = endpoint
+        self._timeout_s = timeout_s
+        self._channel = grpc.aio.insecure_channel(endpoint, options=CHANNEL_OPTIONS)
+        self._kv = etcd_pb2_grpc.KVStub(self._channel)
+        self._lease = etcd_pb2_grpc.LeaseStub(self._channel)
+        self._watch = etcd_pb2_grpc.WatchStub(self._channel)
+        self._renewal: grpc.aio.StreamStreamCall | None = None
+        self._renewal_lock = asyncio.Lock()
+        self._closed = False
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return one key, or ``None``."""
+        answer = await self._read(pb.RangeRequest(key=key.encode()))
+        return _to_item(answer.kvs[0]) if answer.kvs else None
+
+    async def range(self, prefix: str, start: str = "", limit: int = 0) -> RangeResult:
+        """Return the keys that begin with ``prefix``; see ``Store.range``."""
+        request = pb.RangeRequest(
+            key=(start or prefix).encode(),
+            range_end=prefix_end(prefix).encode(),
+            limit=limit,
+        )
+        answer = await self._read(request)
+        return RangeResult([_to_item(kv) for kv in answer.kvs], answer.header.revision)
+
+    async def txn(
+        self,
+        compares: list[Compare],
+        operations: list[Put | Delete],
+        read_on_failure: list[str] | None = None,
+    ) -> TxnResult:
+        """Apply ``operations`` atomically if all ``compares`` hold."""
+        request = pb.TxnRequest(
+            compare=[_to_compare(compare) for compare in compares],
+            success=[_to_request_op(op) for op in operations],
+            failure=[_to_read(key) for key in read_on_failure or []],
+        )
+        answer = await self._write(self._kv.Txn, request)
+        reads = {}
+        if not answer.succeeded:
+            found = [kv for r in answer.responses for kv in r.response_range.kvs]
+            reads = {item.key: item for item in map(_to_item, found)}
+        return TxnResult(answer.succeeded, answer.header.revision, reads)
+
+    async def grant_lease(self, ttl: int) -> int:
+        """Return the id of a new lease of ``ttl`` seconds."""
+        request = pb.LeaseGrantRequest(TTL=ttl)
+        answer = await self._write(self._lease.LeaseGrant, request)
+        return answer.ID
+
+    async def keep_alive(self, lease_id: int) -> float:
+        """Renew a lease; return its remaining seconds, 0 if it has lapsed."""
+        async with self._renewal_lock:
+            await self._connect()
+            try:
+                with self._closing(StoreOutcomeUnknown):
+                    renewal = self._renew(lease_id)
+                    return await asyncio.wait_for(renewal, self._timeout_s)
+            except TimeoutError:
+                self._end_renewal()
+                raise StoreOutcomeUnknown("no answer to a lease renewal") from None
+            except grpc.aio.AioRpcError as exc:
+                self._end_renewal()
+                raise _to_write_error(exc) from None
+            except BaseException:
+                self._end_renewal()
+                raise
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; no error if it has lapsed."""
+        request = pb.LeaseRevokeRequest(ID=lease_id)
+        try:
+            await self._write(self._lease.LeaseRevoke, request)
+        except LeaseLapsed:
+            pass
+
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[WatchBatch]:
+        """Yield changes under ``prefix`` from ``start_revision`` on."""
+        await self._connect()
+        call = self._watch.Watch(metadata=METADATA)
+        create = pb.WatchCreateRequest(
+            key=prefix.encode(),
+            range_end=prefix_end(prefix).encode(),
+            start_revision=start_revision,
+        )
+        try:
+            await self._send_create(call, create)
+            while (answer := await self._next_answer(call)) is not None:
+                for batch in _to_batches(answer):
+                    yield batch
+        finally:
+            call.cancel()
+        raise StoreUnavailable("the watch was ended by the store")
+
+    async def close(self) -> None:
+        """Close the connection; open watches end with ``StoreUnavailable``."""
+        self._closed = True
+        self._end_renewal()
+        await self._channel.close()
+
+    @contextmanager
+    def _closing(self, error: type[FlamingowayError]) -> Iterator[None]:
+        # A call that close() cancels raises CancelledError although the task that
+        # waits for it is not cancelled.
+        try:
+            yield
+        except asyncio.CancelledError:
+            if not self._closed or asyncio.current_task().cancelling():
+                raise
+            raise error("the connection was closed") from None
+
+    async def _send_create(
+        self, call: grpc.aio.StreamStreamCall, create: pb.WatchCreateRequest
+    ) -> None:
+        try:
+            with self._closing(StoreUnavailable):
+                await call.write(pb.WatchRequest(create_request=create))
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise StoreUnavailable(f"the watch broke: {_describe(exc)}") from None
+
+    async def _next_answer(
+        self, call: grpc.aio.StreamStreamCall
+    ) -> pb.WatchResponse | None:
+        try:
+            with self._closing(StoreUnavailable):
+                answer = await call.read()
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise StoreUnavailable(f"the watch broke: {_describe(exc)}") from None
+        if answer is grpc.aio.EOF or answer.canceled:
+            return None
+        return answer
+
+    async def _connect(self) -> None:
+        if self._closed:
+            raise StoreUnavailable("the connection is closed")
+        # Waiting for the connection first tells "not sent" from "no answer".
+        if self._channel.get_state(try_to_connect=True) == _READY:
+            return
+        limit = min(CONNECT_TIMEOUT_S, self._timeout_s)
+        try:
+            await asyncio.wait_for(self._channel.channel_ready(), limit)
+        except TimeoutError:
+            raise StoreUnavailable(
+                f"the store at {self._endpoint} cannot be reached"
+            ) from None
+
+    async def _read(self, request: pb.RangeRequest) -> pb.RangeResponse:
+        await self._connect()
+        try:
+            with self._closing(StoreUnavailable):
+                return await self._kv.Range(
+                    request, timeout=self._timeout_s, metadata=METADATA
+                )
+        except grpc.aio.AioRpcError as exc:
+            raise StoreUnavailable(f"read failed: {_describe(exc)}") from None
+
+    async def _write(self, method: grpc.aio.UnaryUnaryMultiCallable, request):
+        await self._connect()
+        call: Awaitable = method(request, timeout=self._timeout_s, metadata=METADATA)
+        try:
+            with self._closing(StoreOutcomeUnknown):
+                return await call
+        except grpc.aio.AioRpcError as exc:
+            raise _to_write_error(exc) from None
+
+    async def _renew(self, lease_id: int) -> float:
+        if self._renewal is None:
+            self._renewal = self._lease.LeaseKeepAlive(metadata=METADATA)
+        call = self._renewal
+        try:
+            await call.write(pb.LeaseKeepAliveRequest(ID=lease_id))
+            answer = await call.read()
+        except asyncio.InvalidStateError:
+            raise StoreOutcomeUnknown("the renewal stream ended") from None
+        if answer is grpc.aio.EOF or lease_id != answer.ID:
+            raise StoreOutcomeUnknown("the renewal stream ended")
+        return float(answer.TTL)
+
+    def _end_renewal(self) -> None:
+        if self._renewal is not None:
+            self._renewal.cancel()
+            self._renewal = None
+
+
+_READY = grpc.ChannelConnectivity.READY
+
+
+def _describe(exc: Exception) -> str:
+    if isinstance(exc, grpc.aio.AioRpcError):
+        return f"{exc.code().name}: {exc.details()}"
+    return str(exc)
+
+
+def _to_write_error(exc: grpc.aio.AioRpcError) -> FlamingowayError:
+    code, text = exc.code(), _describe(exc)
+    if code == grpc.StatusCode.RESOURCE_EXHAUSTED:
+        return StoreUnavailable(f"the store refused the write: {text}")
+    if code == grpc.StatusCode.UNAVAILABLE and exc.details() == NO_LEADER:
+        return StoreUnavailable(f"the store refused the write: {text}")
+    if code == grpc.StatusCode.NOT_FOUND and exc.details() == LEASE_NOT_FOUND:
+        return LeaseLapsed("the lease has lapsed")
+    if code == grpc.StatusCode.INVALID_ARGUMENT:
+        return BadRequest(f"the store rejected the write: {text}")
+    return StoreOutcomeUnknown(f"no answer to a write: {text}")
+
+
+def _to_item(kv: pb.KeyValue) -> KeyValue:
+    return KeyValue(
+        kv.key.decode(), kv.value, kv.create_revision, kv.mod_revision, kv.lease
+    )
+
+
+def _to_compare(compare: Compare) -> pb.Compare:
+    return pb.Compare(
+        result=pb.Compare.EQUAL,
+        target=COMPARE_TARGETS[compare.target],
+        key=compare.key.encode(),
+        **{compare.target: compare.expected},
+    )
+
+
+def _to_request_op(op: Put | Delete) -> pb.RequestOp:
+    if isinstance(op, Put):
+        put = pb.PutRequest(key=op.key.encode(), value=op.value, lease=op.lease)
+        return pb.RequestOp(request_put=put)
+    delete = pb.DeleteRangeRequest(key=op.key.encode(), range_end=op.end.encode())
+    return pb.RequestOp(request_delete_range=delete)
+
+
+def _to_read(key: str) -> pb.RequestOp:
+    return pb.RequestOp(request_range=pb.RangeRequest(key=key.encode()))
+
+
+def _to_batches(answer: pb.WatchResponse) -> list[WatchBatch]:
+    batches: dict[int, list[WatchEvent]] = {}
+    for event in answer.events:
+        deleted = event.type == pb.Event.DELETE
+        item = None if deleted else _to_item(event.kv)
+        events = batches.setdefault(event.kv.mod_revision, [])
+        events.append(WatchEvent(event.kv.key.decode(), item))
+    return [WatchBatch(revision, events) for revision, events in batches.items()]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the external systems that flamingoway talks to."""
--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,213 @@
+"""The ``Store`` port in memory, with faults set by the test that uses it."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+
+from flamingoway.errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
+from flamingoway.store import (
+    Compare,
+    Delete,
+    KeyValue,
+    LeaseLapsed,
+    Put,
+    RangeResult,
+    TxnResult,
+    WatchBatch,
+    WatchEvent,
+)
+from flamingoway.store.keys import prefix_end
+
+from . import kv
+
+
+class MemoryStore:
+    """One client's view of an engine; several may share one engine.
+
+    Args:
+        engine: Shared engine; a new one if ``None``.
+        clock: Clock of a new engine, in seconds.
+
+    Attributes:
+        calls: Number of calls by method name, including failed ones.
+    """
+
+    def __init__(
+        self,
+        engine: kv.Engine | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.engine = engine or kv.Engine(clock)
+        self.calls: Counter[str] = Counter()
+        self._failures = 0
+        self._lost_answers = 0
+        self._lost_requests = 0
+        self._down = False
+        self._open = asyncio.Event()
+        self._open.set()
+        self._watches: set[asyncio.Queue] = set()
+
+    @property
+    def down(self) -> bool:
+        """Whether every call fails without effect."""
+        return self._down
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self._down = value
+        if value:
+            self.break_watches()
+
+    def fail_next(self, count: int = 1) -> None:
+        """Let the next calls raise ``StoreUnavailable`` without effect."""
+        self._failures += count
+
+    def drop_answers(self, count: int = 1) -> None:
+        """Apply the next writes, then raise ``StoreOutcomeUnknown``."""
+        self._lost_answers += count
+
+    def drop_requests(self, count: int = 1) -> None:
+        """Raise ``StoreOutcomeUnknown`` for the next writes without applying them."""
+        self._lost_requests += count
+
+    def pause(self) -> None:
+        """Hold all calls until :meth:`resume`; they take effect only then."""
+        self._open.clear()
+
+    def resume(self) -> None:
+        """Let held calls continue."""
+        self._open.set()
+
+    def break_watches(self) -> None:
+        """End all open watches of this client with ``StoreUnavailable``."""
+        for queue in self._watches:
+            queue.put_nowait(None)
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return one key, or ``None``."""
+        await self._begin("get")
+        answer = self.engine.range(kv.RangeOp(key.encode()))
+        return _to_item(answer.entries[0]) if answer.entries else None
+
+    async def range(self, prefix: str, start: str = "", limit: int = 0) -> RangeResult:
+        """Return the keys that begin with ``prefix``."""
+        await self._begin("range")
+        first = (start or prefix).encode()
+        op = kv.RangeOp(first, prefix_end(prefix).encode(), limit)
+        entries = self.engine.range(op).entries
+        return RangeResult([_to_item(e) for e in entries], self.engine.revision)
+
+    async def txn(
+        self,
+        compares: list[Compare],
+        operations: list[Put | Delete],
+        read_on_failure: list[str] | None = None,
+    ) -> TxnResult:
+        """Apply ``operations`` atomically if all ``compares`` hold."""
+        await self._begin("txn")
+        reads = [kv.RangeOp(key.encode()) for key in read_on_failure or []]
+        conditions = [_to_condition(c) for c in compares]
+        changes = [_to_op(op) for op in operations]
+        answer = self._write(lambda: self.engine.txn(conditions, changes, reads))
+        found = {}
+        if not answer.succeeded:
+            items = [_to_item(e) for r in answer.results for e in r.entries]
+            found = {item.key: item for item in items}
+        return TxnResult(answer.succeeded, answer.revision, found)
+
+    async def grant_lease(self, ttl: int) -> int:
+        """Return the id of a new lease of ``ttl`` seconds."""
+        await self._begin("grant_lease")
+        return self._write(lambda: self.engine.grant(ttl))
+
+    async def keep_alive(self, lease_id: int) -> float:
+        """Renew a lease; return its remaining seconds, 0 if it has lapsed."""
+        await self._begin("keep_alive")
+        return float(self._write(lambda: self.engine.keep_alive(lease_id)))
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; no error if it has lapsed."""
+        await self._begin("revoke_lease")
+        try:
+            self._write(lambda: self.engine.revoke(lease_id))
+        except LeaseLapsed:
+            pass
+
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[WatchBatch]:
+        """Yield changes under ``prefix`` from ``start_revision`` on."""
+        await self._begin("watch")
+        queue: asyncio.Queue[kv.Changes | None] = asyncio.Queue()
+        first, end = prefix.encode(), prefix_end(prefix).encode()
+        try:
+            watcher = self.engine.watch(first, end, start_revision, queue.put_nowait)
+        except kv.Compacted as exc:
+            raise StoreUnavailable(f"the watch cannot start: {exc}") from None
+        self._watches.add(queue)
+        try:
+            while (batch := await queue.get()) is not None:
+                yield _to_batch(batch)
+        finally:
+            self._watches.discard(queue)
+            self.engine.unwatch(watcher)
+        raise StoreUnavailable("the watch broke")
+
+    async def close(self) -> None:
+        """Break open watches."""
+        self.break_watches()
+
+    async def _begin(self, method: str) -> None:
+        self.calls[method] += 1
+        await self._open.wait()
+        if self._down:
+            raise StoreUnavailable("the store is down")
+        if self._failures:
+            self._failures -= 1
+            raise StoreUnavailable("the call failed")
+
+    def _write(self, apply: Callable):
+        if self._lost_requests:
+            self._lost_requests -= 1
+            raise StoreOutcomeUnknown("no answer")
+        try:
+            answer = apply()
+        except kv.LeaseNotFound as exc:
+            raise LeaseLapsed(f"lease {exc} has lapsed") from None
+        except kv.InvalidRequest as exc:
+            raise BadRequest(str(exc)) from None
+        if self._lost_answers:
+            self._lost_answers -= 1
+            raise StoreOutcomeUnknown("no answer")
+        return answer
+
+
+def _to_item(entry: kv.Entry) -> KeyValue:
+    return KeyValue(
+        entry.key.decode(),
+        entry.value,
+        entry.create_revision,
+        entry.mod_revision,
+        entry.lease,
+    )
+
+
+def _to_batch(batch: kv.Changes) -> WatchBatch:
+    events = [
+        WatchEvent(
+            change.key.decode(), _to_item(change.entry) if change.entry else None
+        )
+        for change in batch.changes
+    ]
+    return WatchBatch(batch.revision, events)
+
+
+def _to_condition(compare: Compare) -> kv.Condition:
+    return kv.Condition(compare.key.encode(), compare.target, compare.expected)
+
+
+def _to_op(op: Put | Delete) -> kv.Op:
+    if isinstance(op, Put):
+        return kv.PutOp(op.key.encode(), op.value, op.lease)
+    return kv.DeleteOp(op.key.encode(), op.end.encode())
