Add the scheduling core: ledger, worker index, fair queue, placement

The owner needs a scheduler that decides without input or output.

Additive changes to shared interfaces: Task.failed_on, the record JobScaled, TaskEnded.counted and outcome 'refused', and the field WorkerReport.acked_starts that its docstring already described.

--- /dev/null
+++ b/flamingoway/core/feasibility.py
@@ -0,0 +1,67 @@
+"""Whether a job could ever run in a shard."""
+
+from ..model import JobSpec, Policy, Resources
+from ..status import Code
+from .effects import Reply
+from .fairness import FairQueue
+from .index import WorkerIndex
+
+RETRY_AFTER_S = 5.0
+
+
+def refusal(
+    spec: JobSpec, ticket: object, index: WorkerIndex, queue: FairQueue
+) -> Reply | None:
+    """Return the refusal of a job that can never run, or ``None``.
+
+    While no worker is known nothing is proved either way, so the job is refused
+    with ``OVERLOADED`` and a retry hint: accepting it could end in a job that no
+    worker ever holds.
+    """
+    if not index.infos:
+        message = "no worker of the shard is known yet"
+        details = {"retry_after": RETRY_AFTER_S}
+        return Reply(ticket, Code.OVERLOADED, spec.job_id, message, details)
+    if not fits_some_day(spec, index):
+        message = f"no worker holds {_text(spec)}"
+        return Reply(ticket, Code.NEVER_FITS, spec.job_id, message)
+    if not within_quota(spec, queue):
+        message = f"the member's quota is below {_text(spec)}"
+        return Reply(ticket, Code.QUOTA_TOO_SMALL, spec.job_id, message)
+    return None
+
+
+def fits_some_day(spec: JobSpec, index: WorkerIndex) -> bool:
+    """Tell whether all known workers, if empty, could hold what must run at once."""
+    wanted = spec.tasks if spec.policy is Policy.GANG else 1
+    for info in index.infos.values():
+        wanted -= slots_in(info.capacity, spec.resources, wanted)
+        if wanted <= 0:
+            return True
+    return False
+
+
+def within_quota(spec: JobSpec, queue: FairQueue) -> bool:
+    """Tell whether the quota covers what must run at once."""
+    quota = queue.share_of((spec.environment, spec.member)).quota
+    wanted = spec.tasks if spec.policy is Policy.GANG else 1
+    return spec.resources.times(wanted).fits_in(quota)
+
+
+def slots_in(amount: Resources, shape: Resources, limit: int) -> int:
+    """Return how many tasks of a shape fit in an amount, at most ``limit``."""
+    pairs = (
+        (amount.cores_milli, shape.cores_milli),
+        (amount.memory_mb, shape.memory_mb),
+        (amount.accelerators, shape.accelerators),
+    )
+    return min([limit, *(have // want for have, want in pairs if want > 0)])
+
+
+def _text(spec: JobSpec) -> str:
+    need = spec.resources
+    text = (
+        f"{need.cores_milli / 1000:g} cores, {need.memory_mb} MB and "
+        f"{need.accelerators} accelerators"
+    )
+    return f"{spec.tasks} times {text} at once" if spec.policy == "gang" else text
--- /dev/null
+++ b/flamingoway/core/index.py
@@ -0,0 +1,274 @@
+"""Candidate workers indexed by free capacity.
+
+One ordered list per task shape holds the workers on which a task of that shape fits
+now. The kinds of the documents give a few tens of shapes, so a decision costs one
+lookup in a list and a change of one worker costs one update per list, both almost
+independent of the number of workers.
+"""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+
+from ..model import Resources, WorkerInfo
+from .ledger import ZERO, Ledger
+
+# More lists than shapes of all documents in use; the oldest is dropped beyond it.
+MAX_SHAPES = 64
+
+Free = tuple[int, int, int]
+Entry = tuple[tuple[int, float, float], str]
+Rack = tuple[str, str]
+
+
+class ShapeList:
+    """Workers on which one shape fits, tightest fit first.
+
+    Args:
+        shape: Amount that one task takes.
+        whole: Whether reserved capacity counts as free.
+    """
+
+    def __init__(self, index: "WorkerIndex", shape: Resources, whole: bool):
+        self._index = index
+        self._shape = shape
+        self._whole = whole
+        self._entries: list[Entry] = []
+        self._keys: dict[str, Entry] = {}
+        self._racks: dict[Rack, list[Entry]] = {}
+        self._dirty: set[str] = set(index.open_workers)
+
+    @property
+    def shape(self) -> Resources:
+        """Amount that one task takes."""
+        return self._shape
+
+    def touch(self, worker_id: str) -> None:
+        """Note that the free capacity of a worker changed."""
+        self._dirty.add(worker_id)
+
+    def tightest(self) -> Iterator[str]:
+        """Yield the workers, those with the least left over first."""
+        self._update()
+        for _, worker_id in self._entries:
+            yield worker_id
+
+    def roomiest(self) -> Iterator[str]:
+        """Yield the workers, those with the most left over first."""
+        self._update()
+        for _, worker_id in reversed(self._entries):
+            yield worker_id
+
+    def racks(self) -> dict[Rack, list[Entry]]:
+        """Return the fitting workers of each rack, tightest fit first."""
+        self._update()
+        return self._racks
+
+    def slots(self, worker_id: str) -> int:
+        """Return how many tasks of the shape fit on a worker."""
+        free = self._index.free(worker_id, self._whole)
+        need = self._shape
+        counts = [
+            have // want
+            for have, want in zip(free, _amounts(need), strict=True)
+            if want > 0
+        ]
+        return min(counts, default=0)
+
+    def _update(self) -> None:
+        if not self._dirty:
+            return
+        for worker_id in self._dirty:
+            self._replace(worker_id)
+        self._dirty.clear()
+
+    def _replace(self, worker_id: str) -> None:
+        old = self._keys.pop(worker_id, None)
+        if old is not None:
+            self._remove(old)
+        if worker_id not in self._index.open_workers:
+            return
+        key = self._index.leftover(worker_id, self._shape, self._whole)
+        if key is None:
+            return
+        entry = (key, worker_id)
+        self._keys[worker_id] = entry
+        insort(self._entries, entry)
+        insort(self._racks.setdefault(self._index.rack_of(worker_id), []), entry)
+
+    def _remove(self, entry: Entry) -> None:
+        del self._entries[bisect_left(self._entries, entry)]
+        rack_id = self._index.rack_of(entry[1])
+        rack = self._racks[rack_id]
+        del rack[bisect_left(rack, entry)]
+        if not rack:
+            del self._racks[rack_id]
+
+
+class WorkerIndex:
+    """Known workers, what each has free, and the lists of fitting workers."""
+
+    def __init__(self, ledger: Ledger):
+        self._ledger = ledger
+        self._infos: dict[str, WorkerInfo] = {}
+        self._rack_of: dict[str, Rack] = {}
+        self._open: set[str] = set()
+        self._free: dict[str, Free] = {}
+        self._reserved: dict[str, Free] = {}
+        self._lists: dict[tuple[Resources, bool], ShapeList] = {}
+        self._scarce = 0
+        self._total = ZERO
+
+    @property
+    def infos(self) -> dict[str, WorkerInfo]:
+        """Known workers by id."""
+        return self._infos
+
+    @property
+    def open_workers(self) -> set[str]:
+        """Workers that may receive new tasks."""
+        return self._open
+
+    @property
+    def total(self) -> Resources:
+        """Capacity of all known workers together."""
+        return self._total
+
+    def rack_of(self, worker_id: str) -> Rack:
+        """Return zone and rack; kept after removal until the lists are updated."""
+        return self._rack_of[worker_id]
+
+    def set_worker(self, info: WorkerInfo) -> None:
+        """Add a worker or change its capacity."""
+        known = self._infos.get(info.worker_id)
+        rack = (info.zone, info.rack)
+        if self._rack_of.get(info.worker_id, rack) != rack:
+            self._lists.clear()
+        self._infos[info.worker_id] = info
+        self._rack_of[info.worker_id] = rack
+        self._total = self._total + info.capacity
+        if known is not None:
+            self._total = self._total - known.capacity
+        self.touch(info.worker_id)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forget a worker."""
+        info = self._infos.pop(worker_id, None)
+        if info is None:
+            return
+        self._total = self._total - info.capacity
+        self._open.discard(worker_id)
+        self._free.pop(worker_id, None)
+        self._reserved.pop(worker_id, None)
+        self._mark(worker_id)
+
+    def set_open(self, worker_id: str, is_open: bool) -> None:
+        """Let a known worker receive new tasks, or not."""
+        if is_open == (worker_id in self._open):
+            return
+        if is_open:
+            self._open.add(worker_id)
+        else:
+            self._open.discard(worker_id)
+        self._mark(worker_id)
+
+    def touch(self, worker_id: str) -> None:
+        """Read the free capacity of a worker from the ledger again."""
+        if worker_id in self._infos:
+            self._free[worker_id] = _amounts(self._ledger.free_on(worker_id))
+            self._mark(worker_id)
+
+    def reserve(self, worker_id: str, amount: Resources) -> None:
+        """Withhold free capacity of a worker from ordinary placements."""
+        old = self._reserved.get(worker_id, (0, 0, 0))
+        self._set_reserved(worker_id, _plus(old, _amounts(amount)))
+
+    def unreserve(self, worker_id: str, amount: Resources) -> None:
+        """Undo ``reserve`` for the same amount."""
+        old = self._reserved.get(worker_id)
+        if old is not None:
+            self._set_reserved(worker_id, _minus(old, _amounts(amount)))
+
+    def free(self, worker_id: str, whole: bool = False) -> Free:
+        """Return free cores (thousandths), memory (MB) and accelerators.
+
+        Args:
+            worker_id: A known worker.
+            whole: Whether reserved capacity counts as free.
+        """
+        free = self._free[worker_id]
+        if whole or worker_id not in self._reserved:
+            return free
+        return _minus(free, self._reserved[worker_id])
+
+    def leftover(
+        self, worker_id: str, shape: Resources, whole: bool
+    ) -> tuple[int, float, float] | None:
+        """Return the order of a worker for a shape, or ``None`` if it does not fit.
+
+        Workers with free accelerators come last for shapes that need none; among
+        the others the one with the least left of the scarcest resource is first.
+        """
+        free = self.free(worker_id, whole)
+        left = _minus(free, _amounts(shape))
+        if min(left) < 0:
+            return None
+        wasted = free[2] if shape.accelerators == 0 else 0
+        capacity = _amounts(self._infos[worker_id].capacity)
+        parts = [have / (full or 1) for have, full in zip(left, capacity, strict=True)]
+        scarce = parts[self._scarce]
+        return wasted, scarce, parts[0] + parts[1] - scarce
+
+    def fits(self, shape: Resources, whole: bool = False) -> ShapeList:
+        """Return the list of workers on which a shape fits now.
+
+        Args:
+            shape: Amount that one task takes.
+            whole: Whether reserved capacity counts as free.
+        """
+        key = (shape, whole)
+        found = self._lists.get(key)
+        if found is None:
+            if len(self._lists) >= MAX_SHAPES:
+                del self._lists[next(iter(self._lists))]
+            found = self._lists[key] = ShapeList(self, shape, whole)
+        return found
+
+    def refresh(self) -> None:
+        """Choose the scarcest resource again; rebuilds the lists if it changed."""
+        used = ZERO
+        for worker_id in self._infos:
+            used = used + self._ledger.used_on(worker_id)
+        parts = [
+            have / total
+            for have, total in zip(
+                _amounts(used)[:2], _amounts(self._total)[:2], strict=True
+            )
+            if total
+        ]
+        scarce = parts.index(max(parts)) if parts else 0
+        if scarce != self._scarce:
+            self._scarce = scarce
+            self._lists.clear()
+
+    def _set_reserved(self, worker_id: str, amount: Free) -> None:
+        if max(amount) > 0:
+            self._reserved[worker_id] = amount
+        else:
+            self._reserved.pop(worker_id, None)
+        self._mark(worker_id)
+
+    def _mark(self, worker_id: str) -> None:
+        for shape_list in self._lists.values():
+            shape_list.touch(worker_id)
+
+
+def _amounts(amount: Resources) -> Free:
+    return amount.cores_milli, amount.memory_mb, amount.accelerators
+
+
+def _plus(left: Free, right: Free) -> Free:
+    return left[0] + right[0], left[1] + right[1], left[2] + right[2]
+
+
+def _minus(left: Free, right: Free) -> Free:
+    return left[0] - right[0], left[1] - right[1], left[2] - right[2]
--- /dev/null
+++ b/flamingoway/core/ledger.py
@@ -0,0 +1,416 @@
+"""Event-sourced state of one shard: jobs, tasks and allocations of workers.
+
+Everything that must survive the owner is changed only by ``Ledger.apply``. The same
+records in the same order give the same state, whether they are applied by the
+scheduler when it decides or by a new owner that reads the log.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ..errors import FlamingowayError
+from ..model import (
+    Job,
+    JobSpec,
+    JobState,
+    Policy,
+    Resources,
+    Task,
+    TaskState,
+)
+from ..records import (
+    AnyRecord,
+    CancelRequested,
+    JobAccepted,
+    JobEnded,
+    JobForgotten,
+    JobScaled,
+    TaskAssigned,
+    TaskEnded,
+    TaskStopping,
+)
+
+SNAPSHOT_FORMAT = 1
+MAX_PART_BYTES = 512 * 1024
+ZERO = Resources()
+
+MemberKey = tuple[str, str]
+KindKey = tuple[str, str, str]
+
+
+class LedgerError(FlamingowayError):
+    """A record contradicts the state, for example an assignment over capacity."""
+
+
+class _TaskRow(msgspec.Struct, array_like=True):
+    """A task in a snapshot."""
+
+    state: str
+    attempt: int
+    failures: int
+    worker_id: str
+    result: bytes
+    error: str
+    checkpoint: bytes
+    failed_on: list[str]
+
+
+class _JobRow(msgspec.Struct, array_like=True):
+    """A job in a snapshot, with its tasks in order."""
+
+    spec: JobSpec
+    accepted_at: float
+    state: str
+    code: int
+    reason: str
+    ended_at: float
+    tasks: list[_TaskRow]
+
+
+class _Snapshot(msgspec.Struct, array_like=True):
+    """Whole state of a shard."""
+
+    format: int
+    jobs: list[_JobRow]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Snapshot)
+
+
+def task_id_of(job_id: str, index: int) -> str:
+    """Return the id of the task numbered ``index``, from 0, of a job."""
+    return f"{job_id}/{index}"
+
+
+def index_of(task_id: str) -> int:
+    """Return the number of a task within its job, from 0."""
+    return int(task_id.rpartition("/")[2])
+
+
+class Ledger:
+    """Jobs, tasks and allocations of one shard."""
+
+    def __init__(self):
+        self._jobs: dict[str, Job] = {}
+        self._tasks: dict[str, Task] = {}
+        self._capacity: dict[str, Resources] = {}
+        self._used: dict[str, Resources] = {}
+        self._placed: dict[str, dict[str, Task]] = {}
+        self._member_used: dict[MemberKey, Resources] = {}
+        self._kind_used: dict[KindKey, Resources] = {}
+        self._appliers: dict[type, Callable] = {
+            JobAccepted: self._apply_accepted,
+            JobScaled: self._apply_scaled,
+            TaskAssigned: self._apply_assigned,
+            TaskStopping: self._apply_stopping,
+            TaskEnded: self._apply_ended,
+            JobEnded: self._apply_job_ended,
+            CancelRequested: self._apply_cancel,
+            JobForgotten: self._apply_forgotten,
+        }
+
+    @property
+    def jobs(self) -> dict[str, Job]:
+        """Jobs by id, in order of acceptance; not to be changed by the reader."""
+        return self._jobs
+
+    @property
+    def tasks(self) -> dict[str, Task]:
+        """Tasks by id; not to be changed by the reader."""
+        return self._tasks
+
+    def job_of(self, task_id: str) -> Job | None:
+        """Return the job of a task, or ``None`` if it is not known."""
+        task = self._tasks.get(task_id)
+        return self._jobs[task.job_id] if task is not None else None
+
+    def placed_on(self, worker_id: str) -> list[Task]:
+        """Return the tasks that hold resources of a worker."""
+        return list(self._placed.get(worker_id, {}).values())
+
+    def placed_count(self, worker_id: str) -> int:
+        """Return how many tasks hold resources of a worker."""
+        return len(self._placed.get(worker_id, ()))
+
+    def used_on(self, worker_id: str) -> Resources:
+        """Return what the placed tasks of a worker hold."""
+        return self._used.get(worker_id, ZERO)
+
+    def capacity_of(self, worker_id: str) -> Resources | None:
+        """Return the capacity of a worker, or ``None`` if it is not known."""
+        return self._capacity.get(worker_id)
+
+    def free_on(self, worker_id: str) -> Resources:
+        """Return what a known worker has left; negative after it shrank."""
+        return self._capacity[worker_id] - self.used_on(worker_id)
+
+    def member_used(self, environment: str, member: str) -> Resources:
+        """Return what all placed tasks of a member hold."""
+        return self._member_used.get((environment, member), ZERO)
+
+    def kind_used(self, environment: str, member: str, kind: str) -> Resources:
+        """Return what the placed tasks of one kind of a member hold."""
+        return self._kind_used.get((environment, member, kind), ZERO)
+
+    def workers_with_tasks(self) -> list[str]:
+        """Return the workers on which at least one task holds resources."""
+        return [worker_id for worker_id, tasks in self._placed.items() if tasks]
+
+    def set_capacity(self, worker_id: str, capacity: Resources) -> None:
+        """Record the capacity against which assignments are checked.
+
+        Capacities come from the VM list and reports, not from the log.
+        """
+        self._capacity[worker_id] = capacity
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Drop the capacity of a worker that has left.
+
+        Raises:
+            LedgerError: If tasks still hold its resources.
+        """
+        if self._placed.get(worker_id):
+            raise LedgerError(f"worker {worker_id} still holds tasks")
+        self._capacity.pop(worker_id, None)
+        self._placed.pop(worker_id, None)
+        self._used.pop(worker_id, None)
+
+    def apply(self, record: AnyRecord) -> None:
+        """Apply one record.
+
+        Raises:
+            LedgerError: If the record contradicts the state; nothing is changed.
+        """
+        self._appliers[type(record)](record)
+
+    def apply_all(self, records: Iterable[AnyRecord]) -> None:
+        """Apply the records of a group in order."""
+        for record in records:
+            self.apply(record)
+
+    def snapshot(self) -> list[bytes]:
+        """Return the whole state as parts of at most 512 KiB."""
+        rows = [_job_row(job) for job in self._jobs.values()]
+        data = _ENCODER.encode(_Snapshot(SNAPSHOT_FORMAT, rows))
+        starts = range(0, len(data), MAX_PART_BYTES)
+        return [data[start : start + MAX_PART_BYTES] for start in starts]
+
+    @classmethod
+    def restore(cls, parts: Iterable[bytes]) -> "Ledger":
+        """Rebuild a ledger from the parts of a snapshot, in order.
+
+        Raises:
+            LedgerError: If the parts are not a snapshot of a known format.
+        """
+        try:
+            snapshot = _DECODER.decode(b"".join(parts))
+        except msgspec.DecodeError as error:
+            raise LedgerError(f"snapshot cannot be decoded: {error}") from error
+        if snapshot.format != SNAPSHOT_FORMAT:
+            raise LedgerError(f"snapshot format {snapshot.format} is not known")
+        ledger = cls()
+        for row in snapshot.jobs:
+            ledger._add_job(_job_from(row))
+        return ledger
+
+    def _add_job(self, job: Job) -> None:
+        self._jobs[job.spec.job_id] = job
+        for task in job.tasks:
+            self._tasks[task.task_id] = task
+            if task.state.placed:
+                self._hold(task, job.spec)
+
+    def _task(self, task_id: str, attempt: int) -> Task:
+        task = self._tasks.get(task_id)
+        if task is None:
+            raise LedgerError(f"task {task_id} is not known")
+        if task.attempt != attempt or not task.state.placed:
+            raise LedgerError(f"attempt {attempt} of task {task_id} is not placed")
+        return task
+
+    def _job(self, job_id: str) -> Job:
+        job = self._jobs.get(job_id)
+        if job is None:
+            raise LedgerError(f"job {job_id} is not known")
+        return job
+
+    def _hold(self, task: Task, spec: JobSpec) -> None:
+        worker_id = task.worker_id
+        self._used[worker_id] = self.used_on(worker_id) + spec.resources
+        self._placed.setdefault(worker_id, {})[task.task_id] = task
+        self._add_totals(spec, spec.resources)
+
+    def _release(self, task: Task, spec: JobSpec) -> None:
+        worker_id = task.worker_id
+        self._used[worker_id] = self._used[worker_id] - spec.resources
+        del self._placed[worker_id][task.task_id]
+        self._add_totals(spec, ZERO - spec.resources)
+
+    def _add_totals(self, spec: JobSpec, amount: Resources) -> None:
+        member = (spec.environment, spec.member)
+        kind = (spec.environment, spec.member, spec.kind)
+        _add(self._member_used, member, amount)
+        _add(self._kind_used, kind, amount)
+
+    def _apply_accepted(self, record: JobAccepted) -> None:
+        spec = record.spec
+        if spec.job_id in self._jobs:
+            raise LedgerError(f"job {spec.job_id} was accepted before")
+        job = Job(spec, record.at)
+        job.tasks = [
+            Task(task_id_of(spec.job_id, index), spec.job_id)
+            for index in range(spec.tasks)
+        ]
+        self._add_job(job)
+
+    def _apply_scaled(self, record: JobScaled) -> None:
+        job = self._job(record.job_id)
+        for index in range(len(job.tasks), record.tasks):
+            task = Task(task_id_of(record.job_id, index), record.job_id)
+            job.tasks.append(task)
+            self._tasks[task.task_id] = task
+        for index, task in enumerate(job.tasks):
+            wanted = index < record.tasks
+            if task.state is TaskState.QUEUED and not wanted:
+                task.state = TaskState.CANCELLED
+            elif task.state is TaskState.CANCELLED and wanted:
+                task.state = TaskState.QUEUED
+        job.spec = dataclasses.replace(job.spec, tasks=record.tasks)
+
+    def _apply_assigned(self, record: TaskAssigned) -> None:
+        task = self._tasks.get(record.task_id)
+        if task is None or task.state is not TaskState.QUEUED:
+            raise LedgerError(f"task {record.task_id} is not queued")
+        if record.attempt != task.attempt + 1:
+            raise LedgerError(f"attempt {record.attempt} of {record.task_id} is wrong")
+        job = self._jobs[task.job_id]
+        capacity = self._capacity.get(record.worker_id)
+        wanted = self.used_on(record.worker_id) + job.spec.resources
+        if capacity is not None and not wanted.fits_in(capacity):
+            raise LedgerError(f"worker {record.worker_id} would be over capacity")
+        task.state = TaskState.ASSIGNED
+        task.attempt = record.attempt
+        task.worker_id = record.worker_id
+        job.state = JobState.RUNNING
+        self._hold(task, job.spec)
+
+    def _apply_stopping(self, record: TaskStopping) -> None:
+        self._task(record.task_id, record.attempt).state = TaskState.STOPPING
+
+    def _apply_ended(self, record: TaskEnded) -> None:
+        task = self._task(record.task_id, record.attempt)
+        job = self._jobs[task.job_id]
+        self._release(task, job.spec)
+        if record.outcome == "failed" and record.counted:
+            task.failures += 1
+            task.failed_on.append(task.worker_id)
+        if record.outcome == "checkpointed":
+            task.checkpoint = record.result
+        task.worker_id = ""
+        task.error = record.error
+        task.state = _state_after(job, task, record.outcome)
+        if task.state is TaskState.SUCCEEDED:
+            task.result = record.result
+            task.checkpoint = b""
+        if not job.state.final:
+            job.state = _progress(job)
+
+    def _apply_job_ended(self, record: JobEnded) -> None:
+        job = self._job(record.job_id)
+        job.state = JobState(record.state)
+        job.code = record.code
+        job.reason = record.reason
+        job.ended_at = record.at
+        for task in job.tasks:
+            task.checkpoint = b""
+            if task.state is TaskState.QUEUED:
+                failed = job.state is JobState.FAILED and task.failures
+                task.state = TaskState.FAILED if failed else TaskState.CANCELLED
+
+    def _apply_cancel(self, record: CancelRequested) -> None:
+        self._job(record.job_id)
+
+    def _apply_forgotten(self, record: JobForgotten) -> None:
+        job = self._job(record.job_id)
+        if any(task.state.placed for task in job.tasks):
+            raise LedgerError(f"job {record.job_id} still holds resources")
+        for task in job.tasks:
+            del self._tasks[task.task_id]
+        del self._jobs[record.job_id]
+
+
+def _add(totals: dict, key: tuple, amount: Resources) -> None:
+    """Add to a running total; a total of nothing is dropped."""
+    total = totals.get(key, ZERO) + amount
+    if total == ZERO:
+        totals.pop(key, None)
+    else:
+        totals[key] = total
+
+
+def _state_after(job: Job, task: Task, outcome: str) -> TaskState:
+    """Return the state of a task whose attempt ended."""
+    service = job.spec.policy is Policy.SERVICE
+    if outcome == "succeeded" and not service:
+        return TaskState.SUCCEEDED
+    surplus = service and index_of(task.task_id) >= job.spec.tasks
+    return TaskState.CANCELLED if job.state.final or surplus else TaskState.QUEUED
+
+
+def _progress(job: Job) -> JobState:
+    """Return the state of an unfinished job from the states of its tasks."""
+    started = any(t.state.placed or t.state is TaskState.SUCCEEDED for t in job.tasks)
+    return JobState.RUNNING if started else JobState.QUEUED
+
+
+def _job_row(job: Job) -> _JobRow:
+    tasks = [
+        _TaskRow(
+            task.state.value,
+            task.attempt,
+            task.failures,
+            task.worker_id,
+            task.result,
+            task.error,
+            task.checkpoint,
+            task.failed_on,
+        )
+        for task in job.tasks
+    ]
+    return _JobRow(
+        job.spec,
+        job.accepted_at,
+        job.state.value,
+        job.code,
+        job.reason,
+        job.ended_at,
+        tasks,
+    )
+
+
+def _job_from(row: _JobRow) -> Job:
+    job_id = row.spec.job_id
+    job = Job(row.spec, row.accepted_at)
+    job.state = JobState(row.state)
+    job.code = row.code
+    job.reason = row.reason
+    job.ended_at = row.ended_at
+    job.tasks = [
+        Task(
+            task_id_of(job_id, index),
+            job_id,
+            TaskState(task.state),
+            task.attempt,
+            task.failures,
+            task.worker_id,
+            task.result,
+            task.error,
+            task.checkpoint,
+            list(task.failed_on),
+        )
+        for index, task in enumerate(row.tasks)
+    ]
+    return job
--- /dev/null
+++ b/flamingoway/core/policy.py
@@ -0,0 +1,111 @@
+"""Placement policies: which workers receive the tasks of a job.
+
+A policy only chooses; the scheduler records the choice. ``place`` returns one
+worker per task, in order, or ``None`` if not all of the tasks can be placed now.
+"""
+
+from collections import Counter
+from typing import Protocol
+
+from ..model import Job, Policy, Task
+from ..registry import Registry
+from .index import ShapeList, WorkerIndex
+from .ledger import Ledger
+
+
+class PlacementPolicy(Protocol):
+    """Chooses workers for tasks."""
+
+    def place(
+        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+    ) -> list[str] | None:
+        """Return a worker for each task, or ``None`` if they do not all fit."""
+
+
+policies: Registry[PlacementPolicy] = Registry("placement policy")
+
+
+def whole_capacity(job: Job) -> bool:
+    """Tell whether a job may use capacity that is reserved for a gang."""
+    return job.spec.urgent
+
+
+def _first_allowed(workers, avoid: list[str]) -> str | None:
+    """Return the first worker on which the task has not failed yet."""
+    if not avoid:
+        return next(workers, None)
+    return next((worker for worker in workers if worker not in avoid), None)
+
+
+class BatchPolicy:
+    """Packs: the worker with the least left of the scarcest resource."""
+
+    def place(
+        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+    ) -> list[str] | None:
+        """Return the tightest worker for the first of ``tasks``."""
+        fits = index.fits(job.spec.resources, whole_capacity(job))
+        worker_id = _first_allowed(fits.tightest(), tasks[0].failed_on)
+        return None if worker_id is None else [worker_id]
+
+
+class ServicePolicy:
+    """Spreads replicas over zones, then racks, then workers."""
+
+    def place(
+        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+    ) -> list[str] | None:
+        """Return the worker that leaves the replicas most evenly spread."""
+        fits = index.fits(job.spec.resources, whole_capacity(job))
+        racks = fits.racks()
+        if not racks:
+            return None
+        zones, held, workers = _replica_counts(job, index)
+        rack = min(racks, key=lambda r: (zones[r[0]], held[r], -racks[r][-1][0][1], r))
+        entries = reversed(racks[rack])
+        return [min((entry[1] for entry in entries), key=lambda w: workers[w])]
+
+
+def _replica_counts(job: Job, index: WorkerIndex) -> tuple[Counter, Counter, Counter]:
+    """Return the placed replicas of a job by zone, by rack and by worker."""
+    workers = Counter(task.worker_id for task in job.tasks if task.state.placed)
+    zones: Counter = Counter()
+    racks: Counter = Counter()
+    for worker_id, count in workers.items():
+        if worker_id not in index.infos:
+            continue
+        rack = index.rack_of(worker_id)
+        racks[rack] += count
+        zones[rack[0]] += count
+    return zones, racks, workers
+
+
+class GangPolicy:
+    """Places all tasks in one decision or none, on as few workers as possible."""
+
+    def place(
+        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+    ) -> list[str] | None:
+        """Return a worker for each of ``tasks``, or ``None``."""
+        fits = index.fits(job.spec.resources, whole_capacity(job))
+        avoid = {worker for task in tasks for worker in task.failed_on}
+        chosen = take_slots(fits, len(tasks), avoid)
+        return chosen if len(chosen) == len(tasks) else None
+
+
+def take_slots(fits: ShapeList, wanted: int, avoid: set[str]) -> list[str]:
+    """Return up to ``wanted`` workers, one entry per task, roomiest worker first."""
+    chosen: list[str] = []
+    for worker_id in fits.roomiest():
+        if worker_id in avoid:
+            continue
+        slots = min(fits.slots(worker_id), wanted - len(chosen))
+        chosen.extend([worker_id] * slots)
+        if len(chosen) == wanted:
+            break
+    return chosen
+
+
+policies.register(Policy.BATCH)(BatchPolicy())
+policies.register(Policy.SERVICE)(ServicePolicy())
+policies.register(Policy.GANG)(GangPolicy())
--- a/flamingoway/core/reports.py
+++ b/flamingoway/core/reports.py
@@ -59,3 +59,4 @@
     finished: list[Finished] = field(default_factory=list)
     refused: list[RefusedStart] = field(default_factory=list)
     usage: dict[str, Resources] = field(default_factory=dict)
+    acked_starts: bool = False
--- /dev/null
+++ b/flamingoway/core/state.py
@@ -0,0 +1,182 @@
+"""Working state of a scheduler and the steps that change a job or task.
+
+Each step applies its records to the ledger at once, adds records and effects to the
+batch, and keeps the worker index and the queue in line with the ledger.
+"""
+
+import heapq
+import random
+
+from ..model import Job, JobState, Policy, Task, TaskState
+from ..records import AnyRecord, JobEnded, TaskAssigned, TaskEnded, TaskStopping
+from ..status import Code
+from .effects import Batch, Effect, StartTask, StopTask
+from .fairness import FairQueue
+from .index import WorkerIndex
+from .ledger import Ledger, MemberKey
+
+
+class ShardState:
+    """Ledger, worker index, queue and open batch of one shard.
+
+    Attributes:
+        now: Monotonic time of the current event, in seconds.
+        wall: Wall-clock time of the current event, in seconds since the epoch.
+        free_changes: Grows whenever capacity may have become free.
+    """
+
+    def __init__(self, ledger: Ledger, rng: random.Random):
+        self.ledger = ledger
+        self.rng = rng
+        self.index = WorkerIndex(ledger)
+        self.queue = FairQueue(ledger)
+        self.batch = Batch()
+        self.now = 0.0
+        self.wall = 0.0
+        self.free_changes = 0
+        self.urgent_waiting = 0
+        self._delayed: list[tuple[float, int, str]] = []
+        self._delays = 0
+        self._held_until: dict[str, float] = {}
+
+    def set_time(self, now: float, wall: float) -> None:
+        """Set the time of the current event."""
+        self.now = now
+        self.wall = wall
+
+    def record(self, record: AnyRecord) -> None:
+        """Apply a record and add it to the batch."""
+        self.ledger.apply(record)
+        self.batch.records.append(record)
+
+    def effect(self, effect: Effect) -> None:
+        """Add an effect to the batch."""
+        self.batch.effects.append(effect)
+
+    def take_batch(self) -> Batch:
+        """Return the open batch and begin a new one."""
+        batch, self.batch = self.batch, Batch()
+        return batch
+
+    def assign(self, job: Job, task: Task, worker_id: str) -> None:
+        """Assign a queued task to a worker and start it after the commit."""
+        attempt = task.attempt + 1
+        self.record(TaskAssigned(task.task_id, attempt, worker_id, self.wall))
+        self.effect(start_of(job, task))
+        self.changed(member_of(job), worker_id)
+
+    def stop(self, task: Task, checkpoint: bool = False) -> None:
+        """Tell an assigned task to stop; it holds its resources until it ended."""
+        if task.state is not TaskState.ASSIGNED:
+            return
+        self.record(TaskStopping(task.task_id, task.attempt, checkpoint))
+        self.effect(StopTask(task.worker_id, task.task_id, task.attempt, checkpoint))
+
+    def end_attempt(
+        self,
+        task: Task,
+        outcome: str,
+        result: bytes = b"",
+        error: str = "",
+        counted: bool = True,
+    ) -> None:
+        """Record the end of a placed attempt and free its resources."""
+        worker_id = task.worker_id
+        job = self.ledger.jobs[task.job_id]
+        self.record(
+            TaskEnded(task.task_id, task.attempt, outcome, result, error, counted)
+        )
+        self.free_changes += 1
+        self.changed(member_of(job), worker_id)
+
+    def end_job(
+        self, job: Job, state: JobState, code: int = 0, reason: str = ""
+    ) -> None:
+        """Put a job into its final state; tasks that still run are stopped."""
+        for task in job.tasks:
+            self.queue.discard(task.task_id)
+            self.stop(task)
+        self.queue.discard(job.spec.job_id)
+        self.record(JobEnded(job.spec.job_id, state.value, code, reason, self.wall))
+
+    def end_if_done(self, job: Job) -> bool:
+        """End a job all of whose tasks succeeded; return whether it is final."""
+        if job.state.final:
+            return True
+        if job.spec.policy is Policy.SERVICE:
+            return False
+        if all(task.state is TaskState.SUCCEEDED for task in job.tasks):
+            self.end_job(job, JobState.SUCCEEDED)
+            return True
+        return False
+
+    def fail_job(self, job: Job, code: Code, reason: str) -> None:
+        """End a job without success."""
+        self.end_job(job, JobState.FAILED, int(code), reason)
+
+    def enqueue(self, job: Job, task: Task, front: bool = True) -> None:
+        """Queue a task, or its gang once all unfinished tasks are queued."""
+        if job.state.final or task.state is not TaskState.QUEUED:
+            return
+        entry = entry_of(job, task)
+        if entry in self.queue or entry in self._held_until:
+            return
+        if job.spec.policy is Policy.GANG and not gang_is_whole(job):
+            return
+        self.queue.push(entry, job.spec, job.accepted_at, front)
+
+    def enqueue_later(self, job: Job, task: Task, delay: float) -> None:
+        """Queue a task, or its gang, after ``delay`` seconds."""
+        self._delays += 1
+        entry = entry_of(job, task)
+        until = max(self.now + delay, self._held_until.get(entry, 0.0))
+        self._held_until[entry] = until
+        heapq.heappush(self._delayed, (until, self._delays, task.task_id))
+
+    def enqueue_due(self) -> None:
+        """Queue the tasks whose delay has passed."""
+        while self._delayed and self._delayed[0][0] <= self.now:
+            _, _, task_id = heapq.heappop(self._delayed)
+            job = self.ledger.job_of(task_id)
+            if job is None:
+                self._held_until.pop(task_id, None)
+            else:
+                task = self.ledger.tasks[task_id]
+                self._end_hold(entry_of(job, task))
+                self.enqueue(job, task)
+
+    def _end_hold(self, entry: str) -> None:
+        if self._held_until.get(entry, 0.0) <= self.now:
+            self._held_until.pop(entry, None)
+
+    def next_delayed(self) -> float | None:
+        """Return the monotonic time of the next delayed task, or ``None``."""
+        return self._delayed[0][0] if self._delayed else None
+
+    def changed(self, member: MemberKey, worker_id: str) -> None:
+        """Bring index and queue in line after an allocation changed."""
+        self.index.touch(worker_id)
+        self.queue.touch(member)
+
+
+def member_of(job: Job) -> MemberKey:
+    """Return environment and member of a job."""
+    return job.spec.environment, job.spec.member
+
+
+def entry_of(job: Job, task: Task) -> str:
+    """Return the queue entry of a task: its gang's job id or its own id."""
+    gang = job.spec.policy is Policy.GANG
+    return job.spec.job_id if gang else task.task_id
+
+
+def gang_is_whole(job: Job) -> bool:
+    """Tell whether all unfinished tasks of a gang wait to be placed."""
+    return not any(task.state.placed for task in job.tasks)
+
+
+def start_of(job: Job, task: Task) -> StartTask:
+    """Return the effect that starts the current attempt of a task."""
+    return StartTask(
+        task.worker_id, task.task_id, task.attempt, job.spec, task.checkpoint
+    )
--- a/flamingoway/model.py
+++ b/flamingoway/model.py
@@ -148,6 +148,7 @@
         attempt: Number of the current or next start, from 1; grows by one at
             each placement and tells two starts of the same task apart.
         failures: Attempts that ended in failure, not counting lost workers.
+        failed_on: Worker of each counted failure, oldest first.
     """
 
     task_id: str
@@ -159,6 +160,7 @@
     result: bytes = b""
     error: str = ""
     checkpoint: bytes = b""
+    failed_on: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/flamingoway/records.py
+++ b/flamingoway/records.py
@@ -24,6 +24,13 @@
     at: float
 
 
+class JobScaled(Record, tag="js"):
+    """The number of tasks of a service changed."""
+
+    job_id: str
+    tasks: int
+
+
 class TaskAssigned(Record, tag="ta"):
     """A task was assigned to a worker and may be started there."""
 
@@ -48,8 +55,11 @@
     """A task attempt ended on its worker.
 
     Attributes:
-        outcome: ``succeeded``, ``failed``, ``stopped``, ``checkpointed`` or
-            ``lost`` (its worker cannot run it any more).
+        outcome: ``succeeded``, ``failed``, ``stopped``, ``checkpointed``,
+            ``refused`` (the worker did not start it) or ``lost`` (its worker
+            cannot run it any more).
+        counted: Whether a failure counts against the job; failures on a worker
+            that fails everything do not.
     """
 
     task_id: str
@@ -57,6 +67,7 @@
     outcome: str
     result: bytes = b""
     error: str = ""
+    counted: bool = True
 
 
 class JobEnded(Record, tag="je"):
@@ -84,6 +95,7 @@
 
 AnyRecord = (
     JobAccepted
+    | JobScaled
     | TaskAssigned
     | TaskStopping
     | TaskEnded
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,179 @@
+"""Guards the life cycle of jobs and tasks in the scheduler."""
+
+import random
+
+import pytest
+
+from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
+from flamingoway.core.ledger import Ledger
+from flamingoway.core.reports import Attempt, Finished, RefusedStart, WorkerReport
+from flamingoway.core.scheduler import Scheduler
+from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
+from flamingoway.status import Code
+
+CAPACITY = Resources(4000, 8192)
+
+
+def worker(name="w1", capacity=CAPACITY, zone="z1", rack="r1"):
+    return WorkerInfo(name, "127.0.0.1:1", "brittany", zone, rack, capacity)
+
+
+def spec(job_id="j1", **changes):
+    values = {"policy": Policy.BATCH, "resources": Resources(1000, 1024)} | changes
+    return JobSpec(job_id, "e", "m", "sort", **values)
+
+
+def started(names=("w1",), **changes):
+    """Return a scheduler with workers and one job that was placed."""
+    scheduler = Scheduler("s", random.Random(1))
+    for name in names:
+        scheduler.set_worker(worker(name), True)
+    scheduler.submit(spec(**changes), "t", 0.0, 0.0)
+    scheduler.schedule(0.0, 0.0)
+    return scheduler
+
+
+def effects(scheduler, kind):
+    return [e for e in scheduler.take_batch().effects if isinstance(e, kind)]
+
+
+def report(name="w1", running=(), finished=(), refused=(), acked_starts=False):
+    return WorkerReport(
+        name,
+        1,
+        CAPACITY,
+        list(running),
+        list(finished),
+        list(refused),
+        {},
+        acked_starts,
+    )
+
+
+def test_job_is_accepted_placed_and_finished():
+    scheduler = started()
+    batch = scheduler.take_batch()
+    assert [type(e) for e in batch.effects] == [Reply, StartTask]
+    scheduler.on_report(
+        report(finished=[Finished("j1/0", 1, "succeeded", b"1")]), 1.0, 1.0
+    )
+    assert scheduler.view("j1").state == "succeeded"
+    assert effects(scheduler, AckResult) == [AckResult("w1", "j1/0", 1)]
+    assert scheduler.ledger.used_on("w1") == Resources()
+
+
+@pytest.mark.parametrize(
+    ("changes", "code"),
+    [
+        ({"resources": Resources(5000, 1)}, Code.NEVER_FITS),
+        ({"policy": Policy.GANG, "tasks": 5}, Code.NEVER_FITS),
+        ({"policy": Policy.GANG, "tasks": 4}, Code.ACCEPTED),
+    ],
+)
+def test_jobs_that_never_fit_are_refused(changes, code):
+    scheduler = started(**changes)
+    assert effects(scheduler, Reply)[0].code == code
+
+
+def test_submission_without_known_workers_is_refused():
+    scheduler = started(names=())
+    assert effects(scheduler, Reply)[0].code == Code.OVERLOADED
+
+
+@pytest.mark.parametrize(
+    ("digest", "code"), [("a", Code.ALREADY_ACCEPTED), ("b", Code.KEY_REUSED)]
+)
+def test_repeated_submission_is_recognised(digest, code):
+    scheduler = started(request_digest="a")
+    scheduler.take_batch()
+    scheduler.submit(spec(request_digest=digest), "t2", 1.0, 1.0)
+    batch = scheduler.take_batch()
+    assert (batch.records, batch.effects[0].code) == ([], code)
+
+
+LATE_REPORTS = {
+    "result of an unknown task": report(finished=[Finished("x/0", 1, "failed")]),
+    "result of another attempt": report(finished=[Finished("j1/0", 7, "failed")]),
+    "result from another worker": report(
+        "w9", finished=[Finished("j1/0", 1, "failed")]
+    ),
+    "refusal of another attempt": report(refused=[RefusedStart("j1/0", 7, "capacity")]),
+    "duplicate of the same attempt": report(
+        running=[Attempt("j1/0", 1)], refused=[RefusedStart("j1/0", 1, "duplicate")]
+    ),
+    "missing before the start was sent": report(),
+}
+
+
+@pytest.mark.parametrize("late", LATE_REPORTS.values(), ids=LATE_REPORTS.keys())
+def test_late_reports_change_nothing(late):
+    scheduler = started()
+    scheduler.take_batch()
+    scheduler.on_report(late, 1.0, 1.0)
+    scheduler.on_report(late, 2.0, 2.0)
+    batch = scheduler.take_batch()
+    assert batch.records == []
+    assert len([e for e in batch.effects if isinstance(e, AckResult)]) == 2 * len(
+        late.finished
+    )
+    assert scheduler.ledger.tasks["j1/0"].state is TaskState.ASSIGNED
+
+
+REQUEUES = {
+    "refused": lambda s: s.on_report(
+        report(refused=[RefusedStart("j1/0", 1, "capacity")]), 1.0, 1.0
+    ),
+    "lost worker": lambda s: s.on_task_lost("w1", 1.0, 1.0),
+    "not running": lambda s: s.on_report(report(acked_starts=True), 1.0, 1.0),
+    "stopped": lambda s: s.on_report(
+        report(finished=[Finished("j1/0", 1, "stopped")]), 1.0, 1.0
+    ),
+}
+
+
+@pytest.mark.parametrize("event", REQUEUES.values(), ids=REQUEUES.keys())
+def test_unfinished_attempts_are_queued_again(event):
+    scheduler = started()
+    event(scheduler)
+    assert scheduler.ledger.used_on("w1") == Resources()
+    assert scheduler.schedule(2.0, 2.0) == 1
+    starts = effects(scheduler, StartTask)
+    assert [start.attempt for start in starts] == [1, 2]
+
+
+def test_stray_attempt_is_stopped():
+    scheduler = started()
+    scheduler.take_batch()
+    stray = Attempt("j1/0", 9)
+    scheduler.on_report(report(running=[Attempt("j1/0", 1), stray]), 1.0, 1.0)
+    assert effects(scheduler, StopTask) == [StopTask("w1", "j1/0", 9)]
+
+
+def test_cancelled_job_holds_resources_until_its_tasks_ended():
+    scheduler = started(tasks=6)
+    scheduler.cancel("j1", "e", "m", "c", 1.0, 1.0)
+    assert scheduler.view("j1").state == "cancelled"
+    assert scheduler.ledger.used_on("w1").cores_milli == 4000
+    assert scheduler.schedule(1.0, 1.0) == 0
+    finished = [Finished(f"j1/{i}", 1, "stopped") for i in range(4)]
+    scheduler.on_report(report(finished=finished), 2.0, 2.0)
+    assert scheduler.ledger.used_on("w1") == Resources()
+    assert scheduler.schedule(2.0, 2.0) == 0
+
+
+def test_foreign_job_cannot_be_cancelled():
+    scheduler = started()
+    scheduler.cancel("j1", "e", "other", "c", 1.0, 1.0)
+    assert effects(scheduler, Reply)[-1].code == Code.NOT_FOUND
+
+
+def test_restored_scheduler_resends_only_the_same_attempt():
+    scheduler = started(tasks=6)
+    parts = scheduler.ledger.snapshot()
+    restored = Scheduler("s", random.Random(1), Ledger.restore(parts))
+    assert restored.ledger.snapshot() == parts
+    restored.set_worker(worker(), True)
+    assert restored.schedule(5.0, 5.0) == 0
+    starts = restored.unstarted("w1", [Attempt("j1/0", 1), Attempt("j1/1", 1)])
+    assert [(s.task_id, s.attempt) for s in starts] == [("j1/2", 1), ("j1/3", 1)]
+    assert restored.queued == 2
