--- /dev/null
+++ b/flamingoway/commit.py
@@ -0,0 +1,295 @@
+"""Group commit: holds effects back until the records behind them are durable."""
+
+import asyncio
+import json
+import uuid
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from absl import logging
+
+from .context import Context
+from .core.effects import Batch, Effect
+from .errors import Fenced, StoreOutcomeUnknown, StoreUnavailable
+from .records import ENCODER, AnyRecord, Group, decode_group, encode_group
+from .snapshot import decode_head
+from .store import Compare, KeyValue, Put, Store, TxnResult
+from .store.keys import Keys
+
+# Store values hold at most a megabyte; one record may take up to half of it.
+MAX_GROUP_BYTES = 512 * 1024
+MIN_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
+# A write that takes longer counts as an outage: nothing new is accepted or placed.
+STALL_S = 1.0
+
+
+@dataclass(slots=True)
+class LogPosition:
+    """Where and as whom the owner writes.
+
+    Attributes:
+        epoch_revision: Revision of the owner's own value of the epoch key; a higher
+            epoch changes it.
+        next_seq: Number of the next group.
+        groups: Groups in the log since the last snapshot.
+        log_bytes: Their size.
+        generation: Number of the current snapshot; 0 if there is none.
+    """
+
+    shard: str
+    epoch: int
+    epoch_revision: int
+    next_seq: int = 1
+    groups: int = 0
+    log_bytes: int = 0
+    generation: int = 0
+
+
+@dataclass(slots=True)
+class Pending:
+    """Part of a group that is not committed yet.
+
+    Attributes:
+        mark: Called with the number of the last group once everything before is
+            committed.
+    """
+
+    records: list[AnyRecord] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
+    size: int = 0
+    mark: Callable[[int], None] | None = None
+
+
+@dataclass(slots=True)
+class Abandoned:
+    """Effects that an owner held when it stepped down.
+
+    Attributes:
+        unresolved: Effects of a group that may have been committed.
+        discarded: Effects of groups that were surely not committed.
+    """
+
+    unresolved: list[Effect] = field(default_factory=list)
+    discarded: list[Effect] = field(default_factory=list)
+
+
+class GroupCommitter:
+    """Writes groups to the log of one shard, one write at a time.
+
+    Args:
+        context: Settings and clocks.
+        store: Where the log is.
+        position: Updated with each committed group.
+        on_committed: Receives effects in the order in which they were added.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: Store,
+        position: LogPosition,
+        on_committed: Callable[[list[Effect]], None],
+    ):
+        settings = context.settings
+        self._context = context
+        self._store = store
+        self._keys = Keys(settings.cell)
+        self._position = position
+        self._on_committed = on_committed
+        self._interval_s = len(settings.shards) / settings.limits.writes_per_second
+        self._pending: deque[Pending] = deque()
+        self._in_flight: list[Pending] = []
+        self._maybe_applied = False
+        self._unresolved_since: float | None = None
+        self._last_write = float("-inf")
+        self._added = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._drained.set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether everything that was added is committed."""
+        return not self._pending and not self._in_flight
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the current write takes so long that the store seems down."""
+        if self._unresolved_since is None:
+            return False
+        return self._context.clock() - self._unresolved_since > STALL_S
+
+    def add(self, batch: Batch) -> None:
+        """Queue a batch; effects without records wait only for what came before."""
+        if batch.empty:
+            return
+        if not batch.records and self.idle:
+            self._on_committed(batch.effects)
+            return
+        self._pending.extend(split_batch(batch))
+        self._wake()
+
+    def add_mark(self, mark: Callable[[int], None]) -> None:
+        """Call ``mark`` with the last group's number when all before is committed."""
+        self._pending.append(Pending(mark=mark))
+        self._wake()
+
+    async def flush(self) -> None:
+        """Wait until everything that was added is committed."""
+        await self._drained.wait()
+
+    async def run(self) -> None:
+        """Commit groups until cancelled.
+
+        Raises:
+            Fenced: If another process owns the shard.
+        """
+        while True:
+            await self._added.wait()
+            if any(item.records for item in self._pending):
+                await self._pace()
+            self._in_flight = self._take_group()
+            await self._commit(self._in_flight)
+            self._finish(self._in_flight)
+
+    def abandon(self) -> Abandoned:
+        """Give up; return the effects that were not carried out."""
+        abandoned = Abandoned()
+        held = [effect for item in self._in_flight for effect in item.effects]
+        if self._maybe_applied:
+            abandoned.unresolved = held
+        else:
+            abandoned.discarded = held
+        for item in self._pending:
+            abandoned.discarded.extend(item.effects)
+        self._in_flight = []
+        self._pending.clear()
+        self._drained.set()
+        return abandoned
+
+    def _wake(self) -> None:
+        self._drained.clear()
+        self._added.set()
+
+    async def _pace(self) -> None:
+        wait_s = self._last_write + self._interval_s - self._context.clock()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        self._last_write = self._context.clock()
+
+    def _take_group(self) -> list[Pending]:
+        taken: list[Pending] = []
+        size = 0
+        while self._pending:
+            item = self._pending[0]
+            if taken and size + item.size > MAX_GROUP_BYTES:
+                break
+            taken.append(self._pending.popleft())
+            size += item.size
+            if item.mark is not None:
+                break
+        return taken
+
+    async def _commit(self, items: list[Pending]) -> None:
+        records = [record for item in items for record in item.records]
+        if not records:
+            return
+        group = Group(uuid.uuid4().hex, self._position.epoch, records)
+        data = encode_group(group)
+        self._unresolved_since = self._context.clock()
+        await self._write(group.write_id, data)
+        self._unresolved_since = None
+        self._position.next_seq += 1
+        self._position.groups += 1
+        self._position.log_bytes += len(data)
+
+    def _finish(self, items: list[Pending]) -> None:
+        self._in_flight = []
+        self._maybe_applied = False
+        if not self._pending:
+            self._added.clear()
+            self._drained.set()
+        self._on_committed([effect for item in items for effect in item.effects])
+        for item in items:
+            if item.mark is not None:
+                item.mark(self._position.next_seq - 1)
+
+    async def _write(self, write_id: str, data: bytes) -> None:
+        backoff_s = MIN_BACKOFF_S
+        while True:
+            uncertain = self._maybe_applied
+            self._maybe_applied = True
+            try:
+                result = await self._send(data)
+            except StoreUnavailable as exc:
+                self._maybe_applied = uncertain
+                self._note_failure(exc)
+            except StoreOutcomeUnknown as exc:
+                self._note_failure(exc)
+            else:
+                if not result.succeeded:
+                    self._resolve(result, write_id, uncertain)
+                return
+            await asyncio.sleep(backoff_s * self._context.rng.uniform(0.5, 1.5))
+            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
+
+    async def _send(self, data: bytes) -> TxnResult:
+        shard = self._position.shard
+        epoch_key = self._keys.epoch(shard)
+        log_key = self._keys.log_entry(shard, self._position.next_seq)
+        return await self._store.txn(
+            [
+                Compare(epoch_key, "mod_revision", self._position.epoch_revision),
+                Compare(log_key, "create_revision", 0),
+            ],
+            [Put(log_key, data)],
+            [log_key, self._keys.snapshot_head(shard)],
+        )
+
+    def _resolve(self, result: TxnResult, write_id: str, uncertain: bool) -> None:
+        """Return if an earlier try was applied, else raise ``Fenced``."""
+        shard, seq = self._position.shard, self._position.next_seq
+        entry = result.reads.get(self._keys.log_entry(shard, seq))
+        if entry is not None and _write_id(entry) == write_id:
+            return
+        # A new owner may have moved our group from the log into a snapshot; then
+        # its absence from the log does not prove that it was not committed.
+        head = result.reads.get(self._keys.snapshot_head(shard))
+        moved = (
+            entry is None and head is not None and decode_head(head.value).seq >= seq
+        )
+        self._maybe_applied = uncertain and moved
+        raise Fenced(f"shard {shard}: epoch {self._position.epoch} has been replaced")
+
+    def _note_failure(self, exc: StoreUnavailable | StoreOutcomeUnknown) -> None:
+        entry = {
+            "event": "commit_retry",
+            "shard": self._position.shard,
+            "seq": self._position.next_seq,
+            "error": exc.message,
+        }
+        logging.log_every_n_seconds(logging.WARNING, json.dumps(entry), 5)
+
+
+def split_batch(batch: Batch) -> list[Pending]:
+    """Split a batch into parts that each fit in a group; effects come last."""
+    parts = _split_records(batch.records)
+    parts[-1].effects = batch.effects
+    return parts
+
+
+def _split_records(records: list[AnyRecord]) -> list[Pending]:
+    size = len(ENCODER.encode(records))
+    if size <= MAX_GROUP_BYTES or len(records) < 2:
+        return [Pending(records, size=size)]
+    middle = len(records) // 2
+    return _split_records(records[:middle]) + _split_records(records[middle:])
+
+
+def _write_id(entry: KeyValue) -> str:
+    try:
+        return decode_group(entry.value).write_id
+    except msgspec.DecodeError:
+        return ""
--- /dev/null
+++ b/flamingoway/snapshot.py
@@ -0,0 +1,170 @@
+"""Snapshots of a shard's ledger in the store, and loading of snapshot and log."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .errors import Fenced, FlamingowayError, StoreOutcomeUnknown, StoreUnavailable
+from .records import AnyRecord, decode_group
+from .store import Compare, Delete, Put, Store
+from .store.keys import Keys, prefix_end
+
+RETRY_S = 0.5
+# Keys read at once; a group is at most 512 KiB, usually about 1 KiB.
+LOG_PAGE = 64
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The value of ``shard/<s>/head``: the snapshot in effect.
+
+    Attributes:
+        seq: Last group whose records the snapshot contains.
+        digest: SHA-256 of the whole snapshot.
+    """
+
+    generation: int
+    parts: int
+    seq: int
+    digest: str
+
+
+@dataclass(slots=True)
+class Loaded:
+    """Snapshot and later log of a shard.
+
+    Attributes:
+        snapshot: Parts of the ledger's snapshot; empty if there is none.
+        records: Records of the groups after the snapshot, in order.
+    """
+
+    snapshot: list[bytes] = field(default_factory=list)
+    generation: int = 0
+    next_seq: int = 1
+    groups: int = 0
+    log_bytes: int = 0
+    records: list[AnyRecord] = field(default_factory=list)
+
+
+def decode_head(data: bytes) -> Head:
+    """Decode the value of the head key."""
+    return msgspec.msgpack.decode(data, type=Head)
+
+
+class SnapshotWriter:
+    """Writes snapshots of one shard as one owner.
+
+    Args:
+        store: Where to write.
+        keys: Key layout of the cell.
+        shard: Name of the shard.
+        epoch_revision: Revision of the owner's epoch key; each write depends on it.
+    """
+
+    def __init__(self, store: Store, keys: Keys, shard: str, epoch_revision: int):
+        self._store = store
+        self._keys = keys
+        self._shard = shard
+        self._owned = Compare(keys.epoch(shard), "mod_revision", epoch_revision)
+
+    async def write(self, parts: list[bytes], seq: int, generation: int) -> None:
+        """Write parts, then switch the head and delete what it replaces.
+
+        Args:
+            parts: Snapshot of the ledger after group ``seq``, each part at most
+                512 KiB.
+            seq: Last group that the snapshot contains.
+            generation: Higher than that of the current snapshot.
+
+        Raises:
+            Fenced: If another process owns the shard.
+        """
+        for index, part in enumerate(parts):
+            key = self._keys.snapshot_part(self._shard, generation, index)
+            await self._apply([Put(key, part)])
+        head = Head(generation, len(parts), seq, _digest(parts))
+        await self._apply(self._switch(head))
+
+    def _switch(self, head: Head) -> list[Put | Delete]:
+        keys, shard = self._keys, self._shard
+        value = msgspec.msgpack.encode(head)
+        after = keys.snapshot_part(shard, head.generation, head.parts)
+        return [
+            Put(keys.snapshot_head(shard), value),
+            Delete(keys.log(shard), keys.log_entry(shard, head.seq + 1)),
+            Delete(keys.snapshots(shard), keys.snapshot(shard, head.generation)),
+            # Parts that an interrupted snapshot of the same number left behind.
+            Delete(after, prefix_end(keys.snapshots(shard))),
+        ]
+
+    async def _apply(self, operations: list[Put | Delete]) -> None:
+        # All operations have the same effect when applied twice, so a lost answer
+        # is met by sending them again.
+        while True:
+            try:
+                result = await self._store.txn([self._owned], operations)
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                await asyncio.sleep(RETRY_S)
+                continue
+            if not result.succeeded:
+                raise Fenced(f"shard {self._shard} has another owner")
+            return
+
+
+async def load(store: Store, keys: Keys, shard: str) -> Loaded:
+    """Read the snapshot in effect and the log after it.
+
+    The caller must have raised the epoch, so that nobody else writes meanwhile.
+
+    Raises:
+        StoreUnavailable: If the store cannot be reached.
+        FlamingowayError: If the snapshot or the log is damaged.
+    """
+    loaded = Loaded()
+    entry = await store.get(keys.snapshot_head(shard))
+    if entry is not None:
+        head = decode_head(entry.value)
+        loaded.snapshot = await _read_parts(store, keys, shard, head)
+        loaded.generation = head.generation
+        loaded.next_seq = head.seq + 1
+    await _read_log(store, keys, shard, loaded)
+    return loaded
+
+
+async def _read_parts(store: Store, keys: Keys, shard: str, head: Head) -> list[bytes]:
+    parts = []
+    for index in range(head.parts):
+        entry = await store.get(keys.snapshot_part(shard, head.generation, index))
+        if entry is None:
+            raise FlamingowayError(
+                f"shard {shard}: part {index} of snapshot {head.generation} is missing"
+            )
+        parts.append(entry.value)
+    if _digest(parts) != head.digest:
+        raise FlamingowayError(f"shard {shard}: snapshot {head.generation} is damaged")
+    return parts
+
+
+async def _read_log(store: Store, keys: Keys, shard: str, loaded: Loaded) -> None:
+    while True:
+        start = keys.log_entry(shard, loaded.next_seq)
+        page = await store.range(keys.log(shard), start, LOG_PAGE)
+        for entry in page.items:
+            if entry.key != keys.log_entry(shard, loaded.next_seq):
+                raise FlamingowayError(
+                    f"shard {shard}: group {loaded.next_seq} is missing from the log"
+                )
+            loaded.records.extend(decode_group(entry.value).records)
+            loaded.next_seq += 1
+            loaded.groups += 1
+            loaded.log_bytes += len(entry.value)
+        if len(page.items) < LOG_PAGE:
+            return
+
+
+def _digest(parts: list[bytes]) -> str:
+    whole = hashlib.sha256()
+    for part in parts:
+        whole.update(part)
+    return whole.hexdigest()
--- a/tests/owner_bench.py
+++ b/tests/owner_bench.py
@@ -1,5 +1,6 @@
 """Shared fakes of the owner's tests."""
 
+import asyncio
 import random
 
 from flamingoway.context import Context, boot_time
@@ -30,3 +31,12 @@
     for name, value in changes.items():
         setattr(context, name, value)
     return context
+
+
+async def until(condition, timeout_s=10.0):
+    """Wait for a condition that other tasks bring about."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.001)
--- /dev/null
+++ b/tests/test_commit.py
@@ -0,0 +1,268 @@
+"""Fault table of the group commit: no lost, doubled or wrongly denied group."""
+
+import asyncio
+
+import pytest
+
+from flamingoway.commit import MAX_GROUP_BYTES, GroupCommitter, LogPosition
+from flamingoway.core.effects import Batch, Reply
+from flamingoway.errors import Fenced, StoreUnavailable
+from flamingoway.records import CancelRequested, TaskEnded
+from flamingoway.snapshot import SnapshotWriter, load
+from flamingoway.store import Put
+from flamingoway.store.keys import Keys
+from standins.memory import MemoryStore
+from tests.owner_bench import make_context, until
+
+KEYS = Keys("test")
+
+
+class Bench:
+    """A committer of epoch 1 on a memory store; ``done`` lists its effects."""
+
+    def __init__(self, store=None):
+        self.store = store or MemoryStore()
+        self.done = []
+        self.committer = None
+
+    async def open(self, epoch=1):
+        result = await self.store.txn([], [Put(KEYS.epoch("s"), b"%d" % epoch)])
+        loaded = await load(self.store, KEYS, "s")
+        self.position = LogPosition("s", epoch, result.revision, loaded.next_seq)
+        self.committer = GroupCommitter(
+            make_context(), self.store, self.position, self.done.extend
+        )
+        self.task = asyncio.create_task(self.committer.run())
+        return self
+
+    def add(self, name, records=1):
+        batch = Batch([CancelRequested(name)] * records, [Reply(name, 1001)])
+        self.committer.add(batch)
+
+    async def logged(self):
+        loaded = await load(self.store, KEYS, "s")
+        return [getattr(r, "job_id", "") for r in loaded.records]
+
+    async def close(self):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        return self.committer.abandon()
+
+
+class LimitedStore(MemoryStore):
+    """A store that is down after ``allowed`` more transactions."""
+
+    allowed = 1000
+
+    async def txn(self, *args):
+        self.allowed -= 1
+        if self.allowed < 0:
+            raise StoreUnavailable("down")
+        return await super().txn(*args)
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 20))
+
+
+FAULTS = {
+    "no fault": lambda store: None,
+    "answer lost after the effect": lambda store: store.drop_answers(1),
+    "answer lost twice": lambda store: store.drop_answers(2),
+    "lost before the effect": lambda store: store.drop_requests(1),
+    "unavailable": lambda store: store.fail_next(2),
+    "lost, then unavailable": lambda store: store.drop_answers(1),
+}
+
+
+@pytest.mark.parametrize("fault", list(FAULTS), ids=list(FAULTS))
+def test_a_group_is_committed_once_and_in_order(fault):
+    async def scenario():
+        bench = await Bench().open()
+        FAULTS[fault](bench.store)
+        bench.add("a")
+        if fault.endswith("then unavailable"):
+            await until(lambda: bench.store.calls["txn"] >= 2)
+            bench.store.fail_next(1)
+        bench.add("b")
+        await until(lambda: len(bench.done) == 2)
+        assert [effect.ticket for effect in bench.done] == ["a", "b"]
+        assert await bench.logged() == ["a", "b"]
+        await bench.close()
+
+    run(scenario())
+
+
+def test_effects_wait_for_a_slow_write():
+    """Guards against an answer or a start before the commit."""
+
+    async def scenario():
+        bench = await Bench().open()
+        bench.store.pause()
+        bench.add("a")
+        bench.committer.add(Batch([], [Reply("refusal", 2007)]))
+        await until(lambda: bench.store.calls["txn"] == 2)
+        assert bench.done == []
+        bench.store.resume()
+        await until(lambda: len(bench.done) == 2)
+        assert [effect.ticket for effect in bench.done] == ["a", "refusal"]
+        await bench.close()
+
+    run(scenario())
+
+
+def test_a_batch_over_the_limit_is_split_and_its_effects_come_last():
+    """Guards against a value that the store refuses for its size."""
+
+    async def scenario():
+        bench = await Bench().open()
+        record = TaskEnded("j/0", 1, "succeeded", bytes(200 * 1024))
+        bench.committer.add(Batch([record] * 7, [Reply("big", 1001)]))
+        bench.add("small")
+        await until(lambda: len(bench.done) == 2)
+        items = (await bench.store.range(KEYS.log("s"))).items
+        assert max(len(item.value) for item in items) < MAX_GROUP_BYTES + 1024
+        assert len(await bench.logged()) == 8
+        await bench.close()
+
+    run(scenario())
+
+
+def test_a_fenced_owner_writes_nothing_and_knows_what_did_not_run():
+    async def scenario():
+        old = await Bench().open(1)
+        new = await Bench(old.store).open(2)
+        old.add("a")
+        with pytest.raises(Fenced):
+            await old.task
+        old.add("b")
+        abandoned = old.committer.abandon()
+        assert [e.ticket for e in abandoned.discarded] == ["a", "b"]
+        assert not abandoned.unresolved
+        assert await new.logged() == []
+        await new.close()
+
+    run(scenario())
+
+
+def test_a_group_whose_lost_answer_is_found_after_the_takeover_is_committed():
+    """Guards against "not run" for a group that the new owner has read."""
+
+    async def scenario():
+        old = await Bench().open(1)
+        old.store.drop_answers(1)
+        old.add("a")
+        await until(lambda: old.store.calls["txn"] >= 2)
+        new = await Bench(MemoryStore(old.store.engine)).open(2)
+        await until(lambda: old.done)
+        assert await new.logged() == ["a"]
+        await old.close()
+        await new.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("applied", [True, False])
+def test_a_group_that_may_be_in_the_new_owners_snapshot_is_unresolved(applied):
+    """Guards against "not run" when the log entry was truncated after a takeover."""
+
+    async def scenario():
+        old = await Bench().open(1)
+        if applied:
+            old.store.drop_answers(1)
+        else:
+            old.store.drop_requests(1)
+        old.add("a")
+        await until(lambda: old.store.calls["txn"] >= 2)
+        old.store.pause()
+        view = MemoryStore(old.store.engine)
+        new = await Bench(view).open(2)
+        new.add("b")
+        await until(lambda: new.done)
+        await _writer(view, new.position).write([b"x"], new.position.next_seq - 1, 1)
+        old.store.resume()
+        with pytest.raises(Fenced):
+            await old.task
+        assert [e.ticket for e in old.committer.abandon().unresolved] == ["a"]
+        await new.close()
+
+    run(scenario())
+
+
+def test_stopping_during_an_outage_leaves_the_group_unresolved():
+    async def scenario():
+        bench = await Bench().open()
+        bench.store.drop_requests(1)
+        bench.add("a")
+        await until(lambda: bench.store.calls["txn"] >= 2)
+        bench.store.down = True
+        bench.add("b")
+        abandoned = await bench.close()
+        assert [e.ticket for e in abandoned.unresolved] == ["a"]
+        assert [e.ticket for e in abandoned.discarded] == ["b"]
+
+    run(scenario())
+
+
+def _writer(store, position):
+    return SnapshotWriter(store, KEYS, "s", position.epoch_revision)
+
+
+def test_a_snapshot_replaces_the_log_up_to_its_group():
+    async def scenario():
+        bench = await Bench().open()
+        marks = []
+        bench.add("a")
+        bench.committer.add_mark(marks.append)
+        bench.add("b")
+        await until(lambda: len(bench.done) == 2)
+        assert marks == [1]
+        bench.store.drop_answers(1)
+        await _writer(bench.store, bench.position).write([b"x", b"y"], marks[0], 1)
+        loaded = await load(bench.store, KEYS, "s")
+        assert loaded.snapshot == [b"x", b"y"]
+        assert [r.job_id for r in loaded.records] == ["b"]
+        assert loaded.next_seq == 3
+        await bench.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("writes", [1, 2, 3])
+def test_an_interrupted_snapshot_leaves_the_former_one_in_effect(writes):
+    """Guards against a snapshot of mixed parts after a kill between two writes."""
+
+    async def scenario():
+        bench = await Bench(LimitedStore()).open()
+        writer = _writer(bench.store, bench.position)
+        await writer.write([b"old"], 0, 1)
+        bench.add("a")
+        await until(lambda: bench.done)
+        bench.store.allowed = writes
+        task = asyncio.create_task(writer.write([b"n1", b"n2", b"n3"], 1, 2))
+        await until(lambda: bench.store.allowed < 0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        bench.store.allowed = 1000
+        loaded = await load(bench.store, KEYS, "s")
+        assert loaded.snapshot == [b"old"]
+        assert [r.job_id for r in loaded.records] == ["a"]
+        await writer.write([b"z"], 1, 2)
+        assert (await load(bench.store, KEYS, "s")).snapshot == [b"z"]
+        assert len((await bench.store.range(KEYS.snapshots("s"))).items) == 1
+        await bench.close()
+
+    run(scenario())
+
+
+def test_a_fenced_owner_cannot_write_a_snapshot():
+    async def scenario():
+        old = await Bench().open(1)
+        new = await Bench(old.store).open(2)
+        with pytest.raises(Fenced):
+            await _writer(old.store, old.position).write([b"x"], 0, 1)
+        assert (await load(new.store, KEYS, "s")).snapshot == []
+        await old.close()
+        await new.close()
+
+    run(scenario())
