--- a/flamingoway/messages.py
+++ b/flamingoway/messages.py
@@ -207,11 +207,33 @@
     started_at: float
 
 
+class FormerOwner(msgspec.Struct, frozen=True):
+    """An earlier owner of a shard that has not been proved to have ended.
+
+    Attributes:
+        replaced_at: Wall-clock time of the next acquisition, in seconds since the
+            epoch.
+    """
+
+    epoch: int
+    process_id: str
+    incarnation: str
+    peer_address: str
+    replaced_at: float
+
+
 class OwnerInfo(msgspec.Struct, frozen=True):
-    """Owner of a shard, the value of ``shard/<s>/epoch`` and ``shard/<s>/owner``."""
+    """Owner of a shard, the value of ``shard/<s>/epoch`` and ``shard/<s>/owner``.
+
+    Attributes:
+        former: Earlier owners, newest first, that may still renew task leases. The
+            last predecessor alone does not suffice: it may have died before it
+            proved that its own predecessor had ended.
+    """
 
     shard: str
     epoch: int
     process_id: str
     incarnation: str
     peer_address: str
+    former: list[FormerOwner] = []
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,380 @@
+"""Membership: sessions, takeover of shards and store outages."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+
+from flamingoway.context import Context
+from flamingoway.errors import StoreOutcomeUnknown, StoreUnavailable
+from flamingoway.membership import Membership, SessionLost
+from flamingoway.settings import parse_settings
+from flamingoway.store.keys import Keys
+from flamingoway.takeover import candidates, takeover_delay
+from standins import kv
+from standins.clock import FakeClock
+from standins.memory import MemoryStore
+
+SETTINGS = """
+cell: test
+process_id: {name}
+region: {region}
+zone: {region}-1
+ip: 127.0.0.1
+http_port: {port}
+peer_port: {port}
+store: {{endpoint: "127.0.0.1:1"}}
+vm_list: {{url: "http://127.0.0.1:1"}}
+shards:
+- {{name: s, region: brittany, zones: [brittany-1]}}
+environments: []
+operators: []
+"""
+KEYS = Keys("test")
+
+
+class Cell:
+    """Several processes on one engine and one fake clock."""
+
+    def __init__(self):
+        self.clock = FakeClock()
+        self.wall_offset = 0.0
+        self.engine = kv.Engine(self.clock)
+        self.stores = {}
+        self.tasks = {}
+
+    def start(self, name, region="brittany", incarnation=None):
+        port = 1000 + sum(name.encode())
+        settings = SETTINGS.format(name=name, region=region, port=port).encode()
+        context = Context(
+            parse_settings(settings),
+            clock=self.clock,
+            wall=lambda: self.clock() + self.wall_offset,
+            rng=random.Random(name),
+            incarnation=incarnation or f"{name}-1",
+        )
+        store = self.stores[name] = MemoryStore(self.engine)
+        membership = Membership(context, store, sleep=self.clock.sleep)
+        self.tasks[name] = asyncio.create_task(membership.run())
+        return membership
+
+    def kill(self, name):
+        self.tasks.pop(name).cancel()
+
+    def set_down(self, down):
+        for store in self.stores.values():
+            store.down = down
+
+    async def owner(self):
+        item = await MemoryStore(self.engine).get(KEYS.owner("s"))
+        return item and item.value
+
+
+@asynccontextmanager
+async def cell():
+    running = Cell()
+    yield running
+    tasks = list(running.tasks.values())
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def run(body):
+    async def main():
+        async with cell() as running:
+            await asyncio.wait_for(body(running), 20)
+
+    asyncio.run(main())
+
+
+def drain(queue, kind):
+    events = []
+    while not queue.empty():
+        events.append(queue.get_nowait())
+    return [event for event in events if isinstance(event, kind)]
+
+
+def test_processes_see_each_other_and_deaths():
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        assert set(a.processes) == set(b.processes) == {"a", "b"}
+        assert a.store_up and a.last_store_contact > 0
+        cell.kill("b")
+        await cell.clock.advance(6)
+        assert set(a.processes) == {"a"}
+
+    run(body)
+
+
+@pytest.mark.parametrize("round_", range(5))
+def test_one_of_two_racing_processes_wins(round_):
+    """Guards against two owners with one epoch."""
+
+    async def body(cell):
+        racers = [cell.start("a"), cell.start("b")]
+        await cell.clock.advance(1)
+        random.Random(round_).shuffle(racers)
+        results = await asyncio.gather(*(m.acquire("s") for m in racers))
+        winners = [r for r in results if r]
+        assert len(winners) == 1
+        assert winners[0].owner.epoch == 1
+        assert winners[0].predecessor is None
+        await cell.clock.advance(1)
+        assert all(m.owners == {"s": winners[0].owner} for m in racers)
+
+    run(body)
+
+
+def test_a_lapsed_owner_is_replaced_with_a_higher_epoch():
+    """Guards against a shard that stays without owner, and a reused epoch."""
+
+    async def body(cell):
+        members = {name: cell.start(name) for name in "abc"}
+        await cell.clock.advance(1)
+        for epoch in (1, 2, 3):
+            claims = {n: asyncio.create_task(m.claim("s")) for n, m in members.items()}
+            await cell.clock.advance(8)
+            done = {n: t.result() for n, t in claims.items() if t.done()}
+            assert len(done) == 1
+            (name, acquired), *_ = done.items()
+            assert acquired.owner.epoch == epoch
+            assert (acquired.predecessor is None) == (epoch == 1)
+            for claim in claims.values():
+                claim.cancel()
+            cell.kill(name)
+            del members[name]
+
+    run(body)
+
+
+def test_the_next_in_rank_takes_over_from_a_paused_process():
+    """Guards against a takeover blocked by one process that does not act."""
+
+    async def body(cell):
+        members = {name: cell.start(name) for name in "abc"}
+        await cell.clock.advance(1)
+        live = members["a"].processes.values()
+        first, second, _ = [p.process_id for p in candidates("s", "brittany", live)]
+        cell.stores[first].pause()
+        claims = [asyncio.create_task(members[n].claim("s")) for n in (first, second)]
+        await cell.clock.advance(1)
+        assert claims[1].done() and not claims[0].done()
+        claims[0].cancel()
+
+    run(body)
+
+
+def test_other_regions_take_over_only_if_none_of_the_region_is_left():
+    async def body(cell):
+        a, far = cell.start("a"), cell.start("far", region="andes")
+        await cell.clock.advance(1)
+        live = a.processes.values()
+        assert takeover_delay("s", "brittany", live, "far") is None
+        claim = asyncio.create_task(far.claim("s"))
+        await cell.clock.advance(5)
+        assert not claim.done()
+        cell.kill("a")
+        await cell.clock.advance(6)
+        assert claim.result().owner.process_id == "far"
+
+    run(body)
+
+
+@pytest.mark.parametrize("fault", ["drop_answers", "drop_requests"])
+@pytest.mark.parametrize("count", [1, 2])
+def test_a_lost_answer_on_acquire_is_resolved(fault, count):
+    """Guards against a shard taken without knowing it, or counted as taken twice."""
+
+    async def body(cell):
+        a = cell.start("a")
+        await cell.clock.advance(1)
+        getattr(cell.stores["a"], fault)(count)
+        acquired = await a.acquire("s")
+        assert acquired.owner.epoch == 1
+        item = await cell.stores["a"].get(KEYS.epoch("s"))
+        assert item.mod_revision == acquired.epoch_revision
+
+    run(body)
+
+
+def test_an_unresolved_acquire_keeps_its_predecessor():
+    """Guards against skipping the proof that the former owner has ended."""
+
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        old = await b.acquire("s")
+        cell.kill("b")
+        await cell.clock.advance(6)
+        cell.stores["a"].drop_answers(3)
+        with pytest.raises(StoreOutcomeUnknown):
+            await a.acquire("s")
+        claim = asyncio.create_task(a.claim("s"))
+        await cell.clock.advance(1)
+        assert claim.result().predecessor == old.owner
+        assert claim.result().owner.epoch == 2
+
+    run(body)
+
+
+def test_former_owners_are_kept_until_they_cannot_act():
+    """Guards against forgetting an owner whose successor died before proving it."""
+
+    async def body(cell):
+        a, b, c = (cell.start(name) for name in "abc")
+        await cell.clock.advance(1)
+        for member in (a, b, c):
+            acquired = await member.acquire("s")
+            await member.release(acquired.owner)
+        assert [f.process_id for f in acquired.owner.former] == ["b", "a"]
+        cell.wall_offset = 7000
+        acquired = await b.acquire("s")
+        assert [f.process_id for f in acquired.owner.former] == ["c"]
+
+    run(body)
+
+
+def test_release_frees_the_shard_at_once_and_only_its_own():
+    """Guards against a release that removes the successor's key."""
+
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        first = await a.acquire("s")
+        await a.release(first.owner)
+        second = await b.acquire("s")
+        assert second.owner.epoch == 2
+        await a.release(first.owner)
+        await cell.clock.advance(0)
+        assert a.owners["s"] == second.owner
+
+    run(body)
+
+
+def test_a_short_outage_keeps_the_session():
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        acquired = await a.acquire("s")
+        queue = a.subscribe()
+        cell.set_down(True)
+        await cell.clock.advance(1.5)
+        cell.set_down(False)
+        await cell.clock.advance(5)
+        assert not drain(queue, SessionLost)
+        assert b.owners["s"] == acquired.owner
+
+    run(body)
+
+
+def test_a_long_outage_keeps_the_list_and_the_owner_returns_first():
+    """Guards against an outage that empties the list or moves every shard."""
+
+    async def body(cell):
+        members = {name: cell.start(name) for name in "abc"}
+        await cell.clock.advance(1)
+        live = members["a"].processes.values()
+        first, owner, _ = [p.process_id for p in candidates("s", "brittany", live)]
+        acquired = await members[owner].acquire("s")
+        queue = members[owner].subscribe()
+        claim = asyncio.create_task(members[first].claim("s"))
+        cell.set_down(True)
+        await cell.clock.advance(60)
+        assert not members["a"].store_up
+        assert not drain(queue, SessionLost)
+        cell.set_down(False)
+        for _ in range(20):
+            await cell.clock.advance(0.1)
+            assert all(len(m.processes) == 3 for m in members.values())
+        assert [e.held for e in drain(queue, SessionLost)] == [[acquired.owner]]
+        assert await members[owner].reclaim(acquired.owner)
+        await cell.clock.advance(5)
+        assert members["a"].owners["s"] == acquired.owner
+        assert not claim.done() and members["a"].store_up
+        claim.cancel()
+
+    run(body)
+
+
+def test_processes_that_do_not_return_after_an_outage_are_dropped():
+    async def body(cell):
+        a, _ = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        cell.set_down(True)
+        cell.kill("b")
+        await cell.clock.advance(60)
+        assert set(a.processes) == {"a", "b"}
+        cell.set_down(False)
+        await cell.clock.advance(6)
+        assert set(a.processes) == {"a"}
+
+    run(body)
+
+
+def test_a_session_lost_while_paused_is_told_and_not_reclaimed_if_taken():
+    """Guards against a paused owner that goes on at its old epoch."""
+
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        acquired = await a.acquire("s")
+        queue = a.subscribe()
+        claim = asyncio.create_task(b.claim("s"))
+        cell.stores["a"].pause()
+        await cell.clock.advance(8)
+        assert claim.result().owner.epoch == 2
+        cell.stores["a"].resume()
+        await cell.clock.advance(2)
+        assert drain(queue, SessionLost) == [SessionLost([acquired.owner])]
+        assert not await a.reclaim(acquired.owner)
+        assert a.owners["s"] == claim.result().owner
+
+    run(body)
+
+
+def test_a_restart_at_the_same_address_frees_its_shards_at_once():
+    """Guards against waiting for the lease of a start that is proved dead."""
+
+    async def body(cell):
+        await asyncio.sleep(0)
+        old = cell.start("a")
+        await cell.clock.advance(1)
+        await old.acquire("s")
+        cell.kill("a")
+        new = cell.start("a", incarnation="a-2")
+        await cell.clock.advance(0)
+        claim = asyncio.create_task(new.claim("s"))
+        await cell.clock.advance(0.5)
+        assert claim.result().owner.epoch == 2
+
+    run(body)
+
+
+def test_close_frees_everything():
+    async def body(cell):
+        a = cell.start("a")
+        await cell.clock.advance(1)
+        await a.acquire("s")
+        await a.close()
+        await cell.clock.advance(2)
+        assert await cell.owner() is None
+        assert cell.engine.lease_ids == []
+
+    run(body)
+
+
+def test_acquire_without_a_session_or_store():
+    async def body(cell):
+        a = cell.start("a")
+        assert await a.acquire("s") is None
+        await cell.clock.advance(1)
+        cell.set_down(True)
+        with pytest.raises(StoreUnavailable):
+            await a.acquire("s")
+        cell.set_down(False)
+        assert (await a.acquire("s")).owner.epoch == 1
+
+    run(body)
