--- /dev/null
+++ b/flamingoway/core/routing.py
@@ -0,0 +1,101 @@
+"""Which target gets the next check; local knowledge only.
+
+Every entry process sees only its own requests. The slots of a target are shared by
+all entry processes of the region: each has a share of them, and the shares of all
+processes add up to the slots.
+"""
+
+import random
+import zlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..registry import Registry
+
+
+@dataclass(slots=True)
+class TargetLoad:
+    """What one entry process knows about a target.
+
+    Attributes:
+        share: Slots that this process may use.
+        in_flight: Requests of this process that the target has now.
+    """
+
+    target_id: str
+    zone: str
+    share: int
+    in_flight: int = 0
+
+    @property
+    def free(self) -> int:
+        """Slots of the share that are not in use; negative above the share."""
+        return self.share - self.in_flight
+
+
+class TargetPicker(Protocol):
+    """Chooses a target for one request."""
+
+    def pick(self, targets: Sequence[TargetLoad]) -> TargetLoad | None:
+        """Return a target with a free slot of the share, or ``None``."""
+
+
+target_pickers: Registry[type[TargetPicker]] = Registry("target picker")
+
+
+@target_pickers.register("two_choices")
+class TwoChoices:
+    """The less loaded of two random targets, of the own zone if it has room.
+
+    Args:
+        zone: Availability zone of this process.
+        rng: Source of the random choices.
+    """
+
+    def __init__(self, zone: str, rng: random.Random):
+        self._zone = zone
+        self._rng = rng
+
+    def pick(self, targets: Sequence[TargetLoad]) -> TargetLoad | None:
+        """Return a target with a free slot of the share, or ``None``."""
+        free = [target for target in targets if target.free > 0]
+        near = [target for target in free if target.zone == self._zone]
+        candidates = near or free
+        if not candidates:
+            return None
+        first = self._rng.choice(candidates)
+        second = self._rng.choice(candidates)
+        return first if first.free >= second.free else second
+
+
+@target_pickers.register("round_robin")
+class RoundRobin:
+    """Each target in turn, without regard to load or zone; the baseline."""
+
+    def __init__(self, zone: str, rng: random.Random):
+        self._next = rng.randrange(1 << 16)
+
+    def pick(self, targets: Sequence[TargetLoad]) -> TargetLoad | None:
+        """Return the next target, or ``None`` without targets."""
+        if not targets:
+            return None
+        self._next += 1
+        return targets[self._next % len(targets)]
+
+
+def slot_share(
+    target_id: str, slots: int, process_id: str, processes: Iterable[str]
+) -> int:
+    """Return how many of a target's slots one process may use.
+
+    The slots that cannot be divided evenly go to processes in an order that
+    differs between targets, so that all processes get about the same in total.
+    """
+    ranked = sorted(processes)
+    if process_id not in ranked:
+        return 0
+    base, rest = divmod(slots, len(ranked))
+    offset = zlib.crc32(target_id.encode())
+    position = (ranked.index(process_id) + offset) % len(ranked)
+    return base + (position < rest)
--- /dev/null
+++ b/flamingoway/httpserver.py
@@ -0,0 +1,395 @@
+"""HTTP/1.1 server connections: strict about heads, bounded, every refusal coded.
+
+tornado parses and frames the messages. This module adds what an entry process
+needs: heads that two parsers could understand differently are refused, a refusal
+always has a body with a result code, a slow caller is disconnected, and a planned
+stop ends no connection in the middle of a request.
+"""
+
+import asyncio
+import re
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.netutil import add_accept_handler, bind_sockets
+
+from .status import Code
+
+MAX_HEAD_BYTES = 16 * 1024
+# Heads between the two limits get a coded refusal before the connection is closed.
+MAX_READ_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 1024 * 1024
+MAX_CONNECTIONS = 4096
+IDLE_TIMEOUT_S = 75.0
+REQUEST_TIMEOUT_S = 10.0
+WRITE_TIMEOUT_S = 10.0
+SWEEP_INTERVAL_S = 1.0
+# While stopping, an idle connection stays open this long, so that a request that
+# is on its way is still answered.
+DRAIN_IDLE_S = 2.0
+# What tornado writes when it cannot parse a head.
+_TORNADO_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+_LENGTH = re.compile(r"[0-9]{1,15}")
+_SINGLE_HEADERS = ("Content-Length", "Host", "Transfer-Encoding")
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A whole request."""
+
+    method: str
+    path: str
+    query: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    caller_left: asyncio.Event
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """A whole answer; ``Content-Length`` is added when it is sent."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+Refusal = Callable[[Code, str], HttpAnswer]
+
+
+class _Stream(IOStream):
+    """Replaces tornado's bare refusal by a coded one."""
+
+    refusal: bytes = _TORNADO_REFUSAL
+    answered = False
+
+    def write(self, data: bytes | memoryview):
+        """Write ``data``, or the coded refusal in place of tornado's."""
+        if data == _TORNADO_REFUSAL:
+            data = b"" if self.answered else self.refusal
+        return super().write(data)
+
+    def close(self, exc_info=False) -> None:
+        """Close; a head above the limit is refused with a code first."""
+        too_long = isinstance(exc_info, UnsatisfiableReadError)
+        if too_long and self.socket is not None and not self.answered:
+            try:
+                self.socket.send(self.refusal)
+            except OSError:
+                pass
+        super().close(exc_info)
+
+
+class _Http(HTTP1Connection):
+    """Announces in each answer whether the connection will be closed."""
+
+    closing = False
+
+    def write_headers(self, start_line, headers, chunk=None):
+        """Write the head of an answer."""
+        if self.closing:
+            headers["Connection"] = "close"
+        return super().write_headers(start_line, headers, chunk)
+
+
+class HttpServer:
+    """Listens on one address and calls a handler for each whole request.
+
+    Args:
+        handler: Coroutine that answers a request; it must not raise.
+        refuse: Builds the answer to a request that is refused here.
+        max_body: Largest body of a request, in bytes.
+        fallback: Delegate (for example a ``tornado.web.Application``) for paths
+            that ``owns`` does not accept.
+        owns: Whether the handler answers a path.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Refusal,
+        max_body: int,
+        fallback: httputil.HTTPServerConnectionDelegate | None = None,
+        owns: Callable[[str], bool] = lambda path: True,
+    ):
+        self.handler = handler
+        self.refuse = refuse
+        self.max_body = max_body
+        self.fallback = fallback
+        self.owns = owns
+        self.closing = False
+        self._connections: dict[_Connection, asyncio.Task] = {}
+        self._sockets: list[socket.socket] = []
+        self._stop_accepting: list[Callable[[], None]] = []
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_READ_HEAD_BYTES,
+            max_body_size=max(MAX_BODY_BYTES, max_body),
+        )
+
+    @property
+    def port(self) -> int:
+        """Port of the first listening socket."""
+        return self._sockets[0].getsockname()[1]
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being read or answered."""
+        return sum(connection.busy for connection in self._connections)
+
+    def listen(self, ip: str, port: int) -> None:
+        """Start to accept connections.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        self._sockets = bind_sockets(port, ip)
+        for sock in self._sockets:
+            self._stop_accepting.append(add_accept_handler(sock, self._accept))
+
+    def stop_listening(self) -> None:
+        """Close the listening sockets; open connections go on."""
+        for stop in self._stop_accepting:
+            stop()
+        for sock in self._sockets:
+            sock.close()
+        self._stop_accepting.clear()
+        self._sockets.clear()
+
+    async def sweep(self) -> None:
+        """Close connections whose caller is too slow, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            for connection in list(self._connections):
+                connection.close_if_slow(now)
+
+    async def drain(self, timeout_s: float) -> int:
+        """Wait until no connection is open; return how many requests were cut off.
+
+        Args:
+            timeout_s: Connections still open after this time are closed.
+        """
+        self.closing = True
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        idle_end = loop.time() + DRAIN_IDLE_S
+        while self._connections and loop.time() < end:
+            for connection in list(self._connections):
+                if not connection.busy and loop.time() >= idle_end:
+                    connection.close()
+            await asyncio.sleep(0.02)
+        abandoned = self.in_flight
+        await self.close()
+        return abandoned
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self.stop_listening()
+        tasks = list(self._connections.values())
+        for connection in list(self._connections):
+            connection.close()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def _accept(self, sock: socket.socket, address: tuple) -> None:
+        if len(self._connections) >= MAX_CONNECTIONS:
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = _Stream(sock)
+        answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
+        stream.refusal = _encode(answer)
+        connection = _Connection(self, stream, self._parameters)
+        task = asyncio.create_task(connection.run())
+        self._connections[connection] = task
+        task.add_done_callback(lambda _: self._connections.pop(connection))
+
+
+class _Connection:
+    """One connection of a caller; its requests are answered one after another."""
+
+    def __init__(
+        self, server: HttpServer, stream: _Stream, parameters: HTTP1ConnectionParameters
+    ):
+        self._server = server
+        self._stream = stream
+        self._parameters = parameters
+        self._exchange: _Exchange | None = None
+        self._loop = asyncio.get_running_loop()
+        self._slow_at = self._loop.time() + IDLE_TIMEOUT_S
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return self._exchange is not None and self._exchange.started
+
+    def limit_phase(self, seconds: float) -> None:
+        """Allow the caller ``seconds`` for what it does now; infinite is allowed."""
+        self._slow_at = self._loop.time() + seconds
+
+    def close_if_slow(self, now: float) -> None:
+        """Close the connection if the caller took too long."""
+        if now >= self._slow_at:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    async def run(self) -> None:
+        """Serve requests until either side closes the connection."""
+        keep = True
+        try:
+            while keep and not self._stream.closed():
+                keep = await self._serve_one()
+        except (StreamClosedError, UnsatisfiableReadError, ValueError):
+            pass
+        finally:
+            self._stream.close()
+
+    async def _serve_one(self) -> bool:
+        http = _Http(self._stream, False, self._parameters)
+        self._exchange = _Exchange(self._server, self, http)
+        self.limit_phase(IDLE_TIMEOUT_S)
+        keep = await http.read_response(self._exchange)
+        self._exchange = None
+        return keep and not http.closing
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    """Reads one request, calls the handler and writes the answer."""
+
+    def __init__(self, server: HttpServer, connection: _Connection, http: _Http):
+        self.started = False
+        self._server = server
+        self._connection = connection
+        self._http = http
+        self._request: HttpRequest | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._refused = False
+        # A body a little too long is read to its end and dropped: closing a
+        # connection with unread bytes resets it, and the refusal could be lost.
+        self._too_large = False
+        self._fallback: httputil.HTTPMessageDelegate | None = None
+        self._task: asyncio.Task | None = None
+
+    def headers_received(self, start_line, headers):
+        """Check the head before any of the body is read."""
+        self.started = True
+        self._connection.limit_phase(REQUEST_TIMEOUT_S)
+        fault = _head_fault(start_line, headers)
+        if fault:
+            return self._refuse(Code.BAD_REQUEST, fault)
+        path, _, query = start_line.path.partition("?")
+        if self._server.fallback is not None and not self._server.owns(path):
+            return self._start_fallback(start_line, headers)
+        length = int(headers.get("Content-Length", "0"))
+        if length > MAX_BODY_BYTES:
+            return self._refuse_body()
+        self._too_large = length > self._server.max_body
+        left = asyncio.Event()
+        self._request = HttpRequest(start_line.method, path, query, headers, b"", left)
+        return None
+
+    def data_received(self, chunk: bytes):
+        """Keep a part of the body."""
+        if self._fallback is not None:
+            return self._fallback.data_received(chunk)
+        self._size += len(chunk)
+        self._too_large = self._too_large or self._size > self._server.max_body
+        if not self._too_large:
+            self._chunks.append(chunk)
+        return None
+
+    def finish(self) -> None:
+        """Answer the whole request."""
+        self._connection.limit_phase(float("inf"))
+        if self._fallback is not None:
+            self._fallback.finish()
+            return
+        if self._refused:
+            return
+        if self._too_large:
+            self._refuse_body()
+            return
+        self._request.body = b"".join(self._chunks)
+        self._http.set_close_callback(self._request.caller_left.set)
+        self._task = asyncio.create_task(self._answer())
+
+    def on_connection_close(self) -> None:
+        """Note that the caller left before the request was whole."""
+        if self._fallback is not None:
+            self._fallback.on_connection_close()
+
+    def _start_fallback(self, start_line, headers):
+        self._http.closing = self._server.closing
+        self._fallback = self._server.fallback.start_request(None, self._http)
+        return self._fallback.headers_received(start_line, headers)
+
+    def _refuse_body(self) -> None:
+        limit = self._server.max_body
+        message = f"the body is longer than {limit} bytes"
+        self._refuse(Code.BODY_TOO_LARGE, message)
+
+    def _refuse(self, code: Code, message: str) -> None:
+        self._refused = True
+        self._http.closing = True
+        self._http.stream.answered = True
+        self._write(self._server.refuse(code, message))
+
+    async def _answer(self) -> None:
+        answer = await self._server.handler(self._request)
+        self._http.closing = self._server.closing
+        self._write(answer)
+
+    def _write(self, answer: HttpAnswer) -> None:
+        if self._http.stream.closed():
+            return
+        self._connection.limit_phase(WRITE_TIMEOUT_S)
+        start, headers = _answer_head(answer)
+        self._http.write_headers(start, headers, answer.body)
+        self._http.finish()
+
+
+def _head_fault(start_line, headers: httputil.HTTPHeaders) -> str:
+    """Return why a head is refused, or an empty string."""
+    size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+    if size + len(start_line.path) > MAX_HEAD_BYTES:
+        return f"the head is longer than {MAX_HEAD_BYTES} bytes"
+    for name in _SINGLE_HEADERS:
+        if len(headers.get_list(name)) > 1:
+            return f"{name} is repeated"
+    length = headers.get("Content-Length")
+    if length is not None and not _LENGTH.fullmatch(length):
+        return "Content-Length is not a number"
+    if "Transfer-Encoding" not in headers:
+        return ""
+    if length is not None:
+        return "both Content-Length and Transfer-Encoding are given"
+    if headers["Transfer-Encoding"].lower() != "chunked":
+        return "the Transfer-Encoding is not chunked"
+    if start_line.version != "HTTP/1.1":
+        return "Transfer-Encoding needs HTTP/1.1"
+    return ""
+
+
+def _answer_head(answer: HttpAnswer):
+    reason = httputil.responses.get(answer.status, "Unknown")
+    start = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
+    headers = httputil.HTTPHeaders(answer.headers)
+    headers["Content-Length"] = str(len(answer.body))
+    return start, headers
+
+
+def _encode(answer: HttpAnswer) -> bytes:
+    start, headers = _answer_head(answer)
+    headers["Connection"] = "close"
+    lines = [f"HTTP/1.1 {start.code} {start.reason}"]
+    lines += [f"{name}: {value}" for name, value in headers.get_all()]
+    return "\r\n".join(lines).encode("latin1") + b"\r\n\r\n" + answer.body
--- /dev/null
+++ b/flamingoway/ingress.py
@@ -0,0 +1,329 @@
+"""HTTP API for members: checks, jobs, liveness and readiness.
+
+Every answer has a result code: in its JSON body, or in the ``X-Code`` header of an
+answer that a target gave, which passes through whole.
+"""
+
+import asyncio
+import hashlib
+import re
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from absl import logging
+from tornado import web
+
+from . import traceparent as tracing
+from .context import Context
+from .document import MemberModel
+from .errors import BadRequest, FlamingowayError, Refused
+from .httpserver import HttpAnswer, HttpRequest, HttpServer
+from .status import Code
+
+MAX_TIMEOUT_MS = 600_000
+MAX_KEY_LENGTH = 128
+_JSON = "application/json"
+_PATH = re.compile(r"/v1/([a-z0-9][a-z0-9-]{0,62})/(checks|jobs)(?:/([\w.-]{1,128}))?")
+_TIMEOUT = re.compile(r"[0-9]{1,9}")
+_OWN_PATHS = ("/v1/", "/healthz", "/readyz")
+
+
+class JobBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a submission."""
+
+    kind: str
+    params: msgspec.Raw = msgspec.Raw(b"null")
+    tasks: int = 1
+    urgent: bool = False
+
+
+@dataclass(slots=True)
+class _Call:
+    """An authenticated request to an environment."""
+
+    request: HttpRequest
+    environment: str
+    member: MemberModel
+    name: str
+    traceparent: str
+
+    @property
+    def key(self) -> str:
+        """Idempotency key, or an empty string.
+
+        Raises:
+            BadRequest: If it is too long.
+        """
+        key = self.request.headers.get("Idempotency-Key", "")
+        if len(key) > MAX_KEY_LENGTH:
+            raise BadRequest("the Idempotency-Key is too long", Code.BAD_KEY)
+        return key
+
+
+class Ingress:
+    """Serves the HTTP API of one entry process.
+
+    Args:
+        context: Settings and clocks of the process.
+        checks: Runs checks; see :class:`flamingoway.checks.Checks`.
+        jobs: Submits and reads jobs; has the interface of ``JobRouter``.
+        follower: Gives the document in effect of an environment.
+        routes: Further tornado routes, for example of the admin API.
+        ready: Whether the process can serve; asked for each ``/readyz``.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        checks,
+        jobs,
+        follower,
+        routes: list | None = None,
+        ready: Callable[[], bool] = lambda: True,
+    ):
+        self._context = context
+        self._checks = checks
+        self._jobs = jobs
+        self._follower = follower
+        self._ready = ready
+        self._draining = False
+        self._keys: dict[str, tuple[object, dict[str, MemberModel]]] = {}
+        application = web.Application(
+            list(routes or []), default_handler_class=_NotFound, log_function=_no_log
+        )
+        self._server = HttpServer(
+            self._handle,
+            self._refuse,
+            context.settings.limits.body_bytes,
+            application,
+            lambda path: path.startswith(_OWN_PATHS),
+        )
+        self._methods: dict[tuple[str, str, bool], Callable[[_Call], Awaitable]] = {
+            ("POST", "checks", True): self._check,
+            ("POST", "jobs", False): self._submit,
+            ("GET", "jobs", False): self._list,
+            ("GET", "jobs", True): self._get,
+            ("DELETE", "jobs", True): self._cancel,
+        }
+
+    @property
+    def port(self) -> int:
+        """Port on which the server listens."""
+        return self._server.port
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being read or answered."""
+        return self._server.in_flight
+
+    def listen(self, ip: str, port: int) -> None:
+        """Start to accept connections.
+
+        Raises:
+            OSError: If the address cannot be bound.
+        """
+        self._server.listen(ip, port)
+
+    async def run(self) -> None:
+        """Disconnect slow callers until cancelled."""
+        await self._server.sweep()
+
+    async def drain(self, grace_s: float) -> int:
+        """Stop in a planned way; return how many requests were cut off.
+
+        Readiness fails at once. The listener closes after the notice period, in
+        which the load balancer takes this process out. Requests in flight finish.
+        """
+        self._draining = True
+        self._server.closing = True
+        await asyncio.sleep(self._context.settings.limits.drain_notice_s)
+        self._server.stop_listening()
+        return await self._server.drain(grace_s)
+
+    async def close(self) -> None:
+        """Close all connections at once."""
+        await self._server.close()
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+        header = request.headers.get("traceparent", "")
+        traceparent = tracing.next_hop(header, self._context.rng)
+        try:
+            return await self._route(request, traceparent)
+        except FlamingowayError as exc:
+            return _error(exc, tracing.trace_id(traceparent))
+        except Exception:
+            # A fault in one request must not leave its caller without an answer.
+            logging.exception("fault while a request was answered")
+            error = FlamingowayError("internal fault", Code.INTERNAL)
+            return _error(error, tracing.trace_id(traceparent))
+
+    async def _route(self, request: HttpRequest, traceparent: str) -> HttpAnswer:
+        if request.path == "/healthz":
+            return _coded(Code.OK, "alive", tracing.trace_id(traceparent))
+        if request.path == "/readyz":
+            return self._readiness(tracing.trace_id(traceparent))
+        match = _PATH.fullmatch(request.path)
+        if match is None:
+            raise BadRequest("no such path", Code.NOT_FOUND)
+        environment, area, name = match[1], match[2], match[3] or ""
+        method = self._methods.get((request.method, area, bool(name)))
+        if method is None:
+            raise BadRequest("no such method on this path", Code.NOT_FOUND)
+        member = self._authenticate(environment, request)
+        return await method(_Call(request, environment, member, name, traceparent))
+
+    def _readiness(self, trace: str) -> HttpAnswer:
+        if self._draining:
+            return _coded(Code.STOPPING, "stopping", trace)
+        if not self._ready():
+            return _coded(Code.OVERLOADED, "not ready", trace)
+        return _coded(Code.OK, "ready", trace)
+
+    def _authenticate(self, environment: str, request: HttpRequest) -> MemberModel:
+        active = self._follower.current(environment)
+        if active is None:
+            raise BadRequest(f"no environment {environment!r}", Code.NOT_FOUND)
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        member = self._members(environment, active).get(digest)
+        if scheme.lower() != "bearer" or member is None:
+            raise BadRequest("the key is missing or unknown", Code.UNAUTHENTICATED)
+        return member
+
+    def _members(self, environment: str, active) -> dict[str, MemberModel]:
+        """Return the members by the hash of each of their keys."""
+        known, members = self._keys.get(environment, (None, {}))
+        if known is not active:
+            members = {
+                digest.lower(): member
+                for member in active.document.members
+                for digest in member.key_sha256
+            }
+            self._keys[environment] = (active, members)
+        return members
+
+    async def _check(self, call: _Call) -> HttpAnswer:
+        deadline = self._context.clock() + self._timeout_s(call)
+        reply = await self._checks.run(
+            call.environment,
+            call.member.name,
+            call.name,
+            call.request.body,
+            deadline,
+            call.key,
+            call.traceparent,
+        )
+        trace = tracing.trace_id(call.traceparent)
+        if reply.code != Code.OK:
+            raise FlamingowayError(reply.message, Code(reply.code))
+        headers = _headers(Code.OK, trace)
+        headers["Content-Type"] = reply.content_type or "application/octet-stream"
+        return HttpAnswer(reply.status, reply.body, headers)
+
+    def _timeout_s(self, call: _Call) -> float:
+        kind = self._follower.current(call.environment).document.check_kind(call.name)
+        if kind is None:
+            raise BadRequest(f"no check kind {call.name!r}", Code.UNKNOWN_KIND)
+        asked = call.request.headers.get("X-Timeout-Ms")
+        if asked is None:
+            return kind.timeout_s
+        if not _TIMEOUT.fullmatch(asked) or not 0 < int(asked) <= MAX_TIMEOUT_MS:
+            raise BadRequest(
+                f"X-Timeout-Ms: allowed: 1 to {MAX_TIMEOUT_MS}", found=asked[:20]
+            )
+        return min(kind.timeout_s, int(asked) / 1000)
+
+    async def _submit(self, call: _Call) -> HttpAnswer:
+        if self._draining:
+            raise Refused("this process is stopping", Code.STOPPING)
+        try:
+            body = msgspec.json.decode(call.request.body, type=JobBody)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            raise BadRequest(f"the body is not valid: {exc}") from None
+        reply = await self._jobs.submit(
+            call.environment,
+            call.member.name,
+            body.kind,
+            body.tasks,
+            body.urgent,
+            bytes(body.params),
+            call.key,
+            call.traceparent,
+        )
+        trace = tracing.trace_id(call.traceparent)
+        return _coded(Code(reply.code), reply.message, trace, job_id=reply.job_id)
+
+    async def _get(self, call: _Call) -> HttpAnswer:
+        view = await self._jobs.get(call.environment, call.member.name, call.name)
+        trace = tracing.trace_id(call.traceparent)
+        return _coded(Code.OK, "", trace, job=_job_fields(view))
+
+    async def _list(self, call: _Call) -> HttpAnswer:
+        listed = await self._jobs.list(call.environment, call.member.name)
+        jobs = [_job_fields(view) for view in listed.jobs]
+        return _coded(Code.OK, "", tracing.trace_id(call.traceparent), jobs=jobs)
+
+    async def _cancel(self, call: _Call) -> HttpAnswer:
+        reply = await self._jobs.cancel(call.environment, call.member.name, call.name)
+        trace = tracing.trace_id(call.traceparent)
+        return _coded(Code(reply.code), reply.message, trace, job_id=reply.job_id)
+
+    def _refuse(self, code: Code, message: str) -> HttpAnswer:
+        """Build the answer to a request that could not be read."""
+        trace = tracing.trace_id(tracing.next_hop("", self._context.rng))
+        return _coded(code, message, trace)
+
+
+class _NotFound(web.RequestHandler):
+    """Answers paths that no route has."""
+
+    def prepare(self) -> None:
+        """Answer with a code."""
+        answer = _coded(Code.NOT_FOUND, "no such path", "")
+        self.set_status(answer.status)
+        for name, value in answer.headers.items():
+            self.set_header(name, value)
+        self.finish(answer.body)
+
+
+def _no_log(handler: web.RequestHandler) -> None:
+    """Do not log requests; the tracer does."""
+
+
+def _job_fields(view) -> dict:
+    fields = msgspec.to_builtins(view)
+    fields["results"] = {
+        task: msgspec.Raw(result) for task, result in view.results.items()
+    }
+    return fields
+
+
+def _headers(code: Code, trace: str) -> dict[str, str]:
+    return {
+        "Content-Type": _JSON,
+        "X-Code": str(int(code)),
+        "X-Ran": code.ran,
+        "X-Trace-Id": trace,
+    }
+
+
+def _coded(code: Code, message: str, trace: str, **fields) -> HttpAnswer:
+    answer = {
+        "code": int(code),
+        "name": code.name,
+        "message": message,
+        "ran": code.ran,
+        "trace_id": trace,
+    }
+    body = msgspec.json.encode(answer | fields)
+    return HttpAnswer(code.http_status, body, _headers(code, trace))
+
+
+def _error(exc: FlamingowayError, trace: str) -> HttpAnswer:
+    answer = _coded(exc.code, exc.message, trace)
+    retry_after = exc.details.get("retry_after")
+    if retry_after is not None:
+        answer.headers["Retry-After"] = str(max(1, round(retry_after)))
+        answer.headers["X-Retry-After-Ms"] = str(max(1, round(retry_after * 1000)))
+    return answer
--- /dev/null
+++ b/flamingoway/target.py
@@ -0,0 +1,390 @@
+"""HTTP client to targets: one request on one connection, and a pool per target.
+
+Every failure is mapped to a result code of the right class. "Not run" is claimed
+only if no byte of the request reached the socket, or the target said so. The whole
+answer is read and its length checked before the caller sees any of it.
+
+Reuse of connections. A target may close an idle connection at the moment a request
+is sent on it; the request's outcome is then unknown, and a non-idempotent check
+must not be repeated. A new connection for each check would avoid this, but costs
+one more round trip (up to 3 ms) and about a quarter of the throughput of an entry
+process. So a connection is verified immediately before use (no end of stream, no
+unread bytes), and a non-idempotent check only uses one that answered within
+``FRESH_S``. Idle timeouts of HTTP servers are several seconds or more, and a target
+that stops announces it by ``X-Leaving`` or ``Connection: close``. What remains is
+a target that dies within the round trip: its outcome is reported as unknown.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from .errors import FlamingowayError, OutcomeUnknown, Refused
+from .status import Code
+
+FRESH_S = 1.0
+IDLE_S = 15.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_HEAD_BYTES = 16 * 1024
+# The bodies are bounded by ``max_answer_bytes`` with a code of its own.
+_PARAMETERS = HTTP1ConnectionParameters(
+    max_header_size=MAX_HEAD_BYTES, max_body_size=2**62
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRequest:
+    """A request to a target.
+
+    Attributes:
+        timeout_s: Time left until the deadline.
+        idempotent: Whether it may be sent on a connection that was idle for long.
+        max_answer_bytes: Largest body of the answer.
+    """
+
+    path: str
+    body: bytes
+    request_id: str
+    timeout_s: float
+    traceparent: str = ""
+    idempotent: bool = False
+    max_answer_bytes: int = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of a target.
+
+    Attributes:
+        not_run: Whether the target said that it did not run the request.
+        leaving: Whether the target said that it is leaving.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    leaving: bool = False
+    not_run: bool = False
+
+
+class _Stream(IOStream):
+    """Counts bytes, to tell what left the process and what was read too much."""
+
+    sent = 0
+    received = 0
+    head_bytes = 0
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the socket and count the bytes."""
+        count = super().write_to_fd(data)
+        self.sent += count
+        return count
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket and count the bytes."""
+        count = super().read_from_fd(buf)
+        if count is not None:
+            self.received += count
+        return count
+
+    async def read_until_regex(self, regex: bytes, max_bytes: int | None = None):
+        """Read a head and count its bytes."""
+        head = await super().read_until_regex(regex, max_bytes)
+        self.head_bytes += len(head)
+        return head
+
+
+class _Invalid(httputil.HTTPInputError):
+    """An answer that is refused; tornado closes the connection."""
+
+
+class _Reader(httputil.HTTPMessageDelegate):
+    """Collects one answer within its limits."""
+
+    def __init__(self, request: TargetRequest):
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.complete = False
+        self.fault: Code | None = None
+        self._request = request
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    @property
+    def body(self) -> bytes:
+        """The body read so far."""
+        return b"".join(self._chunks)
+
+    @property
+    def size(self) -> int:
+        """Length of the body read so far, in bytes."""
+        return self._size
+
+    @property
+    def chunked(self) -> bool:
+        """Whether the length of the body came with its chunks."""
+        return "Transfer-Encoding" in self.headers
+
+    def headers_received(self, start_line, headers) -> None:
+        """Check the head; an informational one is skipped."""
+        if start_line.code < 200:
+            return
+        self.status = start_line.code
+        self.headers = headers
+        self._check_length(headers.get_list("Content-Length"))
+        echoed = headers.get("X-Request-Id", self._request.request_id)
+        if echoed != self._request.request_id:
+            self._refuse(Code.ANSWER_INVALID)
+
+    def _check_length(self, lengths: list[str]) -> None:
+        if self.status in (204, 304):
+            return
+        if len(lengths) + self.chunked != 1:
+            self._refuse(Code.ANSWER_INVALID)
+        if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+            self._refuse(Code.ANSWER_INVALID)
+        if lengths and int(lengths[0]) > self._request.max_answer_bytes:
+            self._refuse(Code.ANSWER_TOO_LARGE)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self._size += len(chunk)
+        if self._size > self._request.max_answer_bytes:
+            self._refuse(Code.ANSWER_TOO_LARGE)
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Note that the whole answer was read."""
+        self.complete = True
+
+    def on_connection_close(self) -> None:
+        """Do nothing; the caller sees that the answer is not complete."""
+
+    def _refuse(self, code: Code) -> None:
+        self.fault = code
+        raise _Invalid(code.name)
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """An open connection to a target; carries one request at a time."""
+
+    stream: _Stream
+    last_used: float
+    _late: bool = field(default=False, init=False)
+
+    def verify(self) -> bool:
+        """Return whether the idle connection is open and has no unread bytes."""
+        if self.stream.closed():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.stream.close()
+
+    async def send(self, request: TargetRequest) -> tuple[Answer, bool]:
+        """Send a request; return the answer and whether to keep the connection.
+
+        Raises:
+            Refused: No byte of the request was sent.
+            OutcomeUnknown: It may have run; the code tells what was wrong.
+        """
+        stream = self.stream
+        sent, received = stream.sent, stream.received
+        stream.head_bytes = 0
+        reader = _Reader(request)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(request.timeout_s, self._expire)
+        try:
+            whole = await _exchange(stream, request, reader)
+        finally:
+            timer.cancel()
+            if not reader.complete:
+                stream.close()
+        sent = stream.sent - sent
+        received = stream.received - received
+        if not reader.complete:
+            raise self._failure(reader, sent, received, whole)
+        surplus = received - stream.head_bytes - reader.size
+        reusable = not reader.chunked and surplus == 0 and not stream.closed()
+        closes = reader.headers.get("Connection", "").lower() == "close"
+        return _to_answer(reader), reusable and not closes
+
+    def _expire(self) -> None:
+        self._late = True
+        self.stream.close()
+
+    def _failure(
+        self, reader: _Reader, sent: int, received: int, parsed: bool
+    ) -> FlamingowayError:
+        """Return the error for an answer that is not complete."""
+        if sent == 0:
+            if self._late:
+                return Refused("the deadline passed", Code.DEADLINE_PASSED)
+            return Refused("the connection closed before use", Code.NO_TARGET)
+        if self._late:
+            return OutcomeUnknown("no whole answer in time", Code.ANSWER_LATE)
+        if reader.fault is not None:
+            return OutcomeUnknown("the answer was refused", reader.fault)
+        invalid = isinstance(self.stream.error, UnsatisfiableReadError)
+        if not parsed or invalid:
+            return OutcomeUnknown("the answer is not HTTP", Code.ANSWER_INVALID)
+        if received:
+            return OutcomeUnknown("the answer ended early", Code.ANSWER_CUT)
+        return OutcomeUnknown("the connection closed", Code.OUTCOME_UNKNOWN)
+
+
+async def _exchange(stream: _Stream, request: TargetRequest, reader: _Reader) -> bool:
+    """Write the request and read the answer; return whether it could be parsed."""
+    http = HTTP1Connection(stream, True, _PARAMETERS)
+    start = httputil.RequestStartLine("POST", request.path, "HTTP/1.1")
+    try:
+        http.write_headers(start, _request_headers(request), request.body)
+        http.finish()
+        await http.read_response(reader)
+    except StreamClosedError:
+        return True
+    except ValueError:
+        return False
+    return reader.complete
+
+
+def _request_headers(request: TargetRequest) -> httputil.HTTPHeaders:
+    headers = httputil.HTTPHeaders()
+    headers["Host"] = "target"
+    headers["Content-Type"] = "application/json"
+    headers["Content-Length"] = str(len(request.body))
+    headers["X-Request-Id"] = request.request_id
+    headers["X-Deadline-Ms"] = str(max(1, int(request.timeout_s * 1000)))
+    if request.traceparent:
+        headers["traceparent"] = request.traceparent
+    return headers
+
+
+def _to_answer(reader: _Reader) -> Answer:
+    headers = reader.headers
+    return Answer(
+        status=reader.status,
+        content_type=headers.get("Content-Type", ""),
+        body=reader.body,
+        leaving=headers.get("X-Leaving") == "1",
+        not_run=reader.status == 503 and headers.get("X-Not-Run") == "1",
+    )
+
+
+class TargetPool:
+    """Connections to one target.
+
+    Args:
+        ip: Address of the target.
+        port: Port of the target.
+        limit: Connections of this process to the target.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(self, ip: str, port: int, limit: int, clock: Callable[[], float]):
+        self.limit = limit
+        self._address = (ip, port)
+        self._clock = clock
+        self._idle: list[Connection] = []
+        self._busy: set[Connection] = set()
+        self._connecting = 0
+        self._closed = False
+
+    @property
+    def open(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._idle) + len(self._busy) + self._connecting
+
+    async def send(self, request: TargetRequest) -> Answer:
+        """Send a request and return the whole answer.
+
+        Raises:
+            Refused: The request did not run: ``NO_TARGET`` if the target cannot be
+                reached, ``OVERLOADED`` at the connection limit, ``TARGET_REFUSED``
+                if the target said so, ``DEADLINE_PASSED``.
+            OutcomeUnknown: It may have run.
+        """
+        deadline = self._clock() + request.timeout_s
+        connection = self._take(request.idempotent)
+        if connection is None:
+            connection = await self._connect(request.timeout_s)
+            if self._clock() >= deadline:
+                connection.close()
+                raise Refused("the deadline passed", Code.DEADLINE_PASSED)
+        return await self._send_on(connection, request)
+
+    async def _send_on(self, connection: Connection, request: TargetRequest) -> Answer:
+        self._busy.add(connection)
+        keep = False
+        try:
+            answer, keep = await connection.send(request)
+        finally:
+            self._busy.discard(connection)
+            if keep and not self._closed:
+                connection.last_used = self._clock()
+                self._idle.append(connection)
+            else:
+                connection.close()
+        if answer.not_run:
+            raise Refused(
+                "the target did not run the request",
+                Code.TARGET_REFUSED,
+                leaving=answer.leaving,
+            )
+        return answer
+
+    def _take(self, idempotent: bool) -> Connection | None:
+        oldest = self._clock() - (IDLE_S if idempotent else FRESH_S)
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.last_used >= oldest and connection.verify():
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, timeout_s: float) -> Connection:
+        if self.open >= self.limit:
+            raise Refused("no connection to the target is free", Code.OVERLOADED)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = _Stream(sock)
+        self._connecting += 1
+        try:
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+                await stream.connect(self._address)
+        except (OSError, StreamClosedError, TimeoutError):
+            stream.close()
+            raise Refused("the target cannot be reached", Code.NO_TARGET) from None
+        except BaseException:
+            stream.close()
+            raise
+        finally:
+            self._connecting -= 1
+        return Connection(stream, self._clock())
+
+    def sweep(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest = self._clock() - IDLE_S
+        for connection in [c for c in self._idle if c.last_used < oldest]:
+            self._idle.remove(connection)
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections; busy ones close after their answer."""
+        self._closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
