Keep a shard across a lost session in the shard manager

Cause: membership reports a lost session and can retake a shard at the same epoch, which spares loading the log and attaching to all workers again. Ruled out: always taking a new epoch, which would interrupt starts for the time of a takeover after each short store outage. Result: linter clean; not exercised by a test yet.

--- a/flamingoway/shards.py
+++ b/flamingoway/shards.py
@@ -1,4 +1,4 @@
-"""Takes free shards and runs an owner task for each shard that was taken."""
+"""Claims shards and runs an owner task for each shard that this process holds."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,11 +6,12 @@
 
 from absl import logging
 
-from .context import Context
-from .errors import FlamingowayError
-from .membership import Acquired, Membership
+from .errors import FlamingowayError, StoreOutcomeUnknown, StoreUnavailable
+from .membership import Membership, SessionLost
+from .messages import OwnerInfo
+from .ownership import Acquired
 
-RETRY_INTERVAL_S = 0.5
+RECLAIM_INTERVAL_S = 0.3
 
 
 class Owner(Protocol):
@@ -27,83 +28,84 @@
     """Owns the owner tasks of one process.
 
     Args:
-        context: Settings and clocks of the process.
-        membership: Gives the live processes and takes shards.
+        shards: Names of the shards of the cell.
+        membership: Claims shards and tells of lost sessions.
         make_owner: Creates the owner of a shard that was acquired.
     """
 
     def __init__(
         self,
-        context: Context,
+        shards: list[str],
         membership: Membership,
         make_owner: Callable[[Acquired], Owner],
     ):
-        self._context = context
+        self._shards = shards
         self._membership = membership
         self._make_owner = make_owner
         self._owners: dict[str, Owner] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
-        self._stopping = False
+        self._claims: list[asyncio.Task] = []
 
     @property
     def owners(self) -> dict[str, Owner]:
         """Owners that run in this process, by shard."""
-        return {
-            name: owner
-            for name, owner in self._owners.items()
-            if not self._tasks[name].done()
-        }
+        return self._owners
 
     async def run(self) -> None:
-        """Take free shards until cancelled."""
-        changes = self._membership.subscribe()
-        while True:
-            for shard in self._context.settings.shards:
-                await self._take_if_free(shard.name)
-            try:
-                await asyncio.wait_for(changes.get(), RETRY_INTERVAL_S)
-            except TimeoutError:
-                continue
+        """Claim shards and keep them until cancelled."""
+        events = self._membership.subscribe()
+        self._claims = [
+            asyncio.create_task(self._hold(shard), name=f"shard-{shard}")
+            for shard in self._shards
+        ]
+        try:
+            while True:
+                event = await events.get()
+                if isinstance(event, SessionLost):
+                    await self._reclaim(event.held)
+        finally:
+            self._membership.unsubscribe(events)
+            await self._cancel_claims()
 
     async def stop(self) -> None:
         """Stop all owners; each flushes and releases its shard."""
-        self._stopping = True
-        owners = list(self.owners.values())
-        await asyncio.gather(*(owner.stop() for owner in owners))
-        await self._join()
-
-    async def _take_if_free(self, shard: str) -> None:
-        if self._stopping or not self._membership.should_take(shard):
-            return
-        try:
-            acquired = await self._membership.acquire(shard)
-        except FlamingowayError as exc:
-            logging.warning("shard %s not acquired: %s", shard, exc.message)
-            return
-        if acquired is not None:
-            await self._start(shard, acquired)
-
-    async def _start(self, shard: str, acquired: Acquired) -> None:
-        # After a lost session this process may take its own shard again; the
-        # former owner task is fenced by the higher epoch and must end first.
-        former = self._tasks.pop(shard, None)
-        if former is not None:
-            former.cancel()
-            await asyncio.gather(former, return_exceptions=True)
-        owner = self._make_owner(acquired)
-        self._owners[shard] = owner
-        self._tasks[shard] = asyncio.create_task(
-            self._run_owner(shard, owner), name=f"owner-{shard}"
-        )
-
-    async def _run_owner(self, shard: str, owner: Owner) -> None:
-        try:
-            await owner.run()
-        except FlamingowayError as exc:
-            logging.warning("owner of %s ended: %s", shard, exc.message)
-
-    async def _join(self) -> None:
-        tasks = list(self._tasks.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        owners = dict(self._owners)
+        claims = [c for c in self._claims if c.get_name()[6:] not in owners]
+        await _cancel(claims)
+        await asyncio.gather(*(owner.stop() for owner in owners.values()))
+        await self._cancel_claims()
+
+    async def _hold(self, shard: str) -> None:
+        while True:
+            acquired = await self._membership.claim(shard)
+            owner = self._make_owner(acquired)
+            self._owners[shard] = owner
+            try:
+                await owner.run()
+            except FlamingowayError as exc:
+                logging.warning("owner of shard %s ended: %s", shard, exc.message)
+            finally:
+                self._owners.pop(shard, None)
+
+    async def _reclaim(self, held: list[OwnerInfo]) -> None:
+        for owner in held:
+            if not await self._reclaim_one(owner):
+                # The next commit of the owner task fails on the epoch.
+                logging.warning("shard %s was taken by another process", owner.shard)
+
+    async def _reclaim_one(self, owner: OwnerInfo) -> bool:
+        while owner.shard in self._owners:
+            try:
+                return await self._membership.reclaim(owner)
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                await asyncio.sleep(RECLAIM_INTERVAL_S)
+        return False
+
+    async def _cancel_claims(self) -> None:
+        await _cancel(self._claims)
+        self._claims = []
+
+
+async def _cancel(tasks: list[asyncio.Task]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
