Fix the reply envelope of peer calls and test its error classes

Cause: msgspec does not decode a Raw field in a union with None from MessagePack, so every successful reply was rejected (Expected null, got object at ok). Ruled out: a wrong reply type; the request decoded and the handler ran. Before: test_reply_keeps_its_type_and_values failed, 8 others passed. After: the payload travels as bytes and all 9 tests pass.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -52,7 +52,7 @@
 class _Envelope(msgspec.Struct, frozen=True):
     """A reply or an error."""
 
-    ok: msgspec.Raw | None = None
+    ok: bytes | None = None
     error: PeerError | None = None
 
 
@@ -129,7 +129,7 @@
     except FlamingowayError as exc:
         details = {k: v for k, v in exc.details.items() if _is_plain(v)}
         return _Envelope(error=PeerError(int(exc.code), exc.message, details))
-    return _Envelope(ok=msgspec.Raw(_ENCODER.encode(reply)))
+    return _Envelope(ok=_ENCODER.encode(reply))
 
 
 def _is_plain(value: Any) -> bool:
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,119 @@
+"""Guards the calls between entry processes against misreported outcomes."""
+
+import asyncio
+import socket
+
+import grpc
+import msgspec
+import pytest
+
+from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
+from flamingoway.messages import Depose, DeposeReply, GetStatus, StatusReply
+from flamingoway.peer import SERVICE, PeerClient, PeerServer
+from flamingoway.status import Code
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+DEPOSE = Depose("s", 3)
+
+
+async def exchange(handler, timeout_s: float = 5.0, request=DEPOSE):
+    """Serve ``handler`` for Depose and call it once."""
+    server, client, address = PeerServer(), PeerClient(), free_address()
+    server.handle(Depose, handler)
+    try:
+        async with server.listen(address, grace_s=0.1):
+            return await client.call(address, request, timeout_s, request.reply)
+    finally:
+        await client.close()
+
+
+def test_reply_keeps_its_type_and_values():
+    async def handler(request: Depose) -> DeposeReply:
+        return DeposeReply(incarnation=f"{request.shard}-{request.epoch}", dropped=True)
+
+    assert asyncio.run(exchange(handler)) == DeposeReply("s-3", True)
+
+
+@pytest.mark.parametrize(
+    "raised, kind",
+    [
+        (Refused("full", Code.MEMBER_LIMIT, retry_after=2.0), Refused),
+        (OutcomeUnknown("cut", Code.ANSWER_CUT), OutcomeUnknown),
+        (FlamingowayError("no", Code.NOT_FOUND), FlamingowayError),
+    ],
+)
+def test_errors_cross_processes_with_code_and_details(raised, kind):
+    async def handler(_request: Depose) -> DeposeReply:
+        raise raised
+
+    with pytest.raises(kind) as caught:
+        asyncio.run(exchange(handler))
+    assert caught.value.code == raised.code
+    assert caught.value.details == raised.details
+
+
+def test_a_fault_of_the_handler_is_not_reported_as_not_run():
+    async def handler(_request: Depose) -> DeposeReply:
+        raise ZeroDivisionError
+
+    with pytest.raises(FlamingowayError) as caught:
+        asyncio.run(exchange(handler))
+    assert caught.value.code.ran == "unknown"
+
+
+def test_a_missing_answer_is_outcome_unknown():
+    async def handler(_request: Depose) -> DeposeReply:
+        await asyncio.sleep(60)
+        return DeposeReply("late", False)
+
+    with pytest.raises(OutcomeUnknown):
+        asyncio.run(exchange(handler, timeout_s=0.2))
+
+
+def test_an_unserved_message_is_refused():
+    async def handler(_request: Depose) -> DeposeReply:
+        return DeposeReply("", True)
+
+    with pytest.raises(Refused) as caught:
+        asyncio.run(exchange(handler, request=GetStatus()))
+    assert caught.value.code == Code.OWNER_UNAVAILABLE
+    assert GetStatus.reply is StatusReply
+
+
+def test_an_unreachable_peer_is_refused_as_not_sent():
+    async def call() -> None:
+        client = PeerClient()
+        try:
+            await client.call(free_address(), Depose("s", 1), 0.5, DeposeReply)
+        finally:
+            await client.close()
+
+    with pytest.raises(Refused) as caught:
+        asyncio.run(call())
+    assert caught.value.code == Code.OWNER_UNAVAILABLE
+
+
+def test_undecodable_bytes_are_a_coded_error():
+    async def call() -> bytes:
+        server, address = PeerServer(), free_address()
+
+        async def handler(_request: Depose) -> DeposeReply:
+            raise AssertionError("must not be called")
+
+        server.handle(Depose, handler)
+        async with (
+            server.listen(address, grace_s=0.1),
+            grpc.aio.insecure_channel(address) as channel,
+        ):
+            method = channel.unary_unary(f"/{SERVICE}/Depose")
+            return await method(b"\xc1garbage")
+
+    answer = asyncio.run(call())
+    error = msgspec.msgpack.decode(answer)["error"]
+    assert error["code"] == Code.BAD_REQUEST
