--- /dev/null
+++ b/flamingoway/changes.py
@@ -0,0 +1,85 @@
+"""Differences of two environment documents, for operators."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from .document import Document
+
+GROUPS = ("members", "checks", "jobs", "services")
+SHOWN_HASH_CHARS = 8
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One difference.
+
+    Attributes:
+        kind: ``added``, ``removed`` or ``changed``.
+        field: Place in the document, entries by name: ``members.lab-puno.weight``.
+        old: Value before, ``None`` for an added entry.
+        new: Value after, ``None`` for a removed entry.
+    """
+
+    kind: str
+    field: str
+    old: Any = None
+    new: Any = None
+
+    @property
+    def text(self) -> str:
+        """The difference as one line."""
+        if self.kind == "added":
+            return f"+ {self.field}"
+        if self.kind == "removed":
+            return f"- {self.field}"
+        return f"~ {self.field}: {_shown(self.old)} -> {_shown(self.new)}"
+
+
+def find_changes(old: Document, new: Document) -> list[Change]:
+    """Return the differences of two documents in the order of the document.
+
+    The order of entries, comments and layout do not count.
+    """
+    before, after = msgspec.to_builtins(old), msgspec.to_builtins(new)
+    found = list(_value_changes("application", old.application, new.application))
+    for group in GROUPS:
+        found += _entry_changes(group, _by_name(before[group]), _by_name(after[group]))
+    return found
+
+
+def describe_changes(old: Document, new: Document) -> list[str]:
+    """Return the differences as lines; see :func:`find_changes`."""
+    return [change.text for change in find_changes(old, new)]
+
+
+def _by_name(entries: list[dict]) -> dict[str, dict]:
+    return {entry["name"]: entry for entry in entries}
+
+
+def _entry_changes(group: str, old: dict, new: dict) -> Iterator[Change]:
+    for name, entry in old.items():
+        field = f"{group}.{name}"
+        if name not in new:
+            yield Change("removed", field, old=entry)
+            continue
+        for key, value in entry.items():
+            yield from _value_changes(f"{field}.{key}", value, new[name].get(key))
+    for name, entry in new.items():
+        if name not in old:
+            yield Change("added", f"{group}.{name}", new=entry)
+
+
+def _value_changes(field: str, old: Any, new: Any) -> Iterator[Change]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in sorted(old.keys() | new.keys()):
+            yield from _value_changes(f"{field}.{key}", old.get(key), new.get(key))
+    elif old != new:
+        yield Change("changed", field, old=old, new=new)
+
+
+def _shown(value: Any) -> str:
+    # Only the beginning of a key hash is shown: it tells keys apart.
+    if isinstance(value, list):
+        return f"[{', '.join(str(item)[:SHOWN_HASH_CHARS] for item in value)}]"
+    return "unset" if value is None else str(value)
--- /dev/null
+++ b/flamingoway/follower.py
@@ -0,0 +1,221 @@
+"""Follows the newest document of each environment.
+
+One watch delivers new versions. While the store is down the newest known
+versions stay in effect, and versions that peers know are fetched from them. A
+version number never decreases.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+from absl import logging
+
+from .context import Context
+from .document import Document, DocumentVersion, digest, parse_document
+from .errors import FlamingowayError, StoreOutcomeUnknown, StoreUnavailable
+from .messages import Documents, GetDocuments
+from .peer import PeerClient, PeerServer
+from .store import KeyValue, Store, WatchBatch
+from .versions import EnvironmentKeys, decode_head, decode_version
+
+PEER_TIMEOUT_S = 2.0
+# Bounds of the wait before the store is tried again. A change must be in effect
+# within 6 s, so the longest wait stays well below that.
+MIN_RETRY_S = 0.2
+MAX_RETRY_S = 2.0
+# A reply must stay below the 4 MiB of a peer message; the caller asks again for
+# what is left out.
+MAX_REPLY_BYTES = 3 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveDocument:
+    """A document in effect."""
+
+    environment: str
+    version: DocumentVersion
+    document: Document
+
+
+class Follower:
+    """Keeps the newest document of each environment of the settings.
+
+    Args:
+        context: Settings and random numbers.
+        store: Where the versions are.
+        client: Calls peers.
+        live_peers: Returns the peer addresses of the live entry processes.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: Store,
+        client: PeerClient,
+        live_peers: Callable[[], Iterable[str]] = tuple,
+    ):
+        self._context = context
+        self._store = store
+        self._client = client
+        self._live_peers = live_peers
+        self._keys = EnvironmentKeys(context.settings.cell)
+        self._active: dict[str, ActiveDocument] = {}
+        self._refused: dict[str, int] = {}
+        self._queues: list[asyncio.Queue[ActiveDocument]] = []
+
+    @property
+    def environments(self) -> list[str]:
+        """Names of the environments that are followed."""
+        return [e.name for e in self._context.settings.environments]
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """Version number in effect of each environment that has one."""
+        return {name: active.version.number for name, active in self._active.items()}
+
+    def current(self, environment: str) -> ActiveDocument | None:
+        """Return the document in effect, or ``None`` if none is known."""
+        return self._active.get(environment)
+
+    def subscribe(self) -> asyncio.Queue[ActiveDocument]:
+        """Return a queue that receives the known and all later documents."""
+        queue: asyncio.Queue[ActiveDocument] = asyncio.Queue()
+        for active in self._active.values():
+            queue.put_nowait(active)
+        self._queues.append(queue)
+        return queue
+
+    def serve(self, server: PeerServer) -> None:
+        """Register the handler that gives known documents to peers."""
+        server.handle(GetDocuments, self._on_get_documents)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        delay = MIN_RETRY_S
+        while True:
+            try:
+                revision = await self._read_heads()
+                delay = MIN_RETRY_S
+                await self._follow(revision + 1)
+            except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+                logging.warning("documents: the store does not answer: %s", exc)
+                await self.fetch_from_peers()
+            await asyncio.sleep(delay * self._context.rng.uniform(0.5, 1.0))
+            delay = min(delay * 2, MAX_RETRY_S)
+
+    async def fetch_from_peers(self) -> None:
+        """Take over versions that are newer at a peer; ask all of them."""
+        own = self._context.settings.peer_address
+        addresses = {*self._live_peers(), *self._context.settings.peers} - {own}
+        calls = [self._fetch_from(address) for address in sorted(addresses)]
+        await asyncio.gather(*calls)
+
+    async def _read_heads(self) -> int:
+        revisions = []
+        for environment in self.environments:
+            key = self._keys.head(environment)
+            result = await self._store.range(key)
+            revisions.append(result.revision)
+            item = next((i for i in result.items if i.key == key), None)
+            await self._read_version(environment, item)
+        # Watching from the earliest read leaves no gap between the reads.
+        return min(revisions, default=0)
+
+    async def _read_version(self, environment: str, item: KeyValue | None) -> None:
+        head = decode_head(item)
+        if head is None or not self._is_newer(environment, head.number):
+            return
+        found = await self._store.get(self._keys.version(environment, head.number))
+        if found is not None:
+            await self._offer(environment, found.value)
+
+    async def _follow(self, start_revision: int) -> None:
+        async for batch in self._store.watch(self._keys.prefix, start_revision):
+            await self._on_batch(batch)
+
+    async def _on_batch(self, batch: WatchBatch) -> None:
+        for event in batch.events:
+            place = self._keys.version_of(event.key)
+            if place is None or event.item is None:
+                continue
+            environment, number = place
+            if self._is_newer(environment, number):
+                await self._offer(environment, event.item.value)
+
+    def _is_newer(self, environment: str, number: int) -> bool:
+        if environment not in self.environments:
+            return False
+        active = self._active.get(environment)
+        known = active.version.number if active else 0
+        return number > max(known, self._refused.get(environment, 0))
+
+    async def _offer(self, environment: str, data: bytes) -> None:
+        try:
+            version = decode_version(data)
+        except msgspec.DecodeError as exc:
+            logging.error("documents: %s: unreadable version: %s", environment, exc)
+            return
+        await self._activate(environment, version)
+
+    async def _activate(self, environment: str, version: DocumentVersion) -> None:
+        if not self._is_newer(environment, version.number):
+            return
+        try:
+            document = await self._parse(environment, version)
+        except FlamingowayError as exc:
+            # The version in effect stays; a newer release may have written it.
+            self._refused[environment] = version.number
+            logging.error(
+                "documents: %s version %d is not usable: %s",
+                environment,
+                version.number,
+                exc,
+            )
+            return
+        # Another version may have been activated while this one was parsed.
+        if self._is_newer(environment, version.number):
+            self._publish(ActiveDocument(environment, version, document))
+
+    async def _parse(self, environment: str, version: DocumentVersion) -> Document:
+        path = f"{environment}@{version.number}"
+        if digest(version.data) != version.digest:
+            raise FlamingowayError(f"{path}: the bytes do not match the digest")
+        # Parsing a large document takes 50 ms; checks are answered meanwhile.
+        return await asyncio.to_thread(parse_document, version.data, path)
+
+    def _publish(self, active: ActiveDocument) -> None:
+        self._active[active.environment] = active
+        logging.info(
+            "documents: %s version %d is in effect",
+            active.environment,
+            active.version.number,
+        )
+        for queue in self._queues:
+            queue.put_nowait(active)
+
+    async def _fetch_from(self, address: str) -> None:
+        request = GetDocuments(known=self.versions)
+        try:
+            reply = await self._client.call(
+                address, request, PEER_TIMEOUT_S, GetDocuments.reply
+            )
+        except FlamingowayError as exc:
+            logging.info("documents: peer %s has none for us: %s", address, exc)
+            return
+        for environment, version in reply.versions.items():
+            await self._activate(environment, version)
+
+    async def _on_get_documents(self, request: GetDocuments) -> Documents:
+        versions: dict[str, DocumentVersion] = {}
+        size = 0
+        for environment, active in self._active.items():
+            version = active.version
+            if version.number <= request.known.get(environment, 0):
+                continue
+            versions[environment] = version
+            size += len(version.data)
+            if size > MAX_REPLY_BYTES:
+                break
+        return Documents(versions)
--- a/flamingoway/messages.py
+++ b/flamingoway/messages.py
@@ -165,7 +165,14 @@
 
 
 class GetDocuments(Request):
-    """Ask a peer for the documents it knows."""
+    """Ask a peer for the documents it knows.
+
+    Attributes:
+        known: Version that the caller has of each environment; the peer sends
+            only newer ones.
+    """
+
+    known: dict[str, int] = {}
 
     reply: ClassVar = Documents
 
--- a/flamingoway/settings.py
+++ b/flamingoway/settings.py
@@ -111,7 +111,12 @@
 
 
 class Settings(Model):
-    """Settings of one entry process."""
+    """Settings of one entry process.
+
+    Attributes:
+        peers: ``IP:port`` of entry processes that a process asks for documents
+            when it starts while the store is down and the process list is empty.
+    """
 
     cell: str
     process_id: str
@@ -125,6 +130,7 @@
     shards: list[ShardSettings]
     environments: list[EnvironmentSettings]
     operators: list[OperatorSettings]
+    peers: list[str] = []
     limits: LimitSettings = LimitSettings()
     trace: TraceSettings = TraceSettings()
     log: LogSettings = LogSettings()
--- /dev/null
+++ b/flamingoway/versions.py
@@ -0,0 +1,91 @@
+"""Keys and values of environment documents in the store."""
+
+import msgspec
+
+from .document import DocumentVersion
+from .store import KeyValue
+
+# Fixed width keeps the order of keys equal to the order of versions.
+NUMBER_DIGITS = 10
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Current version of an environment, the value of ``env/<e>/head``."""
+
+    number: int
+    digest: str
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One line of an environment's history, the value of ``env/<e>/entry/<n>``.
+
+    Attributes:
+        accepted_at: Wall-clock time, in seconds since the epoch.
+        source: Environment that the document was promoted from.
+        write_id: Random id, which tells whose write took effect.
+    """
+
+    number: int
+    digest: str
+    operator: str
+    accepted_at: float
+    source: str = ""
+    write_id: str = ""
+
+
+class EnvironmentKeys:
+    """Keys of the documents of one cell."""
+
+    def __init__(self, cell: str):
+        self._root = f"/flamingoway/{cell}/env/"
+
+    @property
+    def prefix(self) -> str:
+        """Beginning of all keys of documents."""
+        return self._root
+
+    def head(self, environment: str) -> str:
+        """Return the key of the current version."""
+        return f"{self._root}{environment}/head"
+
+    def version(self, environment: str, number: int) -> str:
+        """Return the key of one version's bytes."""
+        return f"{self._root}{environment}/version/{number:0{NUMBER_DIGITS}d}"
+
+    def entries(self, environment: str) -> str:
+        """Return the beginning of the keys of the history."""
+        return f"{self._root}{environment}/entry/"
+
+    def entry(self, environment: str, number: int) -> str:
+        """Return the key of one line of the history."""
+        return f"{self.entries(environment)}{number:0{NUMBER_DIGITS}d}"
+
+    def version_of(self, key: str) -> tuple[str, int] | None:
+        """Return environment and number of a version's key, ``None`` for others."""
+        parts = key.removeprefix(self._root).split("/")
+        if len(parts) != 3 or parts[1] != "version" or not parts[2].isdigit():
+            return None
+        return parts[0], int(parts[2])
+
+
+def decode_head(item: KeyValue | None) -> Head | None:
+    """Decode ``env/<environment>/head``; ``None`` if the key is absent."""
+    return msgspec.msgpack.decode(item.value, type=Head) if item else None
+
+
+def decode_entry(data: bytes) -> Entry:
+    """Decode the value of ``env/<environment>/entry/<n>``.
+
+    Raises:
+        msgspec.DecodeError: If the bytes are not an entry.
+    """
+    return msgspec.msgpack.decode(data, type=Entry)
+
+
+def decode_version(data: bytes) -> DocumentVersion:
+    """Decode the value of ``env/<environment>/version/<n>``.
+
+    Raises:
+        msgspec.DecodeError: If the bytes are not a version.
+    """
+    return msgspec.msgpack.decode(data, type=DocumentVersion)
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,210 @@
+"""Guards against documents that take effect late, never, or go back."""
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from flamingoway.context import Context
+from flamingoway.document import DocumentVersion, digest
+from flamingoway.environments import Environments
+from flamingoway.errors import OutcomeUnknown
+from flamingoway.follower import Follower
+from flamingoway.messages import Documents
+from flamingoway.store import Put
+from flamingoway.versions import EnvironmentKeys
+from tests.document_fakes import FakeStore, make_document, make_settings
+
+WAIT_S = 5.0
+
+
+class FakeClient:
+    """Answers GetDocuments from a table; unknown addresses give no answer."""
+
+    def __init__(self, replies=None):
+        self.replies = replies or {}
+        self.asked = []
+
+    async def call(self, address, request, timeout_s, reply):
+        self.asked.append(address)
+        if address not in self.replies:
+            raise OutcomeUnknown("scripted")
+        return Documents(self.replies[address])
+
+
+def make_version(number, data=None):
+    data = data if data is not None else make_document(float(number))
+    return DocumentVersion(number=number, digest=digest(data), data=data)
+
+
+def make_follower(store, client=None, peers=(), settings=None):
+    context = Context(make_settings(**(settings or {})), rng=random.Random(1))
+    return Follower(context, store, client or FakeClient(), lambda: peers)
+
+
+def run(scenario):
+    """Run a scenario with a running follower; it stops with the scenario."""
+
+    async def main():
+        store = FakeStore()
+        tasks = []
+
+        def start(**kwargs):
+            follower = make_follower(store, **kwargs)
+            tasks.append(asyncio.create_task(follower.run()))
+            return follower
+
+        try:
+            await scenario(store, start)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(main())
+
+
+async def take(queue, number):
+    """Return the next document that is delivered, which must be ``number``."""
+    active = await asyncio.wait_for(queue.get(), WAIT_S)
+    assert active.version.number == number
+    return active
+
+
+def test_new_version_arrives_by_the_watch():
+    """Guards against versions that are seen only after a restart."""
+
+    async def scenario(store, start):
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", make_document(1.0), 0, "ana")
+        follower = start()
+        queue = follower.subscribe()
+        await take(queue, 1)
+        await environments.try_document("trial", make_document(2.0), 1, "ana")
+        active = await take(queue, 2)
+        assert active.document.members[0].weight == 2.0
+        assert follower.current("trial") is active
+        assert follower.current("production") is None
+        await take(follower.subscribe(), 2)
+
+    run(scenario)
+
+
+def test_version_missed_by_a_broken_watch_is_read():
+    """Guards against a gap between a broken watch and the next one."""
+
+    async def scenario(store, start):
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", make_document(1.0), 0, "ana")
+        queue = start().subscribe()
+        await take(queue, 1)
+        store.break_watches()
+        await environments.try_document("trial", make_document(2.0), 1, "ana")
+        await take(queue, 2)
+
+    run(scenario)
+
+
+def test_newest_version_stays_in_effect_during_an_outage():
+    """Guards against a process that forgets its documents with the store."""
+
+    async def scenario(store, start):
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", make_document(1.0), 0, "ana")
+        client = FakeClient({"10.0.0.2:1": {"trial": make_version(2)}})
+        follower = start(client=client, peers=["10.0.0.2:1", "10.0.0.3:1"])
+        queue = follower.subscribe()
+        await take(queue, 1)
+        store.down = True
+        store.break_watches()
+        await take(queue, 2)
+        store.down = False
+        await environments.try_document("trial", make_document(2.0), 1, "ana")
+        await environments.try_document("trial", make_document(3.0), 2, "ana")
+        await take(queue, 3)
+        assert follower.versions == {"trial": 3}
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("source", ["live", "settings"])
+def test_start_without_the_store_asks_peers(source):
+    """Guards against a restarted process that serves nothing in an outage."""
+
+    async def scenario(store, start):
+        store.down = True
+        replies = {
+            "10.0.0.2:1": {"trial": make_version(4)},
+            "10.0.0.3:1": {"trial": make_version(6)},
+        }
+        addresses = ["127.0.0.1:18081", "10.0.0.9:1", *replies]
+        client = FakeClient(replies)
+        if source == "live":
+            follower = start(client=client, peers=addresses)
+        else:
+            follower = start(client=client, settings={"peers": addresses})
+        queue = follower.subscribe()
+        while (await asyncio.wait_for(queue.get(), WAIT_S)).version.number < 6:
+            pass
+        assert follower.versions == {"trial": 6}
+        assert "127.0.0.1:18081" not in client.asked
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("offered", "in_effect"),
+    [
+        ([make_version(2), make_version(1)], 2),
+        ([make_version(2), make_version(2, make_document(9.0))], 2),
+        ([make_version(1), make_version(2, b"members: 3")], 1),
+        ([make_version(1), DocumentVersion(2, "0" * 64, make_document())], 1),
+        ([make_version(1), make_version(2, b"members: 3"), make_version(3)], 3),
+    ],
+    ids=["older", "same-number", "invalid", "wrong-digest", "after-invalid"],
+)
+def test_version_never_decreases(offered, in_effect):
+    """Guards against stale or damaged versions replacing a newer one."""
+
+    async def scenario(store, start):
+        keys = EnvironmentKeys("demo")
+        queue = (follower := start()).subscribe()
+        await asyncio.wait_for(store.watched.wait(), WAIT_S)
+        for version in offered:
+            value = msgspec.msgpack.encode(version)
+            key = keys.version("trial", version.number)
+            await store.txn([], [Put(key, value)])
+        value = msgspec.msgpack.encode(make_version(1))
+        await store.txn([], [Put(keys.version("production", 1), value)])
+        while (await queue.get()).environment != "production":
+            pass
+        assert follower.versions["trial"] == in_effect
+        assert follower.current("trial").document.members[0].weight == in_effect
+
+    run(scenario)
+
+
+def test_peers_get_only_newer_versions():
+    """Guards against sending all documents at each question in an outage."""
+
+    async def scenario(store, start):
+        environments = Environments(make_settings(), store)
+        tried = await environments.try_document("trial", make_document(), 0, "ana")
+        await environments.promote("production", "trial", tried.digest, 0, "ana")
+        follower = start()
+        queue = follower.subscribe()
+        for _environment in range(2):
+            await take(queue, 1)
+        handlers = {}
+
+        class Server:
+            def handle(self, request_type, handler):
+                handlers[request_type] = handler
+
+        follower.serve(Server())
+        ((request_type, handler),) = handlers.items()
+        reply = await handler(request_type(known={"trial": 1}))
+        assert set(reply.versions) == {"production"}
+
+    run(scenario)
