Use the shared key layout and memory store for documents

Cause: document keys and the test fake duplicated what store/keys.py and standins/memory.py provide now. Before: two layouts of the same keys. After: EnvironmentKeys extends Keys, and the tests script faults on MemoryStore.

--- a/flamingoway/environments.py
+++ b/flamingoway/environments.py
@@ -102,7 +102,7 @@
     async def head(self, environment: str) -> Head | None:
         """Return the current version's number and digest; ``None`` without one."""
         self.environment(environment)
-        item = await self._store.get(self._keys.head(environment))
+        item = await self._store.get(self._keys.environment_head(environment))
         return decode_head(item)
 
     async def current(self, environment: str) -> DocumentVersion | None:
@@ -218,13 +218,15 @@
         self, environment: str, number: int
     ) -> DocumentVersion | None:
         self.environment(environment)
-        item = await self._store.get(self._keys.version(environment, number))
+        item = await self._store.get(
+            self._keys.environment_version(environment, number)
+        )
         return decode_version(item.value) if item else None
 
     async def _accept(
         self, environment: str, data: bytes, expected: int, operator: str, source: str
     ) -> Entry:
-        item = await self._store.get(self._keys.head(environment))
+        item = await self._store.get(self._keys.environment_head(environment))
         head = decode_head(item)
         if (head.number if head else 0) != expected:
             raise await self._conflict(environment, expected, head, data)
@@ -237,7 +239,7 @@
             write_id=uuid.uuid4().hex,
         )
         compare = Compare(
-            self._keys.head(environment),
+            self._keys.environment_head(environment),
             "mod_revision",
             item.mod_revision if item else 0,
         )
@@ -262,12 +264,12 @@
         encode = msgspec.msgpack.encode
         number = entry.number
         operations: list[Put | Delete] = [
-            Put(self._keys.version(environment, number), encode(version)),
+            Put(self._keys.environment_version(environment, number), encode(version)),
             Put(self._keys.entry(environment, number), encode(entry)),
-            Put(self._keys.head(environment), encode(head)),
+            Put(self._keys.environment_head(environment), encode(head)),
         ]
         if number > KEPT_VERSIONS:
-            old = self._keys.version(environment, number - KEPT_VERSIONS)
+            old = self._keys.environment_version(environment, number - KEPT_VERSIONS)
             operations.append(Delete(old))
         if number > KEPT_ENTRIES:
             old = self._keys.entry(environment, number - KEPT_ENTRIES)
--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -115,7 +115,7 @@
     async def _read_heads(self) -> int:
         revisions = []
         for environment in self.environments:
-            key = self._keys.head(environment)
+            key = self._keys.environment_head(environment)
             result = await self._store.range(key)
             revisions.append(result.revision)
             item = next((i for i in result.items if i.key == key), None)
@@ -127,12 +127,14 @@
         head = decode_head(item)
         if head is None or not self._is_newer(environment, head.number):
             return
-        found = await self._store.get(self._keys.version(environment, head.number))
+        found = await self._store.get(
+            self._keys.environment_version(environment, head.number)
+        )
         if found is not None:
             await self._offer(environment, found.value)
 
     async def _follow(self, start_revision: int) -> None:
-        async for batch in self._store.watch(self._keys.prefix, start_revision):
+        async for batch in self._store.watch(self._keys.environments, start_revision):
             await self._on_batch(batch)
 
     async def _on_batch(self, batch: WatchBatch) -> None:
--- a/flamingoway/versions.py
+++ b/flamingoway/versions.py
@@ -4,9 +4,7 @@
 
 from .document import DocumentVersion
 from .store import KeyValue
-
-# Fixed width keeps the order of keys equal to the order of versions.
-NUMBER_DIGITS = 10
+from .store.keys import SEQUENCE_DIGITS, Keys
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -33,36 +31,20 @@
     write_id: str = ""
 
 
-class EnvironmentKeys:
-    """Keys of the documents of one cell."""
-
-    def __init__(self, cell: str):
-        self._root = f"/flamingoway/{cell}/env/"
-
-    @property
-    def prefix(self) -> str:
-        """Beginning of all keys of documents."""
-        return self._root
-
-    def head(self, environment: str) -> str:
-        """Return the key of the current version."""
-        return f"{self._root}{environment}/head"
-
-    def version(self, environment: str, number: int) -> str:
-        """Return the key of one version's bytes."""
-        return f"{self._root}{environment}/version/{number:0{NUMBER_DIGITS}d}"
+class EnvironmentKeys(Keys):
+    """Keys of the documents of one cell, with those of the history."""
 
     def entries(self, environment: str) -> str:
-        """Return the beginning of the keys of the history."""
-        return f"{self._root}{environment}/entry/"
+        """Return the prefix of the history."""
+        return f"{self.environments}{environment}/entry/"
 
     def entry(self, environment: str, number: int) -> str:
         """Return the key of one line of the history."""
-        return f"{self.entries(environment)}{number:0{NUMBER_DIGITS}d}"
+        return f"{self.entries(environment)}{number:0{SEQUENCE_DIGITS}d}"
 
     def version_of(self, key: str) -> tuple[str, int] | None:
         """Return environment and number of a version's key, ``None`` for others."""
-        parts = key.removeprefix(self._root).split("/")
+        parts = key.removeprefix(self.environments).split("/")
         if len(parts) != 3 or parts[1] != "version" or not parts[2].isdigit():
             return None
         return parts[0], int(parts[2])
--- a/tests/document_fakes.py
+++ b/tests/document_fakes.py
@@ -1,20 +1,9 @@
 """Small fakes that several tests use."""
 
-import asyncio
-
 import msgspec
 
-from flamingoway.errors import StoreOutcomeUnknown, StoreUnavailable
 from flamingoway.settings import parse_settings
-from flamingoway.store import (
-    Delete,
-    KeyValue,
-    Put,
-    RangeResult,
-    TxnResult,
-    WatchBatch,
-    WatchEvent,
-)
+from standins.memory import MemoryStore
 
 SETTINGS = b"""
 cell: demo
@@ -55,90 +44,37 @@
     return "\n".join(lines).encode()
 
 
-class FakeStore:
-    """A store in memory whose next calls fail as scripted.
+class ScriptedStore(MemoryStore):
+    """A memory store whose next transactions fail as scripted.
 
     Attributes:
         faults: One entry is taken by each transaction: ``lost`` (applied, the
-            answer is lost), ``dropped`` (not applied, the answer is lost),
-            ``down`` (known not to be applied) or ``ok``.
-        down: Whether every call fails.
-        watched: Set while there is a watch.
+            answer is lost), ``dropped`` (not applied, the answer is lost) or
+            ``down`` (known not to be applied).
+        before_txn: Coroutine functions; one is run before each transaction.
+        before_watch: The same for each watch.
     """
 
     def __init__(self):
-        self.items = {}
-        self.revision = 1
+        super().__init__()
         self.faults = []
-        self.down = False
         self.before_txn = []
-        self.watched = asyncio.Event()
-        self._watchers = []
-
-    async def get(self, key):
-        self._require_up()
-        return self.items.get(key)
-
-    async def range(self, prefix, start="", limit=0):
-        self._require_up()
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k >= start)
-        items = [self.items[k] for k in (keys[:limit] if limit else keys)]
-        return RangeResult(items, self.revision)
+        self.before_watch = []
 
     async def txn(self, compares, operations, read_on_failure=None):
-        self._require_up()
         if self.before_txn:
             await self.before_txn.pop(0)()
-        fault = self.faults.pop(0) if self.faults else "ok"
-        if fault == "down":
-            raise StoreUnavailable("scripted")
-        if fault == "dropped":
-            raise StoreOutcomeUnknown("scripted")
-        result = self._apply(compares, operations, read_on_failure or [])
-        if fault == "lost":
-            raise StoreOutcomeUnknown("scripted")
-        return result
+        script = {
+            "lost": self.drop_answers,
+            "dropped": self.drop_requests,
+            "down": self.fail_next,
+        }
+        if self.faults:
+            script[self.faults.pop(0)]()
+        return await super().txn(compares, operations, read_on_failure)
 
     async def watch(self, prefix, start_revision):
-        queue = asyncio.Queue()
-        self._watchers.append(queue)
-        self.watched.set()
-        while True:
-            batch = await queue.get()
-            if batch is None:
-                raise StoreUnavailable("the watch broke")
+        if self.before_watch:
+            await self.before_watch.pop(0)()
+        async for batch in super().watch(prefix, start_revision):
             yield batch
-
-    def break_watches(self):
-        for queue in self._watchers:
-            queue.put_nowait(None)
-        self._watchers.clear()
-        self.watched.clear()
-
-    def _require_up(self):
-        if self.down:
-            raise StoreUnavailable("scripted outage")
-
-    def _apply(self, compares, operations, reads):
-        for compare in compares:
-            item = self.items.get(compare.key)
-            found = getattr(item, compare.target) if item else 0
-            if found != compare.expected:
-                found = {k: self.items[k] for k in reads if k in self.items}
-                return TxnResult(False, self.revision, found)
-        self.revision += 1
-        events = [self._operate(operation) for operation in operations]
-        for queue in self._watchers:
-            queue.put_nowait(WatchBatch(self.revision, events))
-        return TxnResult(True, self.revision)
-
-    def _operate(self, operation):
-        if isinstance(operation, Delete):
-            self.items.pop(operation.key, None)
-            return WatchEvent(operation.key, None)
-        assert isinstance(operation, Put)
-        old = self.items.get(operation.key)
-        created = old.create_revision if old else self.revision
-        item = KeyValue(operation.key, operation.value, created, self.revision)
-        self.items[operation.key] = item
-        return WatchEvent(operation.key, item)
--- a/tests/test_environments.py
+++ b/tests/test_environments.py
@@ -9,7 +9,8 @@
 from flamingoway.environments import KEPT_VERSIONS, Environments
 from flamingoway.errors import FlamingowayError
 from flamingoway.status import Code
-from tests.document_fakes import FakeStore, make_document, make_settings
+from flamingoway.versions import EnvironmentKeys
+from tests.document_fakes import ScriptedStore, make_document, make_settings
 
 FIRST, SECOND = make_document(1.0), make_document(2.0, "vannes")
 
@@ -23,7 +24,7 @@
 
 
 def run(scenario):
-    store = FakeStore()
+    store = ScriptedStore()
     return asyncio.run(scenario(store, make(store)))
 
 
@@ -173,11 +174,11 @@
 
     async def scenario(store, environments):
         await environments.try_document("trial", FIRST, 0, "ana")
-        before = dict(store.items)
+        before = store.engine.revision
         with pytest.raises(FlamingowayError) as caught:
             await action(environments)
         assert caught.value.code == code
-        assert store.items == before
+        assert store.engine.revision == before
 
     run(scenario)
 
@@ -188,7 +189,8 @@
     async def scenario(store, environments):
         for number in range(KEPT_VERSIONS + 2):
             await environments.try_document("trial", FIRST, number, "ana")
-        assert sum("/version/" in key for key in store.items) == KEPT_VERSIONS
+        prefix = EnvironmentKeys("demo").environment_versions("trial")
+        assert len((await store.range(prefix)).items) == KEPT_VERSIONS
         assert len(await environments.history("trial", 2000)) == KEPT_VERSIONS + 2
 
     run(scenario)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -14,7 +14,7 @@
 from flamingoway.messages import Documents
 from flamingoway.store import Put
 from flamingoway.versions import EnvironmentKeys
-from tests.document_fakes import FakeStore, make_document, make_settings
+from tests.document_fakes import ScriptedStore, make_document, make_settings
 
 WAIT_S = 5.0
 
@@ -47,7 +47,7 @@
     """Run a scenario with a running follower; it stops with the scenario."""
 
     async def main():
-        store = FakeStore()
+        store = ScriptedStore()
         tasks = []
 
         def start(**kwargs):
@@ -106,6 +106,21 @@
     run(scenario)
 
 
+def test_version_accepted_between_read_and_watch_is_seen():
+    """Guards against a watch that starts after a change it must deliver."""
+
+    async def scenario(store, start):
+        environments = Environments(make_settings(), store)
+
+        async def other_operator():
+            await environments.try_document("trial", make_document(1.0), 0, "ana")
+
+        store.before_watch = [other_operator]
+        await take(start().subscribe(), 1)
+
+    run(scenario)
+
+
 def test_newest_version_stays_in_effect_during_an_outage():
     """Guards against a process that forgets its documents with the store."""
 
@@ -117,7 +132,6 @@
         queue = follower.subscribe()
         await take(queue, 1)
         store.down = True
-        store.break_watches()
         await take(queue, 2)
         store.down = False
         await environments.try_document("trial", make_document(2.0), 1, "ana")
@@ -156,11 +170,11 @@
 @pytest.mark.parametrize(
     ("offered", "in_effect"),
     [
-        ([make_version(2), make_version(1)], 2),
+        ([make_version(3), make_version(2)], 3),
         ([make_version(2), make_version(2, make_document(9.0))], 2),
-        ([make_version(1), make_version(2, b"members: 3")], 1),
-        ([make_version(1), DocumentVersion(2, "0" * 64, make_document())], 1),
-        ([make_version(1), make_version(2, b"members: 3"), make_version(3)], 3),
+        ([make_version(2, b"members: 3")], 1),
+        ([DocumentVersion(2, "0" * 64, make_document())], 1),
+        ([make_version(2, b"members: 3"), make_version(3)], 3),
     ],
     ids=["older", "same-number", "invalid", "wrong-digest", "after-invalid"],
 )
@@ -170,13 +184,16 @@
     async def scenario(store, start):
         keys = EnvironmentKeys("demo")
         queue = (follower := start()).subscribe()
-        await asyncio.wait_for(store.watched.wait(), WAIT_S)
+        # What is put after a document was delivered reaches the watch.
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", make_document(), 0, "ana")
+        await take(queue, 1)
         for version in offered:
             value = msgspec.msgpack.encode(version)
-            key = keys.version("trial", version.number)
+            key = keys.environment_version("trial", version.number)
             await store.txn([], [Put(key, value)])
         value = msgspec.msgpack.encode(make_version(1))
-        await store.txn([], [Put(keys.version("production", 1), value)])
+        await store.txn([], [Put(keys.environment_version("production", 1), value)])
         while (await queue.get()).environment != "production":
             pass
         assert follower.versions["trial"] == in_effect
