--- a/flamingoway/httpserver.py
+++ b/flamingoway/httpserver.py
@@ -28,6 +28,8 @@
 REQUEST_TIMEOUT_S = 10.0
 WRITE_TIMEOUT_S = 10.0
 SWEEP_INTERVAL_S = 1.0
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 4 * 1024 * 1024
 # While stopping, an idle connection stays open this long, so that a request that
 # is on its way is still answered.
 DRAIN_IDLE_S = 2.0
@@ -63,27 +65,43 @@
 
 
 class _Stream(IOStream):
-    """Replaces tornado's bare refusal by a coded one."""
+    """Replaces tornado's bare refusal by a coded one.
+
+    Attributes:
+        refusal: Whole coded answer to a head that cannot be read.
+        refused: Whether a refusal was written; the connection closes after it.
+        linger: Takes over the socket of a refused request. Closing a socket with
+            unread bytes resets the connection, and the refusal could be lost.
+    """
 
     refusal: bytes = _TORNADO_REFUSAL
-    answered = False
+    refused = False
+    linger: Callable[[socket.socket], None] = staticmethod(socket.socket.close)
 
     def write(self, data: bytes | memoryview):
         """Write ``data``, or the coded refusal in place of tornado's."""
         if data == _TORNADO_REFUSAL:
-            data = b"" if self.answered else self.refusal
+            data = b"" if self.refused else self.refusal
+            self.refused = True
         return super().write(data)
 
     def close(self, exc_info=False) -> None:
         """Close; a head above the limit is refused with a code first."""
         too_long = isinstance(exc_info, UnsatisfiableReadError)
-        if too_long and self.socket is not None and not self.answered:
-            try:
-                self.socket.send(self.refusal)
-            except OSError:
-                pass
+        if self.socket is not None and (too_long or self.refused):
+            self._send_refusal()
+            self.linger(self.socket.dup())
         super().close(exc_info)
 
+    def _send_refusal(self) -> None:
+        if self.refused:
+            return
+        self.refused = True
+        try:
+            self.socket.send(self.refusal)
+        except OSError:
+            pass
+
 
 class _Http(HTTP1Connection):
     """Announces in each answer whether the connection will be closed."""
@@ -124,6 +142,7 @@
         self.owns = owns
         self.closing = False
         self._connections: dict[_Connection, asyncio.Task] = {}
+        self._lingering: set[asyncio.Task] = set()
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
         self._parameters = HTTP1ConnectionParameters(
@@ -190,9 +209,11 @@
     async def close(self) -> None:
         """Close everything at once."""
         self.stop_listening()
-        tasks = list(self._connections.values())
+        tasks = [*self._connections.values(), *self._lingering]
         for connection in list(self._connections):
             connection.close()
+        for task in self._lingering:
+            task.cancel()
         if tasks:
             await asyncio.wait(tasks)
 
@@ -204,11 +225,32 @@
         stream = _Stream(sock)
         answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
         stream.refusal = _encode(answer)
+        stream.linger = self._linger
         connection = _Connection(self, stream, self._parameters)
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection))
 
+    def _linger(self, sock: socket.socket) -> None:
+        task = asyncio.create_task(_discard(sock))
+        self._lingering.add(task)
+        task.add_done_callback(self._lingering.discard)
+
+
+async def _discard(sock: socket.socket) -> None:
+    """Read and drop what a refused caller still sends; then close the socket."""
+    loop = asyncio.get_running_loop()
+    left = MAX_LINGER_BYTES
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(LINGER_S):
+            while left > 0 and (data := await loop.sock_recv(sock, 65536)):
+                left -= len(data)
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        sock.close()
+
 
 class _Connection:
     """One connection of a caller; its requests are answered one after another."""
@@ -340,7 +382,7 @@
     def _refuse(self, code: Code, message: str) -> None:
         self._refused = True
         self._http.closing = True
-        self._http.stream.answered = True
+        self._http.stream.refused = True
         self._write(self._server.refuse(code, message))
 
     async def _answer(self) -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -73,7 +73,9 @@
         self._waiting: deque[asyncio.Future] = deque()
         self._ledger = ledger
         self._tasks: set[asyncio.Task] = set()
+        self.started = asyncio.Event()
         self._idle = asyncio.Event()
+        self._server: _Server | None = None
 
     @property
     def running(self) -> int:
@@ -83,7 +85,7 @@
     @asynccontextmanager
     async def serve(self) -> AsyncIterator["Target"]:
         """Listen until the block ends; then drop all connections."""
-        server = _Server(self._accept, self.connections)
+        server = self._server = _Server(self._accept, self.connections)
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
@@ -99,6 +101,10 @@
                 task.cancel()
             await server.close_all_connections()
 
+    async def drop_connections(self) -> None:
+        """Close all connections and go on accepting new ones."""
+        await self._server.close_all_connections()
+
     async def drain(self) -> None:
         """Refuse new requests and wait until none runs."""
         self.leaving = True
@@ -156,6 +162,7 @@
 
     def _record(self, request_id: str, path: str) -> None:
         self.ran.append(request_id)
+        self.started.set()
         if self._ledger is not None:
             line = {"id": request_id, "path": path, "port": self.port}
             self._ledger.write(json.dumps(line | {"at": time.time()}) + "\n")
