Add the administration API

Cause: operators had no way to try, promote and read documents or to see the state of the cell. Ruled out: reading the process list from the store for each status call, because membership already holds it.

Before: no administration API.

--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -194,6 +194,8 @@
             active.environment,
             active.version.number,
         )
+        if self._context.metrics is not None:
+            self._context.metrics.set_version(active.environment, active.version.number)
         for queue in self._queues:
             queue.put_nowait(active)
 
--- a/flamingoway/log.py
+++ b/flamingoway/log.py
@@ -16,6 +16,7 @@
 from absl import logging
 
 from .errors import FlamingowayError
+from .settings import Settings
 
 # Facts of a record that become fields of their own.
 FIELDS = ("trace_id", "member", "job_id", "code", "span")
@@ -79,14 +80,9 @@
         level: ``debug``, ``info``, ``warning`` or ``error``.
         stream: Where to write; standard error if ``None``.
     """
-    handler = standard.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonFormatter(process))
     root = standard.getLogger()
     previous = logging.get_verbosity(), root.level, root.handlers[:]
-    root.handlers[:] = [handler]
-    # Libraries log through the root logger; their details are of no use here.
-    root.setLevel(standard.WARNING)
-    logging.set_verbosity(LEVELS[level])
+    _start(process, level, stream or sys.stderr)
     try:
         yield
     finally:
@@ -96,6 +92,21 @@
         root.handlers[:] = handlers
 
 
+def configure(settings: Settings) -> None:
+    """Write JSON lines to standard error for the rest of the process's life."""
+    _start(settings.process_id, settings.log.level, sys.stderr)
+
+
+def _start(process: str, level: str, stream: TextIO) -> None:
+    handler = standard.StreamHandler(stream)
+    handler.setFormatter(JsonFormatter(process))
+    root = standard.getLogger()
+    root.handlers[:] = [handler]
+    # Libraries log through the root logger; their details are of no use here.
+    root.setLevel(standard.WARNING)
+    logging.set_verbosity(LEVELS[level])
+
+
 def _time(created: float) -> str:
     moment = datetime.fromtimestamp(created, UTC)
     return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
--- /dev/null
+++ b/tests/admin_server.py
@@ -0,0 +1,93 @@
+"""The administration API at a free port, with a memory store."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from flamingoway.admin import Admin
+from flamingoway.cellstatus import CellStatus
+from flamingoway.context import Context
+from flamingoway.environments import Environments
+from flamingoway.errors import BadRequest, Refused
+from flamingoway.follower import Follower
+from flamingoway.messages import Explanation, ProcessInfo, StatusReply
+from flamingoway.metrics import Metrics
+from flamingoway.status import Code
+from flamingoway.trace import Tracer
+from tests.document_fakes import ScriptedStore, make_settings
+
+
+class FakePeers:
+    """Answers GetStatus as entry-2 and refuses for all others."""
+
+    async def call(self, address, request, timeout_s, reply):
+        if address != "10.0.0.2:1":
+            raise Refused("cannot be reached", Code.OWNER_UNAVAILABLE)
+        return status_of("entry-2", 6, {"trial": 2})
+
+
+class FakeJobs:
+    """Knows one job."""
+
+    async def explain(self, environment, job_id):
+        if job_id != "job-1":
+            raise BadRequest("no such job", Code.NOT_FOUND)
+        return Explanation(["the member's quota is used up"])
+
+
+def status_of(process_id, epoch, documents):
+    shard = {"epoch": epoch, "workers": 24, "queued": 3, "running": 9}
+    return StatusReply(
+        process_id=process_id,
+        incarnation="i",
+        zone="bzh-1",
+        ready=True,
+        store_up=True,
+        shards={"brittany": shard},
+        documents=documents,
+    )
+
+
+def process_info(number):
+    return ProcessInfo(
+        process_id=f"entry-{number}",
+        incarnation="i",
+        region="brittany",
+        zone=f"bzh-{number}",
+        peer_address=f"10.0.0.{number}:1",
+        http_address=f"10.0.0.{number}:80",
+        started_at=1.0,
+    )
+
+
+@asynccontextmanager
+async def admin_server(more_routes=()):
+    """Serve the API; yields the base URL and the store."""
+    settings = make_settings()
+    metrics = Metrics(["trial", "production"], ["brittany"])
+    context = Context(settings, rng=random.Random(1), metrics=metrics)
+    context.tracer = Tracer(settings.trace, context.rng)
+    store = ScriptedStore()
+    follower = Follower(context, store, FakePeers())
+    status = CellStatus(
+        settings,
+        FakePeers(),
+        lambda: {f"entry-{n}": process_info(n) for n in (1, 2, 3)},
+        lambda: status_of("entry-1", 5, follower.versions),
+    )
+    environments = Environments(settings, store, wall=lambda: 1000.0)
+    admin = Admin(context, environments, follower, FakeJobs(), status)
+    server = HTTPServer(Application([*admin.routes(), *more_routes]))
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    following = asyncio.create_task(follower.run())
+    try:
+        yield f"http://127.0.0.1:{sockets[0].getsockname()[1]}", store
+    finally:
+        following.cancel()
+        server.stop()
+        await server.close_all_connections()
