--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -64,6 +64,12 @@
         self._active: dict[str, ActiveDocument] = {}
         self._refused: dict[str, int] = {}
         self._queues: list[asyncio.Queue[ActiveDocument]] = []
+        self._read_once = False
+
+    @property
+    def loaded(self) -> bool:
+        """Whether the store was read once, or a peer's documents are known."""
+        return self._read_once or bool(self._active)
 
     @property
     def environments(self) -> list[str]:
@@ -97,6 +103,7 @@
         while True:
             try:
                 revision = await self._read_heads()
+                self._read_once = True
                 delay = MIN_RETRY_S
                 await self._follow(revision + 1)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
