Do not claim a shard again after a planned stop released it

Cause: the demonstration's last entry process did not end within 40 s of SIGTERM. Its shard task claimed the shard again after stop() had released it, because it looped until cancelled. A stop whose tasks do not end was also unbounded. After: the loop ends once a stop began, and cleanup is bounded to 2 s after the grace time. Test: the rolling restart in tests/test_processes.py, which expects exit code 0.

--- a/flamingoway/serve.py
+++ b/flamingoway/serve.py
@@ -1,6 +1,7 @@
 """One entry process: starts its tasks and stops them in order."""
 
 import asyncio
+import os
 import signal
 
 from absl import logging
@@ -11,6 +12,8 @@
 from .settings import Settings
 from .status import Code
 
+# Time for cleanup after the grace time or a second signal.
+CLEANUP_S = 2.0
 SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -53,12 +56,15 @@
         abandoned = node.in_progress()
         stopping.cancel()
     running.cancel()
-    await asyncio.gather(running, stopping, return_exceptions=True)
-    if abandoned:
-        logging.error("stopped with work abandoned: %s", ", ".join(abandoned))
-        return Code.OUTCOME_UNKNOWN.exit_code
-    logging.info("stopped")
-    return 0
+    _, unfinished = await asyncio.wait({running, stopping}, timeout=CLEANUP_S)
+    if not abandoned and not unfinished:
+        logging.info("stopped")
+        return 0
+    logging.error("stopped with work abandoned: %s", ", ".join(abandoned))
+    if unfinished:
+        # Waiting for a task that does not end would exceed the grace time.
+        os._exit(Code.OUTCOME_UNKNOWN.exit_code)
+    return Code.OUTCOME_UNKNOWN.exit_code
 
 
 def _report_fault(running: asyncio.Task) -> int:
--- a/flamingoway/shards.py
+++ b/flamingoway/shards.py
@@ -44,6 +44,7 @@
         self._make_owner = make_owner
         self._owners: dict[str, Owner] = {}
         self._claims: list[asyncio.Task] = []
+        self._stopping = False
 
     @property
     def owners(self) -> dict[str, Owner]:
@@ -68,14 +69,13 @@
 
     async def stop(self) -> None:
         """Stop all owners; each flushes and releases its shard."""
-        owners = dict(self._owners)
-        claims = [c for c in self._claims if c.get_name()[6:] not in owners]
-        await _cancel(claims)
-        await asyncio.gather(*(owner.stop() for owner in owners.values()))
+        # A shard that is released must not be claimed again by this process.
+        self._stopping = True
+        await asyncio.gather(*(owner.stop() for owner in self._owners.values()))
         await self._cancel_claims()
 
     async def _hold(self, shard: str) -> None:
-        while True:
+        while not self._stopping:
             acquired = await self._membership.claim(shard)
             owner = self._make_owner(acquired)
             self._owners[shard] = owner
