Repeat failed releases and tolerate unreadable values

Cause: a release refused by the store left the owner key bound to the live session, so no process took the shard; and an owner key that could not be decoded ended the membership task. Ruled out: treating an unreadable owner as free, since it may be the value of a newer version of the program.

--- a/flamingoway/membership.py
+++ b/flamingoway/membership.py
@@ -146,6 +146,7 @@
                 await self._sleep(CLAIM_POLL_S)
                 continue
             try:
+                await self._repeat_release(shard)
                 acquired = await self.acquire(shard)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
                 logging.warning("shard %s is not acquired: %s", shard, exc.message)
@@ -160,6 +161,7 @@
         Raises:
             StoreUnavailable: If the shard was not acquired.
             StoreOutcomeUnknown: If it may have been acquired; call again.
+            msgspec.DecodeError: If the value of the shard's epoch is damaged.
         """
         lease_id = self._session.lease_id
         if not lease_id:
@@ -183,11 +185,13 @@
         lease_id = self._session.lease_id
         if not lease_id:
             raise StoreUnavailable("there is no session")
+        # Held before the answer, so that claim() does not release it meanwhile.
+        self._held[owner.shard] = owner
         if not await self._ownership.reclaim(owner, lease_id):
+            self._drop(owner)
             return False
         if self._session.lease_id != lease_id:
             raise StoreUnavailable("the session ended meanwhile")
-        self._held[owner.shard] = owner
         return True
 
     async def release(self, owner: OwnerInfo) -> None:
@@ -197,8 +201,7 @@
             StoreUnavailable: If the store was not told; the lease will lapse.
             StoreOutcomeUnknown: If the store may have been told.
         """
-        if self._held.get(owner.shard) == owner:
-            del self._held[owner.shard]
+        self._drop(owner)
         await self._ownership.release(owner)
 
     async def close(self) -> None:
@@ -212,7 +215,7 @@
     def _is_my_turn(self, shard: str) -> bool:
         if not self._session.lease_id or not self.store_up:
             return False
-        if self._ownership.is_unresolved(shard):
+        if self._ownership.is_unresolved(shard) or self._is_left_over(shard):
             return True
         now = self._context.clock()
         free_since = self._shards[shard].free_since
@@ -223,6 +226,18 @@
         delay = takeover_delay(shard, region, live, self._self.process_id)
         return delay is not None and now - free_since >= delay
 
+    def _is_left_over(self, shard: str) -> bool:
+        """Tell whether the owner key is this process's although it gave it up."""
+        owner = self._shards[shard].owner
+        if owner is None or shard in self._held:
+            return False
+        return owner.incarnation == self._self.incarnation
+
+    async def _repeat_release(self, shard: str) -> None:
+        if self._ownership.is_unresolved(shard) or not self._is_left_over(shard):
+            return
+        await self._ownership.release(self._shards[shard].owner)
+
     def _is_suspect(self) -> bool:
         ttl_s = self._context.settings.store.session_ttl_s
         silence = self._context.clock() - self._session.last_contact
@@ -232,6 +247,10 @@
         recent = now - self._session.started_at < RECLAIM_GRACE_S
         return recent and not self._session.is_first
 
+    def _drop(self, owner: OwnerInfo) -> None:
+        if self._held.get(owner.shard) == owner:
+            del self._held[owner.shard]
+
     def _lose_session(self) -> None:
         held = list(self._held.values())
         self._held.clear()
--- a/flamingoway/roster.py
+++ b/flamingoway/roster.py
@@ -157,11 +157,24 @@
         """Keep the last known owner."""
 
     def _set(self, item: KeyValue | None) -> None:
-        owner = decode_owner(item.value) if item else None
-        if owner is not None:
-            self._free_since = None
-        elif self._free_since is None:
+        if item is None:
+            self._set_free()
+            return
+        # A value that cannot be read still belongs to some owner.
+        self._free_since = None
+        try:
+            owner = decode_owner(item.value)
+        except msgspec.DecodeError as exc:
+            logging.error("%s is not an owner: %s", item.key, exc)
+            return
+        self._publish_owner(owner)
+
+    def _set_free(self) -> None:
+        if self._free_since is None:
             self._free_since = self._clock()
+        self._publish_owner(None)
+
+    def _publish_owner(self, owner: OwnerInfo | None) -> None:
         if owner != self._owner:
             self._owner = owner
             self._publish(OwnersChanged(self._shard, owner))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 from flamingoway.errors import StoreOutcomeUnknown, StoreUnavailable
 from flamingoway.membership import Membership, SessionLost
 from flamingoway.settings import parse_settings
+from flamingoway.store import Delete, Put
 from flamingoway.store.keys import Keys
 from flamingoway.takeover import candidates, takeover_delay
 from standins import kv
@@ -254,6 +255,41 @@
     run(body)
 
 
+def test_a_release_that_failed_is_repeated_by_the_next_claim():
+    """Guards against a shard stuck with an owner key that nobody acts for."""
+
+    async def body(cell):
+        a = cell.start("a")
+        await cell.clock.advance(1)
+        acquired = await a.acquire("s")
+        cell.stores["a"].fail_next()
+        with pytest.raises(StoreUnavailable):
+            await a.release(acquired.owner)
+        claim = asyncio.create_task(a.claim("s"))
+        await cell.clock.advance(2)
+        assert claim.result().owner.epoch == 2
+
+    run(body)
+
+
+def test_an_unreadable_owner_is_neither_followed_nor_replaced():
+    """Guards against one bad value that ends membership of every process."""
+
+    async def body(cell):
+        a = cell.start("a")
+        await cell.clock.advance(1)
+        store = cell.stores["a"]
+        await store.txn([], [Put(KEYS.owner("s"), b"?"), Put(KEYS.process("x"), b"?")])
+        claim = asyncio.create_task(a.claim("s"))
+        await cell.clock.advance(5)
+        assert not claim.done() and a.store_up
+        await store.txn([], [Delete(KEYS.owner("s"))])
+        await cell.clock.advance(2)
+        assert claim.result().owner.epoch == 1
+
+    run(body)
+
+
 def test_a_short_outage_keeps_the_session():
     async def body(cell):
         a, b = cell.start("a"), cell.start("b")
