--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the external systems that flamingoway talks to."""
+"""Stand-ins for the platform, used by demonstrations, tests and benchmarks."""
