--- a/flamingoway/store/etcd.py
+++ b/flamingoway/store/etcd.py
@@ -243,7 +243,7 @@
             raise _to_write_error(exc) from None
 
     async def _renew(self, lease_id: int) -> float:
-        if self._renewal is None:
+        if self._renewal is None or self._renewal.done():
             self._renewal = self._lease.LeaseKeepAlive(metadata=METADATA)
         call = self._renewal
         try:
--- a/standins/store.py
+++ b/standins/store.py
@@ -58,6 +58,8 @@
     Raises:
         ValueError: If a name, type or value is not allowed; nothing is set.
     """
+    if not isinstance(wanted, dict):
+        raise ValueError("not an object")
     wanted = dict(wanted)
     break_watches = wanted.pop("break_watches", False)
     for name, value in wanted.items():
