Add the shard owner, its service for peers and the job router

Cause: jobs need an owner that decides, commits, and only then acts. Ruled out: keeping the list of former owners in a key of the owner; the epoch key already carries it. Renewing leases as long as the session is renewed: after a takeover a new session says nothing about the epoch, so the horizon counts from the last proof that the epoch is the owner's own. Conclusion: takeover and failure cases can be tested on this.

--- a/flamingoway/commit.py
+++ b/flamingoway/commit.py
@@ -1,10 +1,10 @@
 """Group commit: holds effects back until the records behind them are durable."""
 
 import asyncio
-import json
+import itertools
 import uuid
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -24,6 +24,7 @@
 MAX_BACKOFF_S = 2.0
 # A write that takes longer counts as an outage: nothing new is accepted or placed.
 STALL_S = 1.0
+FAILURE_LOG_INTERVAL_S = 5
 
 
 @dataclass(slots=True)
@@ -136,6 +137,11 @@
         self._pending.append(Pending(mark=mark))
         self._wake()
 
+    def pending_records(self) -> Iterator[AnyRecord]:
+        """Yield the records that are not committed yet."""
+        for item in itertools.chain(self._in_flight, self._pending):
+            yield from item.records
+
     async def flush(self) -> None:
         """Wait until everything that was added is committed."""
         await self._drained.wait()
@@ -264,13 +270,14 @@
         raise Fenced(f"shard {shard}: epoch {self._position.epoch} has been replaced")
 
     def _note_failure(self, exc: StoreUnavailable | StoreOutcomeUnknown) -> None:
-        entry = {
-            "event": "commit_retry",
-            "shard": self._position.shard,
-            "seq": self._position.next_seq,
-            "error": exc.message,
-        }
-        logging.log_every_n_seconds(logging.WARNING, json.dumps(entry), 5)
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "shard %s: group %d is not committed yet: %s",
+            FAILURE_LOG_INTERVAL_S,
+            self._position.shard,
+            self._position.next_seq,
+            exc.message,
+        )
 
 
 def split_batch(batch: Batch) -> list[Pending]:
--- /dev/null
+++ b/flamingoway/fleet.py
@@ -0,0 +1,292 @@
+"""The workers of one shard as its owner sees them.
+
+Keeps a link to each worker, sends commands, renews leases, and filters reports so
+that a start on its way is not taken for a lost attempt. Contains no waiting; the
+owner calls it with events and times.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from .context import Context
+from .core.effects import AckResult, Effect, StartTask, StopTask
+from .core.reports import Attempt, WorkerReport
+from .leases import LeaseTerms, WorkerLease
+from .model import WorkerInfo
+from .worker import LinkDown, LinkEvent, ReportReceived, WorkerClient, WorkerCommand
+
+# Place of a start: number of stream and command, or ``None`` before it was sent.
+Sent = tuple[int, int] | None
+
+
+@dataclass(slots=True)
+class WorkerSession:
+    """One worker.
+
+    Attributes:
+        info: Description in the VM list; ``None`` if the list does not have it.
+        leaving: Whether the VM list says that the machine is leaving.
+        gone: Whether the VM list does not have this machine.
+        connection: Number of the current stream; 0 if there is none.
+        last_connection: Number of the newest stream that brought a report.
+        unconfirmed: Starts that no report covers yet.
+    """
+
+    worker_id: str
+    lease: WorkerLease
+    info: WorkerInfo | None = None
+    leaving: bool = False
+    gone: bool = True
+    link: WorkerClient | None = None
+    task: asyncio.Task | None = None
+    connection: int = 0
+    last_connection: int = 0
+    report_seq: int = 0
+    received_at: float = 0.0
+    unconfirmed: dict[Attempt, Sent] = field(default_factory=dict)
+    starts: dict[Attempt, StartTask] = field(default_factory=dict)
+    stops: dict[Attempt, StopTask] = field(default_factory=dict)
+    acks: dict[Attempt, AckResult] = field(default_factory=dict)
+
+    @property
+    def schedulable(self) -> bool:
+        """Whether new tasks may be placed on the worker."""
+        return self.connection > 0 and not self.leaving and not self.gone
+
+
+class Fleet:
+    """Sessions of all workers of a shard.
+
+    Args:
+        context: Settings and clocks.
+        shard: Name of the shard.
+        epoch: The owner's epoch.
+        events: Queue that the links write to.
+        make_link: Class of the links, from the registry.
+        may_renew: Tells whether starts and renewals may be sent.
+        taken_over_at: Monotonic time of the takeover, in seconds.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        shard: str,
+        epoch: int,
+        events: asyncio.Queue[LinkEvent],
+        make_link: Callable[..., WorkerClient],
+        may_renew: Callable[[], bool],
+        taken_over_at: float,
+    ):
+        self._context = context
+        self._shard = shard
+        self._epoch = epoch
+        self._events = events
+        self._make_link = make_link
+        self._may_renew = may_renew
+        self._taken_over_at = taken_over_at
+        self._terms = LeaseTerms.of(context.settings.limits)
+        self._sessions: dict[str, WorkerSession] = {}
+        self._numbers = itertools.count(1)
+        self._closed = False
+
+    @property
+    def sessions(self) -> dict[str, WorkerSession]:
+        """Sessions by worker id."""
+        return self._sessions
+
+    @property
+    def attached(self) -> int:
+        """Number of workers with a current stream."""
+        return sum(session.connection > 0 for session in self._sessions.values())
+
+    def expect(self, worker_id: str) -> WorkerSession:
+        """Return the session of a worker, which the VM list may not have."""
+        session = self._sessions.get(worker_id)
+        if session is None:
+            session = WorkerSession(worker_id, WorkerLease(self._taken_over_at))
+            self._sessions[worker_id] = session
+        return session
+
+    def attach(self, info: WorkerInfo, leaving: bool) -> WorkerSession:
+        """Keep a link to a worker of the VM list."""
+        session = self.expect(info.worker_id)
+        session.leaving = leaving
+        if session.info is not None and session.info.address != info.address:
+            # Another machine has taken the id. The first one may still run tasks, so
+            # the id is attached again only after their leases have ended.
+            self._detach(session)
+            session.gone = True
+            return session
+        session.gone = False
+        session.info = info
+        if session.link is None and not self._closed:
+            session.link = self._make_link(
+                self._context,
+                info,
+                self._shard,
+                self._epoch,
+                self._events,
+                self._numbers,
+            )
+            session.task = asyncio.create_task(session.link.run())
+        return session
+
+    def drop(self, worker_id: str) -> None:
+        """Forget a worker that holds no tasks."""
+        session = self._sessions.pop(worker_id, None)
+        if session is not None:
+            self._detach(session)
+
+    def accept(self, event: ReportReceived) -> WorkerReport | None:
+        """Take in a report; return it filtered, or ``None`` if it is out of date.
+
+        A start that the report cannot cover yet is added to ``running``, so that
+        attempts missing from the result are certainly not running.
+        """
+        session = self._sessions.get(event.worker_id)
+        if session is None or session.link is None:
+            return None
+        if event.connection < session.last_connection:
+            return None
+        session.connection = event.connection
+        session.last_connection = event.connection
+        session.report_seq = event.report.seq
+        session.received_at = event.received_at
+        session.lease.note_report(event.received_at)
+        _confirm(session, event)
+        running = list(event.report.running)
+        known = set(running)
+        known.update(Attempt(f.task_id, f.attempt) for f in event.report.finished)
+        running.extend(a for a in session.unconfirmed if a not in known)
+        return dataclasses.replace(event.report, running=running, acked_starts=True)
+
+    def on_link_down(self, event: LinkDown) -> bool:
+        """Note that a stream ended; return whether it was the current one."""
+        session = self._sessions.get(event.worker_id)
+        if session is None or event.connection != session.connection:
+            return False
+        session.connection = 0
+        return True
+
+    def note_decided(self, effects: Iterable[Effect]) -> None:
+        """Remember starts that are decided but not committed yet."""
+        for effect in effects:
+            if isinstance(effect, StartTask):
+                session = self.expect(effect.worker_id)
+                session.unconfirmed[Attempt(effect.task_id, effect.attempt)] = None
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Send committed effects to their workers, or keep them until possible."""
+        touched = {}
+        for effect in effects:
+            session = self._sessions.get(effect.worker_id)
+            if session is not None:
+                _enqueue(session, effect)
+                touched[effect.worker_id] = session
+        for session in touched.values():
+            self._flush(session, [])
+
+    def renew(self, worker_id: str, attempts: list[Attempt]) -> None:
+        """Renew leases and send what waits, acknowledging the last report."""
+        session = self._sessions.get(worker_id)
+        if session is not None:
+            self._flush(session, attempts)
+
+    def lose(self, worker_id: str) -> None:
+        """Drop what waits for a worker whose tasks are proved not to run."""
+        session = self._sessions[worker_id]
+        for waiting in (session.unconfirmed, session.starts, session.stops):
+            waiting.clear()
+
+    def proved_lost(self, worker_id: str, deposed_at: float | None) -> bool:
+        """Tell whether an unreachable worker's tasks are sure to have ended."""
+        session = self._sessions[worker_id]
+        if session.connection:
+            return False
+        safe_at = session.lease.safe_at(self._terms, deposed_at)
+        return self._context.clock() >= safe_at
+
+    async def close(self) -> None:
+        """Send nothing more and end all links."""
+        self._closed = True
+        tasks = [s.task for s in self._sessions.values() if s.task is not None]
+        for session in self._sessions.values():
+            self._detach(session)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _detach(self, session: WorkerSession) -> None:
+        session.connection = 0
+        session.link = None
+        if session.task is not None:
+            session.task.cancel()
+
+    def _flush(self, session: WorkerSession, renewals: list[Attempt]) -> None:
+        if self._closed or session.link is None or not session.connection:
+            return
+        leased = self._may_lease(session)
+        command = WorkerCommand(
+            session.report_seq,
+            self._terms.lease_s,
+            starts=list(session.starts.values()) if leased else [],
+            stops=list(session.stops.values()),
+            acks=list(session.acks.values()),
+            renewals=renewals if leased else [],
+        )
+        if command.empty:
+            return
+        number = session.link.send(command, session.connection)
+        if number:
+            self._note_sent(session, command, number)
+
+    def _may_lease(self, session: WorkerSession) -> bool:
+        # The worker refuses starts that acknowledge a report older than the lease;
+        # they wait for the next report instead.
+        age_s = self._context.clock() - session.received_at
+        return age_s < self._terms.lease_s and self._may_renew()
+
+    def _note_sent(
+        self, session: WorkerSession, command: WorkerCommand, number: int
+    ) -> None:
+        for start in command.starts:
+            attempt = Attempt(start.task_id, start.attempt)
+            session.unconfirmed[attempt] = (session.connection, number)
+            del session.starts[attempt]
+        session.stops.clear()
+        session.acks.clear()
+        if command.starts or command.renewals:
+            session.lease.note_ack(session.received_at)
+
+
+def _confirm(session: WorkerSession, event: ReportReceived) -> None:
+    """Drop the starts that a report covers.
+
+    A worker handles no command of an older stream after a new one began, so the
+    first report of a stream covers all starts sent on older ones.
+    """
+    place = (event.connection, event.command_seq)
+    covered = [
+        attempt
+        for attempt, sent in session.unconfirmed.items()
+        if sent is not None and sent <= place
+    ]
+    for attempt in covered:
+        del session.unconfirmed[attempt]
+
+
+def _enqueue(session: WorkerSession, effect: StartTask | StopTask | AckResult) -> None:
+    attempt = Attempt(effect.task_id, effect.attempt)
+    if isinstance(effect, StartTask):
+        # An attempt that was declared lost before its commit must not start.
+        if attempt in session.unconfirmed:
+            session.starts[attempt] = effect
+    elif isinstance(effect, AckResult):
+        session.acks[attempt] = effect
+    elif attempt in session.starts:
+        # Not sent yet: dropping it suffices, the next report shows that it is gone.
+        del session.starts[attempt]
+        del session.unconfirmed[attempt]
+    else:
+        session.stops[attempt] = effect
--- /dev/null
+++ b/flamingoway/owner.py
@@ -0,0 +1,405 @@
+"""Owner of one shard: takes over, commits, runs the workers, and steps down."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from absl import logging
+
+from .commit import GroupCommitter, LogPosition
+from .context import Context
+from .controller import ShardController
+from .core.effects import Reply
+from .core.ledger import Ledger
+from .core.scheduler import Scheduler
+from .errors import (
+    Fenced,
+    FlamingowayError,
+    Refused,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from .feeds import Feeds
+from .fleet import Fleet
+from .follower import Follower
+from .membership import Membership, OwnersChanged
+from .model import JobSpec
+from .ownership import Acquired
+from .peer import PeerClient
+from .predecessor import FormerOwners
+from .snapshot import load
+from .snapshotter import Snapshotter
+from .status import Code
+from .store import Store
+from .store.keys import Keys
+from .vmlist import VmList
+from .worker import WORKER_CLIENTS, LinkEvent
+
+# Waits between decisions without an event.
+MAX_IDLE_S = 1.0
+# How often an idle owner confirms its epoch; the horizon counts from the last time.
+CONFIRM_INTERVAL_S = 10.0
+LOAD_RETRY_S = 0.3
+# Longest wait for a commit before the caller is told that it is unresolved.
+WRITE_DEADLINE_S = 3.0
+STOP_FLUSH_S = 10.0
+FAULT_PAUSE_S = 1.0
+
+
+class _StopRequested(Exception):
+    """Ends the tasks of an owner after a planned stop."""
+
+
+class ShardOwner:
+    """Runs one shard from its acquisition until a stop or a newer owner.
+
+    Args:
+        context: Settings and clocks.
+        store: Holds log and snapshot.
+        membership: Tells of other owners and releases the shard.
+        follower: Gives the environment documents.
+        vms: Gives the workers.
+        peers: Calls former owners.
+        acquired: Result of the acquisition.
+        deposed: Highest epoch for which another owner asked this process to
+            depose, by shard.
+        make_link: Class of the worker links; the gRPC adapter if ``None``.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: Store,
+        membership: Membership,
+        follower: Follower,
+        vms: VmList,
+        peers: PeerClient,
+        acquired: Acquired,
+        deposed: Mapping[str, int] | None = None,
+        make_link: Callable | None = None,
+    ):
+        self._context = context
+        self._store = store
+        self._membership = membership
+        self._follower = follower
+        self._vms = vms
+        self._acquired = acquired
+        self._deposed = deposed if deposed is not None else {}
+        self._make_link = make_link or WORKER_CLIENTS.get("grpc")
+        self._keys = Keys(context.settings.cell)
+        self._taken_over_at = context.clock()
+        self._confirmed_at = self._taken_over_at
+        self._former = FormerOwners(context, peers, acquired.owner, self._taken_over_at)
+        self._events: asyncio.Queue[LinkEvent] = asyncio.Queue()
+        self._position: LogPosition | None = None
+        self._snapshotter: Snapshotter | None = None
+        self._fleet: Fleet | None = None
+        self._controller: ShardController | None = None
+        self._stop_requested = asyncio.Event()
+        self._ended = asyncio.Event()
+        self._dropped = False
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self._acquired.owner.shard
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of this owner."""
+        return self._acquired.owner.epoch
+
+    @property
+    def ready(self) -> bool:
+        """Whether the shard is loaded and not given up."""
+        return self._controller is not None and not self._dropped
+
+    @property
+    def ended(self) -> bool:
+        """Whether the shard is given up."""
+        return self._dropped
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """Scheduler of the shard, to be read only.
+
+        Raises:
+            Refused: If the shard is not loaded or another process has it.
+        """
+        return self._loaded().scheduler
+
+    @property
+    def status(self) -> dict[str, int]:
+        """Figures for the status of this process."""
+        if not self.ready:
+            return {"epoch": self.epoch, "workers": 0, "queued": 0, "running": 0}
+        ledger = self.scheduler.ledger
+        running = sum(ledger.placed_count(w) for w in ledger.workers_with_tasks())
+        return {
+            "epoch": self.epoch,
+            "workers": self._fleet.attached,
+            "queued": self.scheduler.queued,
+            "running": running,
+        }
+
+    async def run(self) -> None:
+        """Own the shard until stopped, cancelled or fenced.
+
+        Raises:
+            Fenced: If another process owns the shard.
+        """
+        fenced = False
+        try:
+            await self._take_over()
+            await self._run_tasks()
+        except _StopRequested:
+            pass
+        except Fenced:
+            fenced = True
+            raise
+        except FlamingowayError:
+            raise
+        except Exception as exc:
+            logging.exception("shard %s: the owner failed", self.shard)
+            await asyncio.sleep(FAULT_PAUSE_S)
+            raise FlamingowayError(f"shard {self.shard}: {exc!r}") from exc
+        finally:
+            await self._step_down(release=not fenced)
+
+    async def stop(self) -> None:
+        """Flush what is decided, give up the shard and wait for the end of ``run``."""
+        if self._controller is not None:
+            self._controller.stopping = True
+            self._controller.collect()
+            try:
+                await asyncio.wait_for(self._controller.committer.flush(), STOP_FLUSH_S)
+            except TimeoutError:
+                logging.warning("shard %s: stopped before the flush", self.shard)
+        self._stop_requested.set()
+        await self._ended.wait()
+
+    async def depose(self) -> None:
+        """Give up the shard for a newer owner; nothing is sent after the return."""
+        self._drop()
+        self._stop_requested.set()
+        if self._fleet is not None:
+            await self._fleet.close()
+
+    async def submit(self, spec: JobSpec) -> Reply:
+        """Submit a job and wait for the commit, at most ``WRITE_DEADLINE_S``.
+
+        Raises:
+            Refused: If the job was not accepted and will not run.
+        """
+        ticket = self._loaded().submit(spec)
+        return await self._reply(ticket, spec.job_id)
+
+    async def cancel(self, job_id: str, environment: str, member: str) -> Reply:
+        """Cancel a job and wait for the commit, at most ``WRITE_DEADLINE_S``.
+
+        Raises:
+            Refused: If nothing was changed.
+        """
+        ticket = self._loaded().cancel(job_id, environment, member)
+        return await self._reply(ticket, job_id)
+
+    async def settle(self, job_id: str) -> None:
+        """Wait until what is decided about a job is durable.
+
+        Raises:
+            Refused: If the store cannot be reached meanwhile.
+        """
+        controller = self._loaded()
+        if controller.is_settled(job_id):
+            return
+        reply = await self._reply(controller.barrier(), job_id)
+        if reply.code != Code.OK:
+            raise Refused(
+                "the job's state is not durable yet",
+                Code.STORE_UNAVAILABLE,
+                retry_after=1,
+            )
+
+    def _loaded(self) -> ShardController:
+        if self._dropped:
+            raise Refused(
+                "the shard has another owner", Code.OWNER_CHANGED, retry_after=1
+            )
+        if self._controller is None:
+            raise Refused(
+                "the owner is taking over the shard",
+                Code.OWNER_UNAVAILABLE,
+                retry_after=1,
+            )
+        return self._controller
+
+    async def _reply(self, ticket: asyncio.Future[Reply], job_id: str) -> Reply:
+        try:
+            reply = await asyncio.wait_for(asyncio.shield(ticket), WRITE_DEADLINE_S)
+        except TimeoutError:
+            message = "the commit is not confirmed yet; ask for the job by its id"
+            return Reply(ticket, Code.WRITE_UNRESOLVED, job_id, message)
+        if reply.code == Code.OWNER_CHANGED:
+            raise Refused(reply.message, Code.OWNER_CHANGED, retry_after=1)
+        return reply
+
+    async def _take_over(self) -> None:
+        loaded = await self._load()
+        ledger = Ledger.restore(loaded.snapshot) if loaded.snapshot else Ledger()
+        ledger.apply_all(loaded.records)
+        self._position = LogPosition(
+            self.shard,
+            self.epoch,
+            self._acquired.epoch_revision,
+            loaded.next_seq,
+            loaded.groups,
+            loaded.log_bytes,
+            loaded.generation,
+        )
+        if self._deposed.get(self.shard, 0) > self.epoch or self._dropped:
+            raise Fenced(f"shard {self.shard}: a newer owner asked to depose")
+        self._build(ledger)
+        logging.info(
+            "shard %s: took over at epoch %d with %d jobs",
+            self.shard,
+            self.epoch,
+            len(ledger.jobs),
+        )
+
+    async def _load(self):
+        while True:
+            try:
+                await self._confirm()
+                return await load(self._store, self._keys, self.shard)
+            except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+                logging.warning("shard %s: not loaded: %s", self.shard, exc.message)
+                await asyncio.sleep(LOAD_RETRY_S)
+
+    def _build(self, ledger: Ledger) -> None:
+        context = self._context
+        scheduler = Scheduler(self.shard, context.rng, ledger)
+        self._fleet = Fleet(
+            context,
+            self.shard,
+            self.epoch,
+            self._events,
+            self._make_link,
+            self._may_renew,
+            self._taken_over_at,
+        )
+        self._controller = ShardController(
+            context,
+            scheduler,
+            self._fleet,
+            lambda done: GroupCommitter(context, self._store, self._position, done),
+            lambda: self._former.deposed_at,
+            lambda: self._membership.store_up,
+        )
+        self._snapshotter = Snapshotter(
+            self._store, self._keys, self._position, self._controller.committer
+        )
+
+    async def _run_tasks(self) -> None:
+        feeds = Feeds(
+            self._context, self.shard, self._controller, self._vms, self._follower
+        )
+        loops = [
+            self._controller.committer.run,
+            self._handle_events,
+            self._decide,
+            feeds.check_workers,
+            feeds.follow_vms,
+            feeds.follow_documents,
+            self._follow_owners,
+            self._confirm_epoch,
+            self._former.run,
+            self._snapshotter.run,
+            self._wait_for_stop,
+        ]
+        try:
+            async with asyncio.TaskGroup() as group:
+                for loop in loops:
+                    group.create_task(loop())
+        except BaseExceptionGroup as failed:
+            raise failed.exceptions[0] from None
+
+    async def _handle_events(self) -> None:
+        while True:
+            self._controller.on_event(await self._events.get())
+
+    async def _decide(self) -> None:
+        controller = self._controller
+        while True:
+            controller.wake.clear()
+            controller.decide()
+            self._snapshotter.take_if_due(controller.scheduler.ledger.snapshot)
+            now = self._context.clock()
+            wakeup = controller.scheduler.next_wakeup(now)
+            wait_s = MAX_IDLE_S if wakeup is None else min(wakeup - now, MAX_IDLE_S)
+            if not controller.writable:
+                wait_s = MAX_IDLE_S
+            await _wait(controller.wake, wait_s)
+
+    async def _follow_owners(self) -> None:
+        events = self._membership.subscribe()
+        try:
+            while True:
+                event = await events.get()
+                owner = self._membership.owners.get(self.shard)
+                if not isinstance(event, OwnersChanged) or owner is None:
+                    continue
+                if owner.epoch > self.epoch:
+                    raise Fenced(f"shard {self.shard} has owner {owner.process_id}")
+        finally:
+            self._membership.unsubscribe(events)
+
+    async def _confirm_epoch(self) -> None:
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+            try:
+                await self._confirm()
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                continue
+
+    async def _confirm(self) -> None:
+        asked_at = self._context.clock()
+        entry = await self._store.get(self._keys.epoch(self.shard))
+        if entry is None or entry.mod_revision != self._acquired.epoch_revision:
+            raise Fenced(f"shard {self.shard}: epoch {self.epoch} has been replaced")
+        self._confirmed_at = asked_at
+
+    def _may_renew(self) -> bool:
+        # Counted from the last proof that the epoch is this owner's own. A session
+        # that was renewed proves less: it may be a new one after a takeover.
+        age_s = self._context.clock() - self._confirmed_at
+        return age_s < self._context.settings.limits.lease_horizon_s
+
+    async def _wait_for_stop(self) -> None:
+        await self._stop_requested.wait()
+        raise _StopRequested
+
+    def _drop(self) -> None:
+        self._dropped = True
+        if self._controller is not None:
+            self._controller.drop()
+
+    async def _step_down(self, release: bool) -> None:
+        self._drop()
+        try:
+            if self._fleet is not None:
+                await self._fleet.close()
+            if release:
+                await self._membership.release(self._acquired.owner)
+        except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+            logging.warning("shard %s: not released: %s", self.shard, exc.message)
+        finally:
+            self._ended.set()
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    if timeout_s <= 0:
+        await asyncio.sleep(0)
+        return
+    try:
+        await asyncio.wait_for(event.wait(), timeout_s)
+    except TimeoutError:
+        pass
--- /dev/null
+++ b/flamingoway/ownerservice.py
@@ -0,0 +1,260 @@
+"""Owners of this process: creates them and answers requests about their shards."""
+
+import dataclasses
+from collections.abc import Callable
+
+from .context import Context
+from .document import Document, JobKind
+from .errors import BadRequest, FlamingowayError, Refused
+from .follower import Follower
+from .membership import Membership
+from .messages import (
+    CancelJob,
+    Depose,
+    DeposeReply,
+    ExplainJob,
+    Explanation,
+    GetJob,
+    JobList,
+    JobView,
+    ListJobs,
+    SubmitJob,
+    SubmitReply,
+)
+from .model import Job, JobSpec, Policy, TaskState
+from .owner import ShardOwner
+from .ownership import Acquired
+from .peer import Message, PeerClient, PeerServer, Request
+from .status import Code
+from .store import Store
+from .vmlist import VmList
+
+RETRY_AFTER_S = 1.0
+JOB_REQUESTS = (SubmitJob, GetJob, ListJobs, CancelJob, ExplainJob)
+
+
+class OwnerService:
+    """Creates the owners of this process and serves requests about their shards.
+
+    Args:
+        context: Settings and clocks.
+        store: Holds log and snapshot of each shard.
+        membership: Tells of other owners and releases shards.
+        follower: Gives the environment documents.
+        vms: Gives the workers.
+        peers: Calls other entry processes.
+        make_link: Class of the worker links; the gRPC adapter if ``None``.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: Store,
+        membership: Membership,
+        follower: Follower,
+        vms: VmList,
+        peers: PeerClient,
+        make_link: Callable | None = None,
+    ):
+        self._context = context
+        self._store = store
+        self._membership = membership
+        self._follower = follower
+        self._vms = vms
+        self._peers = peers
+        self._make_link = make_link
+        self._owners: dict[str, ShardOwner] = {}
+        self._deposed: dict[str, int] = {}
+        self._handlers: dict[type, Callable] = {
+            SubmitJob: self._submit,
+            GetJob: self._get,
+            ListJobs: self._list,
+            CancelJob: self._cancel,
+            ExplainJob: self._explain,
+        }
+
+    @property
+    def status(self) -> dict[str, dict[str, int]]:
+        """Figures of each shard that this process owns."""
+        return {
+            shard: owner.status
+            for shard, owner in self._owners.items()
+            if not owner.ended
+        }
+
+    def make_owner(self, acquired: Acquired) -> ShardOwner:
+        """Create the owner of a shard that was acquired; the caller runs it."""
+        owner = ShardOwner(
+            self._context,
+            self._store,
+            self._membership,
+            self._follower,
+            self._vms,
+            self._peers,
+            acquired,
+            self._deposed,
+            self._make_link,
+        )
+        self._owners[acquired.owner.shard] = owner
+        return owner
+
+    def register(self, server: PeerServer) -> None:
+        """Serve the calls of other entry processes."""
+        for request_type in JOB_REQUESTS:
+            server.handle(request_type, self.handle)
+        server.handle(Depose, self.depose)
+
+    def owns(self, shard: str) -> bool:
+        """Tell whether an owner of the shard runs in this process."""
+        return shard in self._owners and not self._owners[shard].ended
+
+    async def handle(self, request: Request) -> Message:
+        """Answer one job request.
+
+        Raises:
+            Refused: With ``OWNER_UNAVAILABLE`` if the shard is not owned here.
+        """
+        if not self.owns(request.shard):
+            raise Refused(
+                f"this process does not own shard {request.shard}",
+                Code.OWNER_UNAVAILABLE,
+                retry_after=RETRY_AFTER_S,
+            )
+        return await self._handlers[type(request)](self._owners[request.shard], request)
+
+    async def depose(self, request: Depose) -> DeposeReply:
+        """Give up a shard that a newer owner has taken."""
+        shard, epoch = request.shard, request.epoch
+        # Also stops an owner of a lower epoch that is created after this call.
+        self._deposed[shard] = max(epoch, self._deposed.get(shard, 0))
+        owner = self._owners.get(shard)
+        if owner is not None and owner.epoch < epoch:
+            await owner.depose()
+        return DeposeReply(self._context.incarnation, True)
+
+    async def _submit(self, owner: ShardOwner, request: SubmitJob) -> SubmitReply:
+        known = owner.scheduler.view(request.job_id)
+        if known is not None:
+            spec = dataclasses.replace(
+                known.spec, request_digest=request.request_digest
+            )
+        else:
+            spec = self._spec(request)
+        reply = await owner.submit(spec)
+        if Code(reply.code) in (Code.OVERLOADED, Code.STORE_UNAVAILABLE):
+            raise Refused(reply.message, Code(reply.code), **reply.details)
+        return SubmitReply(int(reply.code), request.job_id, reply.message)
+
+    async def _get(self, owner: ShardOwner, request: GetJob) -> JobView:
+        _find(owner, request)
+        await owner.settle(request.job_id)
+        return view_of(_find(owner, request))
+
+    async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
+        jobs = [
+            view_of(job)
+            for job in owner.scheduler.ledger.jobs.values()
+            if job.spec.environment == request.environment
+            and job.spec.member == request.member
+        ]
+        jobs.sort(key=lambda job: job.accepted_at, reverse=True)
+        return JobList([_without_results(job) for job in jobs[: request.limit]])
+
+    async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
+        _find(owner, request)
+        reply = await owner.cancel(request.job_id, request.environment, request.member)
+        return SubmitReply(int(reply.code), request.job_id, reply.message)
+
+    async def _explain(self, owner: ShardOwner, request: ExplainJob) -> Explanation:
+        job = owner.scheduler.view(request.job_id)
+        if job is None or job.spec.environment != request.environment:
+            raise _not_found(request.job_id)
+        now = self._context.clock()
+        return Explanation(owner.scheduler.explain(request.job_id, now))
+
+    def _spec(self, request: SubmitJob) -> JobSpec:
+        active = self._follower.current(request.environment)
+        if active is None:
+            raise Refused(
+                f"no document of {request.environment} is known here yet",
+                Code.OWNER_UNAVAILABLE,
+                retry_after=RETRY_AFTER_S,
+            )
+        kind = _kind(active.document, request)
+        return JobSpec(
+            job_id=request.job_id,
+            environment=request.environment,
+            member=request.member,
+            kind=kind.name,
+            policy=Policy(kind.policy),
+            tasks=request.tasks,
+            resources=kind.resources.amount,
+            urgent=request.urgent or kind.urgent,
+            resumable=kind.resumable,
+            max_attempts=kind.max_attempts,
+            run_time_s=kind.run_time_s,
+            params=request.params,
+            traceparent=request.traceparent,
+            request_digest=request.request_digest,
+        )
+
+
+def view_of(job: Job) -> JobView:
+    """Return a job as its member sees it."""
+    succeeded = [task for task in job.tasks if task.state is TaskState.SUCCEEDED]
+    return JobView(
+        job_id=job.spec.job_id,
+        environment=job.spec.environment,
+        member=job.spec.member,
+        kind=job.spec.kind,
+        state=job.state.value,
+        code=int(job.code),
+        reason=job.reason,
+        accepted_at=job.accepted_at,
+        ended_at=job.ended_at,
+        tasks={task.task_id: task.state.value for task in job.tasks},
+        results={task.task_id: task.result for task in succeeded},
+    )
+
+
+def _without_results(job: JobView) -> JobView:
+    # Results of many jobs would exceed the size of one peer message.
+    return JobView(
+        job_id=job.job_id,
+        environment=job.environment,
+        member=job.member,
+        kind=job.kind,
+        state=job.state,
+        code=job.code,
+        reason=job.reason,
+        accepted_at=job.accepted_at,
+        ended_at=job.ended_at,
+    )
+
+
+def _find(owner: ShardOwner, request: GetJob | CancelJob) -> Job:
+    job = owner.scheduler.view(request.job_id)
+    if job is None or (job.spec.environment, job.spec.member) != (
+        request.environment,
+        request.member,
+    ):
+        raise _not_found(request.job_id)
+    return job
+
+
+def _not_found(job_id: str) -> FlamingowayError:
+    return FlamingowayError(f"no job {job_id!r}", Code.NOT_FOUND)
+
+
+def _kind(document: Document, request: SubmitJob) -> JobKind:
+    kind = document.job_kind(request.kind)
+    if kind is None:
+        known = ", ".join(entry.name for entry in document.jobs)
+        raise BadRequest(
+            f"unknown kind {request.kind!r}; known: {known}", Code.UNKNOWN_KIND
+        )
+    if not 1 <= request.tasks <= kind.max_tasks:
+        raise BadRequest(
+            f"tasks: found {request.tasks}; allowed: 1 to {kind.max_tasks}"
+        )
+    return kind
--- a/flamingoway/vmlist.py
+++ b/flamingoway/vmlist.py
@@ -1,7 +1,6 @@
 """Follows the platform's list of VMs over HTTP."""
 
 import asyncio
-import json
 
 import msgspec
 from absl import logging
@@ -145,6 +144,5 @@
 
     def _note_failure(self, exc: Exception) -> None:
         if not self._failing:
-            entry = {"event": "vm_list_failed", "error": str(exc)}
-            logging.warning(json.dumps(entry))
+            logging.warning("the VM list cannot be read: %s", exc)
         self._failing = True
--- a/flamingoway/worker.py
+++ b/flamingoway/worker.py
@@ -1,7 +1,7 @@
 """Links to workers: the port, and the adapter for the gRPC worker protocol."""
 
 import asyncio
-import json
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -69,7 +69,7 @@
     """A report arrived.
 
     Attributes:
-        connection: Number of the stream, which grows with each reconnection.
+        connection: Number of the stream; a later stream has a higher one.
         command_seq: Last command of this stream that the worker has handled.
         received_at: Monotonic clock, in seconds.
     """
@@ -102,17 +102,17 @@
 class WorkerClient(Protocol):
     """Link of one shard owner to one worker.
 
-    Built as ``client(context, info, shard, epoch, events)``; events go to the
-    queue ``events``.
+    Built as ``client(context, info, shard, epoch, events, numbers)``; events go to
+    the queue ``events``, and each new stream takes its number from ``numbers``.
     """
 
     async def run(self) -> None:
         """Stay attached until cancelled or fenced."""
 
-    def send(self, command: WorkerCommand) -> int:
-        """Queue a command on the current stream; return its number there.
+    def send(self, command: WorkerCommand, connection: int) -> int:
+        """Queue a command on stream ``connection``; return its number there.
 
-        Returns 0 if there is no stream.
+        Returns 0 if that stream is not the current one.
         """
 
 
@@ -130,20 +130,22 @@
         shard: str,
         epoch: int,
         events: asyncio.Queue[LinkEvent],
+        numbers: Iterator[int],
     ):
         self._context = context
         self._info = info
         self._shard = shard
         self._epoch = epoch
         self._events = events
+        self._numbers = numbers
         self._connection = 0
         self._command_seq = 0
         self._outgoing: asyncio.Queue[pb.Command] | None = None
         self._failing = False
 
-    def send(self, command: WorkerCommand) -> int:
-        """Queue a command on the current stream; return its number there."""
-        if self._outgoing is None:
+    def send(self, command: WorkerCommand, connection: int) -> int:
+        """Queue a command on stream ``connection``; return its number there."""
+        if self._outgoing is None or connection != self._connection:
             return 0
         self._command_seq += 1
         message = to_command(command, self._shard, self._epoch, self._command_seq)
@@ -164,7 +166,7 @@
                 self._note_failure(exc.code().name)
             except TimeoutError:
                 self._note_failure("no report in time")
-            if self._connection > before:
+            if self._connection != before:
                 backoff_s = MIN_BACKOFF_S
             # Jitter keeps a returning rack from being attached to in one burst.
             await asyncio.sleep(backoff_s * self._context.rng.uniform(0.5, 1.5))
@@ -189,7 +191,7 @@
                 call.cancel()
 
     def _open(self) -> None:
-        self._connection += 1
+        self._connection = next(self._numbers)
         self._command_seq = 0
         self._outgoing = asyncio.Queue()
         self._failing = False
@@ -239,13 +241,12 @@
 
     def _note_failure(self, reason: str) -> None:
         if not self._failing:
-            entry = {
-                "event": "worker_unreachable",
-                "worker": self._info.worker_id,
-                "address": self._info.address,
-                "reason": reason,
-            }
-            logging.warning(json.dumps(entry))
+            logging.warning(
+                "worker %s at %s cannot be reached: %s",
+                self._info.worker_id,
+                self._info.address,
+                reason,
+            )
         self._failing = True
 
 
--- a/tests/owner_bench.py
+++ b/tests/owner_bench.py
@@ -1,10 +1,30 @@
 """Shared fakes of the owner's tests."""
 
 import asyncio
+import functools
 import random
 
+import msgspec
+
 from flamingoway.context import Context, boot_time
+from flamingoway.messages import FormerOwner, OwnerInfo
+from flamingoway.model import JobSpec, Policy, Resources
+from flamingoway.ownerservice import OwnerService
+from flamingoway.ownership import Acquired, encode_owner
+from flamingoway.peer import PeerClient
 from flamingoway.settings import parse_settings
+from flamingoway.store import Put
+from flamingoway.store.keys import Keys
+from flamingoway.vmlist import Vm
+from flamingoway.worker import (
+    LinkDown,
+    LinkFenced,
+    ReportReceived,
+    from_report,
+    to_command,
+)
+from standins.memory import MemoryStore
+from standins.worker_state import StaleEpoch, WorkerState
 
 SETTINGS = b"""
 cell: test
@@ -40,3 +60,237 @@
             if condition():
                 return
             await asyncio.sleep(0.001)
+
+
+class FakeClock:
+    """A clock that tests set."""
+
+    def __init__(self, now=1000.0):
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class FakeMembership:
+    """What an owner needs of ``Membership``."""
+
+    def __init__(self):
+        self.owners = {}
+        self.store_up = True
+        self.released = []
+        self.queues = []
+
+    def subscribe(self):
+        self.queues.append(asyncio.Queue())
+        return self.queues[-1]
+
+    def unsubscribe(self, queue):
+        self.queues.remove(queue)
+
+    async def release(self, owner):
+        self.released.append(owner)
+
+
+class FakeFeed:
+    """Stands for ``VmList`` and ``Follower``."""
+
+    def __init__(self, vms=(), documents=None):
+        self.vms = {vm.id: vm for vm in vms}
+        self.documents = documents or {}
+
+    def current(self, environment):
+        return self.documents.get(environment)
+
+    def subscribe(self):
+        return asyncio.Queue()
+
+
+class Network:
+    """Workers in this process, and which owner can reach which of them.
+
+    Attributes:
+        cut: Pairs of process id and worker id without a connection.
+        held: Process ids whose commands are kept back in ``delayed``.
+    """
+
+    def __init__(self, clock, workers=("w1",), cores=4):
+        self.clock = clock
+        self.cut = set()
+        self.held = set()
+        self.delayed = []
+        self.ledger = []
+        capacity = Resources(cores * 1000, 65536)
+        self.workers = {
+            name: WorkerState(name, capacity, clock, self._recorder(name))
+            for name in workers
+        }
+        self.vms = [
+            Vm(name, "worker", "10.0.0.1", i, "r", "z1", cores=cores, memory_mb=65536)
+            for i, name in enumerate(workers)
+        ]
+
+    def _recorder(self, worker_id):
+        def record(entry):
+            self.ledger.append({"worker": worker_id, "at": self.clock(), **entry})
+
+        return record
+
+    def starts(self, task_id=None):
+        """Return worker and attempt of each start."""
+        return [
+            (entry["worker"], entry["attempt"])
+            for entry in self.ledger
+            if entry["event"] == "start" and task_id in (None, entry["task_id"])
+        ]
+
+    def deliver(self):
+        """Let delayed commands arrive; return how many workers refused outright."""
+        refused = 0
+        delayed, self.delayed = self.delayed, []
+        for state, stream, command in delayed:
+            try:
+                state.on_command(stream, command)
+            except StaleEpoch:
+                refused += 1
+        return refused
+
+
+class FakeLink:
+    """A worker link without sockets; see ``Network``."""
+
+    def __init__(self, network, context, info, shard, epoch, events, numbers):
+        self._network = network
+        self._state = network.workers[info.worker_id]
+        self._id = info.worker_id
+        self._process = context.settings.process_id
+        self._shard, self._epoch = shard, epoch
+        self._events, self._numbers = events, numbers
+        self._clock = context.clock
+        self._stream = None
+        self._connection = self._seq = 0
+
+    @property
+    def _cut(self):
+        return (self._process, self._id) in self._network.cut
+
+    def send(self, command, connection):
+        if self._stream is None or connection != self._connection:
+            return 0
+        self._seq += 1
+        message = to_command(command, self._shard, self._epoch, self._seq)
+        self._network.delayed.append((self._state, self._stream, message))
+        if self._process not in self._network.held and not self._cut:
+            self._network.deliver()
+        return self._seq
+
+    async def run(self):
+        while True:
+            if not self._cut:
+                try:
+                    await self._attached()
+                except StaleEpoch:
+                    self._events.put_nowait(LinkFenced(self._id))
+                    return
+            await asyncio.sleep(0.002)
+
+    async def _attached(self):
+        self._stream = stream = self._state.attach(self._shard, self._epoch)
+        self._connection, self._seq = next(self._numbers), 0
+        last = float("-inf")
+        while not stream.replaced_by and not self._cut:
+            self._state.advance()
+            if stream.changed or self._clock() - last >= 5:
+                last = self._clock()
+                self._report(stream)
+            await asyncio.sleep(0.002)
+        self._stream = None
+        self._events.put_nowait(LinkDown(self._id, self._connection))
+        if stream.replaced_by > self._epoch:
+            raise StaleEpoch("higher epoch")
+
+    def _report(self, stream):
+        message = self._state.report(stream)
+        self._events.put_nowait(
+            ReportReceived(
+                self._id,
+                self._connection,
+                message.command_seq,
+                self._clock(),
+                from_report(message, self._id),
+            )
+        )
+
+
+class Cell:
+    """Store, clock and workers that several owners share."""
+
+    def __init__(self, workers=("w1",), cores=4, documents=None):
+        self.clock = FakeClock()
+        self.network = Network(self.clock, workers, cores)
+        self.engine = MemoryStore(clock=self.clock).engine
+        self.documents = documents
+        self.feed = FakeFeed(self.network.vms, documents)
+        self.peers = PeerClient()
+        self.epoch = 0
+        self.former = []
+
+    async def own(self, process_id="p1", address="127.0.0.1:1", keep_former=True):
+        """Raise the epoch and return a running owner with its parts."""
+        self.epoch += 1
+        context = make_context(self.clock, incarnation=f"{process_id}-{self.epoch}")
+        settings = msgspec.structs.replace(context.settings, process_id=process_id)
+        context.settings = settings
+        owner = OwnerInfo(
+            "s", self.epoch, process_id, context.incarnation, address, self.former
+        )
+        if keep_former:
+            last = FormerOwner(self.epoch, process_id, context.incarnation, address, 0)
+            self.former = [last, *self.former]
+        store = MemoryStore(self.engine)
+        result = await store.txn(
+            [], [Put(Keys("test").epoch("s"), encode_owner(owner))]
+        )
+        return Member(self, context, store, Acquired(owner, None, result.revision))
+
+
+class Member:
+    """One entry process as far as a shard owner needs it."""
+
+    def __init__(self, cell, context, store, acquired):
+        self.cell = cell
+        self.store = store
+        self.membership = FakeMembership()
+        self.service = OwnerService(
+            context,
+            store,
+            self.membership,
+            cell.feed,
+            cell.feed,
+            cell.peers,
+            functools.partial(FakeLink, cell.network),
+        )
+        self.owner = self.service.make_owner(acquired)
+        self.task = asyncio.create_task(self.owner.run())
+
+    async def ready(self):
+        """Wait for the takeover and for an attached worker."""
+        await until(lambda: self.owner.status["workers"] > 0)
+        return self
+
+    async def submit(self, job_id="j", run_ms=-1, **fields):
+        """Submit a job directly to the owner; return the reply."""
+        fields.setdefault("request_digest", "d")
+        params = b'{"run_ms": %d}' % run_ms
+        spec = JobSpec(job_id, "e", "m", "k", Policy.BATCH, params=params, **fields)
+        return await self.owner.submit(spec)
+
+    def state(self, job_id="j"):
+        """State of a job in the owner's ledger."""
+        job = self.owner.scheduler.view(job_id)
+        return job and job.state.value
+
+    async def end(self):
+        """Kill the owner."""
+        self.task.cancel()
+        return await asyncio.gather(self.task, return_exceptions=True)
--- a/tests/test_worker_protocol.py
+++ b/tests/test_worker_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from itertools import count
 
 import pytest
 
@@ -203,20 +204,22 @@
     server, port, timer = await start_worker(state, 0)
     info = WorkerInfo("w1", f"127.0.0.1:{port}", "r", "z", "k", state.capacity)
     events: asyncio.Queue = asyncio.Queue()
-    client = GrpcWorkerClient(make_context(), info, "s", 1, events)
+    client = GrpcWorkerClient(make_context(), info, "s", 1, events, count(1))
     task = asyncio.create_task(client.run())
     try:
         event = await asyncio.wait_for(events.get(), 5)
         assert event.report.capacity == state.capacity
         spec = JobSpec("j", "e", "m", "k", Policy.BATCH, params=b'{"run_ms": 1}')
         seq = event.report.seq
-        client.send(WorkerCommand(seq, 15, starts=[StartTask("w1", "j/0", 1, spec)]))
+        client.send(WorkerCommand(seq, 15, starts=[StartTask("w1", "j/0", 1, spec)]), 1)
         while not event.report.finished:
             event = await asyncio.wait_for(events.get(), 5)
         assert event.report.finished[0].outcome == "succeeded"
         assert event.command_seq == 1
-        client.send(WorkerCommand(seq, 15, acks=[AckResult("w1", "j/0", 1)]))
-        newer = GrpcWorkerClient(make_context(), info, "s", 2, asyncio.Queue())
+        client.send(WorkerCommand(seq, 15, acks=[AckResult("w1", "j/0", 1)]), 1)
+        newer = GrpcWorkerClient(
+            make_context(), info, "s", 2, asyncio.Queue(), count(1)
+        )
         second = asyncio.create_task(newer.run())
         while not isinstance(event, LinkFenced):
             event = await asyncio.wait_for(events.get(), 5)
