--- /dev/null
+++ b/flamingoway/output/__init__.py
@@ -0,0 +1,1 @@
+"""Rendering of command results for people and for programs."""
--- a/flamingoway/settings.py
+++ b/flamingoway/settings.py
@@ -161,8 +161,16 @@
     Raises:
         BadSettings: With file, line, field, value found and values allowed.
     """
-    with open(path, "rb") as file:
-        data = file.read()
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as exc:
+        raise BadSettings(
+            f"{path}: the file cannot be read: {exc.strerror}",
+            file=path,
+            line=0,
+            field="",
+        ) from None
     return parse_settings(data, path)
 
 
