Test admission, idempotency keys and their owners

The test of a process that joins failed: a process that had not joined yet saw only itself, counted as owner of all keys from its start, and so ran a key of the joining phase without asking its former owner. A run of the key at both processes was possible. The live processes now count only as the membership shows them, and a process that is not among them refuses keyed checks with OWNER_UNAVAILABLE. Ruled out: a longer margin, because the joining phase has no upper bound while the store is down.

--- a/flamingoway/core/idempotency.py
+++ b/flamingoway/core/idempotency.py
@@ -129,7 +129,7 @@
         """
         for _, processes in reversed(self._sets):
             owner = owner_of(key, processes)
-            if owner != self._own:
+            if owner not in (None, self._own):
                 return owner
         return self.next_owner(key)
 
--- a/flamingoway/keyed.py
+++ b/flamingoway/keyed.py
@@ -75,16 +75,19 @@
             history.observe(self.processes(environment.name), wall)
 
     def processes(self, environment: str) -> set[str]:
-        """Return the live processes of an environment's regions, with this one."""
+        """Return the live processes of an environment's regions.
+
+        A process that has not joined the others sees an empty set or one without
+        itself. It must not count as an owner of keys from that time on.
+        """
         settings = self._context.settings
         shards = settings.environment(environment).shards
         regions = {settings.shard(name).region for name in shards}
-        live = {
+        return {
             name
             for name, info in self._membership.processes.items()
             if info.region in regions
         }
-        return live | {self._own} if settings.region in regions else live
 
     async def run(self, request: KeyedCheck, deadline: float) -> CheckReply:
         """Run a check at the owner of its key.
@@ -96,11 +99,10 @@
         self.observe()
         owner = rendezvous(key.text, self._histories[request.environment].processes)
         if owner == self._own:
-            self._check_joined()
             return await self._serve_own(request, key, deadline)
-        info = self._membership.processes.get(owner)
+        info = self._membership.processes.get(owner or "")
         if info is None:
-            raise Refused("the key has no owner", Code.OWNER_UNAVAILABLE)
+            raise Refused("the key's owner is not known", Code.OWNER_UNAVAILABLE)
         return await self._forward(request, info.peer_address, deadline)
 
     async def serve(self, request: KeyedCheck) -> CheckReply:
@@ -121,7 +123,6 @@
                 Code.OWNER_CHANGED,
                 retry_after=RETRY_AFTER_S,
             )
-        self._check_joined()
         return await self._serve_own(request, key, deadline)
 
     async def fence(self, request: FenceKey) -> KeyState:
@@ -159,11 +160,6 @@
         )
         return await self._peers.call(address, forwarded, left, CheckReply)
 
-    def _check_joined(self) -> None:
-        """Refuse to own keys before the live processes are known."""
-        if self._own not in self._membership.processes:
-            raise Refused("the key's owner is not known", Code.OWNER_UNAVAILABLE)
-
     async def _serve_own(
         self, request: KeyedCheck, key: Key, deadline: float
     ) -> CheckReply:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,175 @@
+"""Guards against unfair queues, useless work and refusals without a hint."""
+
+import random
+
+import pytest
+
+from flamingoway.core.admission import Admission, Ticket
+from flamingoway.core.concurrency import ConcurrencyLimit
+from flamingoway.core.retry import RetryBudget
+from flamingoway.errors import Refused
+from flamingoway.status import Code
+
+SERVICE_S = 0.02
+
+
+def make_admission(slots: int = 4, max_queue: int = 100):
+    """Return an admission with a known service time."""
+    limit = ConcurrencyLimit(slots)
+    for _ in range(4):
+        limit.record("slot", SERVICE_S, 0.0)
+    return Admission(max_queue, limit)
+
+
+def make_ticket(member="a", deadline=2.0, weight=1.0, kind="slot", rate=100.0):
+    """Return a ticket."""
+    return Ticket(member, kind, weight, rate, deadline)
+
+
+def start_all(admission, now=0.0):
+    """Start tickets until there is none left; return them."""
+    started = []
+    while (ticket := admission.take(now)[0]) is not None:
+        started.append(ticket)
+    return started
+
+
+@pytest.mark.parametrize("weight", [1.0, 2.0, 4.0])
+def test_members_share_slots_by_weight(weight):
+    """Guards against a member that gets more by sending more."""
+    admission = make_admission()
+    for _ in range(90):
+        admission.offer(make_ticket("flood", deadline=1e3), 0.0)
+    for _ in range(30):
+        admission.offer(make_ticket("other", deadline=1e3, weight=weight), 0.0)
+    first = [ticket.member for ticket in start_all(admission)[:30]]
+    expected = 30 * weight / (1 + weight)
+    assert abs(first.count("other") - expected) <= 1
+
+
+def test_an_idle_member_saves_up_no_share():
+    """Guards against a burst that blocks others after a long pause."""
+    admission = make_admission()
+    for _ in range(50):
+        admission.offer(make_ticket("busy", deadline=1e3), 0.0)
+    for _ in range(40):
+        admission.take(0.0)
+    for _ in range(10):
+        admission.offer(make_ticket("late", deadline=1e3), 0.0)
+    names = [ticket.member for ticket in start_all(admission)]
+    assert names[:10].count("late") in (5, 6)
+
+
+def test_the_kinds_of_a_member_take_turns():
+    admission = make_admission()
+    for kind in ["slot"] * 5 + ["viability"] * 5:
+        admission.offer(make_ticket(kind=kind, deadline=1e3), 0.0)
+    kinds = [ticket.kind for ticket in start_all(admission)]
+    assert kinds[:4] == ["slot", "viability", "slot", "viability"]
+
+
+@pytest.mark.parametrize(
+    ("queued", "deadline", "rate", "code"),
+    [
+        (0, 0.0, 100.0, Code.DEADLINE_PASSED),
+        (50, 0.1, 100.0, Code.OVERLOADED),
+        (100, 1e3, 1000.0, Code.OVERLOADED),
+        (100, 1e3, 1.0, Code.MEMBER_LIMIT),
+    ],
+)
+def test_work_that_cannot_be_served_is_refused_early(queued, deadline, rate, code):
+    """Guards against waiting for nothing and against a refusal without a hint."""
+    admission = make_admission()
+    for _ in range(queued):
+        admission.offer(make_ticket(deadline=1e3, rate=rate), 0.0)
+    with pytest.raises(Refused) as caught:
+        admission.offer(make_ticket(deadline=deadline, rate=rate), 0.0)
+    assert caught.value.code == code
+    if queued:
+        assert caught.value.details["retry_after"] > 0
+
+
+def test_work_past_its_deadline_is_not_started():
+    admission = make_admission()
+    admission.offer(make_ticket(deadline=0.1), 0.0)
+    admission.offer(make_ticket(deadline=9.0), 0.0)
+    started, expired = admission.take(0.095)
+    assert (started.deadline, [t.deadline for t in expired]) == (9.0, [0.1])
+    assert admission.in_flight == 1
+
+
+def test_a_withdrawn_check_is_not_started_and_costs_its_member_nothing():
+    """Guards against slots for callers that left, and a member served twice."""
+    admission = make_admission()
+    gone = make_ticket("a")
+    admission.offer(gone, 0.0)
+    admission.withdraw(gone)
+    admission.withdraw(gone)
+    for name in "abab":
+        admission.offer(make_ticket(name), 0.0)
+    assert [t.member for t in start_all(admission)] == ["a", "b", "a", "b"]
+    assert admission.waiting == 0
+
+
+def test_counts_stay_right_under_random_use():
+    """Guards against slots or queue places that are lost one by one."""
+    rng = random.Random(7)
+    admission = make_admission()
+    waiting, started = [], []
+    for step in range(5000):
+        now = step * 0.001
+        action = rng.random()
+        if action < 0.5:
+            ticket = make_ticket(rng.choice("abc"), now + rng.uniform(0.01, 2))
+            try:
+                admission.offer(ticket, now)
+                waiting.append(ticket)
+            except Refused:
+                pass
+        elif action < 0.6 and waiting:
+            admission.withdraw(waiting.pop(rng.randrange(len(waiting))))
+        elif action < 0.8 and admission.has_room:
+            ticket, _ = admission.take(now)
+            started += [ticket] if ticket else []
+        elif started:
+            admission.release(started.pop(), now, SERVICE_S)
+        waiting = [ticket for ticket in waiting if ticket.waiting]
+        assert admission.waiting == len(waiting)
+        assert admission.in_flight == len(started)
+
+
+def feed(limit, latency, start, seconds):
+    """Record answers for some seconds; return the end."""
+    for step in range(int(seconds * 100)):
+        limit.record("slot", latency, start + step / 100)
+    return start + seconds
+
+
+def test_the_limit_falls_when_targets_queue_and_recovers():
+    """Guards against more work for targets that only add waiting."""
+    limit = ConcurrencyLimit(32)
+    now = feed(limit, 0.02, 0.0, 5)
+    assert limit.value == 32
+    now = feed(limit, 0.2, now, 10)
+    assert 8 <= limit.value <= 16
+    feed(limit, 0.02, now, 20)
+    assert limit.value == 32
+
+
+def test_the_limit_follows_the_slots():
+    """Guards against a limit of 1 after a start without targets."""
+    limit = ConcurrencyLimit(0)
+    assert limit.value == 0
+    limit.set_maximum(24)
+    assert limit.value == 24
+    limit.set_maximum(8)
+    assert limit.value == 8
+
+
+def test_retries_stay_a_share_of_the_traffic():
+    budget = RetryBudget(ratio=0.2, burst=10)
+    allowed = 0
+    for _ in range(1000):
+        budget.add_attempt()
+        allowed += budget.take()
+    assert 200 <= allowed <= 210
--- /dev/null
+++ b/tests/test_keyed.py
@@ -0,0 +1,267 @@
+"""Guards against a keyed check that runs twice in two entry processes."""
+
+import asyncio
+import random
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+from request_path import (
+    ENVIRONMENT,
+    IP,
+    FakeFollower,
+    FakeMembership,
+    FakeVmList,
+    Vm,
+    make_document,
+    make_settings,
+)
+from test_idempotency import WALL, make_key
+
+from flamingoway.checks import Checks
+from flamingoway.context import Context
+from flamingoway.core.idempotency import MARGIN_S, owner_of
+from flamingoway.messages import ProcessInfo
+from flamingoway.peer import PeerClient, PeerServer
+from flamingoway.status import Code
+from standins.target import Target
+
+PORTS = {"p1": 18951, "p2": 18952, "p3": 18953}
+ALL = ("p1", "p2")
+
+
+class Clock:
+    """A wall clock that stands still."""
+
+    def __init__(self, now: float):
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Process:
+    """The checks of one entry process with its peer server."""
+
+    def __init__(self, name: str, target: Target, clock: Clock, live, view=None):
+        self.name = name
+        self.membership = FakeMembership()
+        self.view(live if view is None else view)
+        context = Context(
+            make_settings(name), wall=clock, rng=random.Random(name), incarnation=name
+        )
+        self.peers = PeerClient()
+        vms = FakeVmList([Vm("t1", IP, target.port, slots=64)])
+        follower = FakeFollower(make_document())
+        self.checks = Checks(context, follower, vms, self.membership, self.peers)
+
+    def view(self, live) -> None:
+        """Set the live processes that this one sees."""
+        self.membership.processes = {
+            name: ProcessInfo(
+                name, name, "brittany", "bzh-1", f"{IP}:{PORTS[name]}", "", 0
+            )
+            for name in live
+        }
+
+    @asynccontextmanager
+    async def serve(self):
+        """Serve the calls of the others."""
+        server = PeerServer()
+        self.checks.register(server)
+        async with server.listen(f"{IP}:{PORTS[self.name]}", grace_s=0):
+            yield self
+        await self.peers.close()
+
+    async def check(self, key: str, body: bytes = b'{"service_ms": 1}'):
+        """Run a keyed check here."""
+        deadline = self.checks._context.clock() + 2.0
+        return await self.checks.run(ENVIRONMENT, "agency", "slot", body, deadline, key)
+
+
+def run(scenario, names=ALL, views=None):
+    """Run a scenario with a target, a clock and processes that see each other."""
+
+    async def main():
+        clock = Clock(WALL)
+        async with AsyncExitStack() as stack:
+            target = await stack.enter_async_context(Target(slots=64).serve())
+            processes = {}
+            for name in names:
+                view = (views or {}).get(name)
+                process = Process(name, target, clock, names, view)
+                processes[name] = await stack.enter_async_context(process.serve())
+            clock.now += MARGIN_S + 60
+            return await scenario(processes, clock, target)
+
+    return asyncio.run(main())
+
+
+def codes(replies) -> list[int]:
+    """Return the codes of replies."""
+    return [reply.code for reply in replies]
+
+
+def test_the_same_key_at_all_processes_runs_once():
+    """Guards against duplicates sent at the same time through two processes."""
+
+    async def scenario(processes, clock, target):
+        keys = [make_key(clock.now, number) for number in range(10)]
+        calls = [p.check(key) for p in processes.values() for key in keys * 2]
+        return await asyncio.gather(*calls), target.ran
+
+    replies, ran = run(scenario)
+    assert set(codes(replies)) == {Code.OK}
+    assert len(ran) == 10
+    bodies = [reply.body for reply in replies]
+    assert len(set(bodies)) == 10
+    assert bodies[:10] == bodies[10:20] == bodies[20:30] == bodies[30:]
+
+
+def test_a_key_with_another_body_is_refused_at_every_process():
+    async def scenario(processes, clock, target):
+        key = make_key(clock.now)
+        first = await processes["p1"].check(key)
+        return [first] + [await p.check(key, b"{}") for p in processes.values()]
+
+    assert codes(run(scenario)) == [Code.OK, Code.KEY_REUSED, Code.KEY_REUSED]
+
+
+def test_a_refused_check_may_be_sent_again_with_its_key():
+    async def scenario(processes, clock, target):
+        key = make_key(clock.now)
+        target.leaving = True
+        refused = await processes["p1"].check(key)
+        target.leaving = False
+        clock.now += 1
+        for process in processes.values():
+            lane = process.checks._lanes[ENVIRONMENT]
+            lane.targets._ejection.forget("t1")
+            lane.refresh()
+        return refused, await processes["p2"].check(key), target.ran
+
+    refused, answered, ran = run(scenario)
+    assert (refused.code, answered.code) == (Code.TARGET_REFUSED, Code.OK)
+    assert len(ran) == 1
+
+
+def test_an_unknown_outcome_stays_unknown_for_its_key():
+    """Guards against a second run after a cut answer."""
+
+    async def scenario(processes, clock, target):
+        key = make_key(clock.now)
+        body = b'{"service_ms": 1, "fault": "truncated"}'
+        replies = [
+            await processes[name].check(key, body) for name in ["p1", "p2", "p1"]
+        ]
+        return replies, target.ran
+
+    replies, ran = run(scenario)
+    assert codes(replies) == [Code.ANSWER_CUT] * 3
+    assert len(ran) == 1
+
+
+@pytest.mark.parametrize(
+    ("age", "code"), [(1.0, Code.KEY_AMBIGUOUS), (-MARGIN_S, Code.OK)]
+)
+def test_a_key_from_before_the_death_of_its_owner_is_ambiguous(age, code):
+    """Guards against a second run at the new owner; the old one cannot be asked."""
+
+    async def scenario(processes, clock, target):
+        stamp = clock.now - age
+        survivor = processes["p1"]
+        survivor.view(["p1"])
+        survivor.checks.refresh()
+        if age < 0:
+            clock.now = stamp + 1
+        for number in range(100):
+            key = make_key(stamp, number)
+            if owner_of(key, ALL) == "p2":
+                return await survivor.check(key), target.ran
+        return None
+
+    reply, ran = run(scenario)
+    assert reply.code == code
+    assert len(ran) == (code == Code.OK)
+
+
+def test_a_process_that_joins_learns_what_its_keys_became():
+    """Guards against a second run, and against ambiguity, when a process joins."""
+
+    async def scenario(processes, clock, target):
+        first, joining = processes["p1"], processes["p2"]
+        stamp = clock.now
+        keys = [make_key(stamp, n) for n in range(40)]
+        mine = [key for key in keys if owner_of(key, ALL) == "p2"]
+        before = await first.check(mine[0])
+        first.view(ALL)
+        joining.view(ALL)
+        clock.now += 1
+        known = await joining.check(mine[0])
+        fresh = await joining.check(mine[1])
+        # The former owner must not run a key that it has handed over.
+        first.view(["p1"])
+        late = await first.check(mine[1])
+        return before, known, fresh, late, target.ran
+
+    before, known, fresh, late, ran = run(scenario, views={"p1": ["p1"], "p2": []})
+    assert known == before
+    assert fresh.code == Code.OK
+    assert late.code == Code.KEY_AMBIGUOUS
+    assert len(ran) == 2
+
+
+def test_a_process_that_is_not_yet_live_owns_no_keys():
+    """Guards against a second owner while a process starts without the store."""
+
+    async def scenario(processes, clock, target):
+        return await processes["p1"].check(make_key(clock.now)), target.ran
+
+    reply, ran = run(scenario, names=["p1"], views={"p1": []})
+    assert (reply.code, ran) == (Code.OWNER_UNAVAILABLE, [])
+
+
+def key_of(owner: str, processes, stamp: float) -> str:
+    """Return a key that belongs to ``owner``."""
+    keys = (make_key(stamp, number) for number in range(100))
+    return next(key for key in keys if owner_of(key, processes) == owner)
+
+
+def test_a_process_cut_off_from_the_store_asks_before_it_runs_a_key():
+    """Guards against two owners while the cut-off process has an old view."""
+
+    async def scenario(processes, clock, target):
+        cut_off, other = processes["p1"], processes["p2"]
+        cut_off.membership.store_up = False
+        other.view(["p2"])
+        other.checks.refresh()
+        clock.now += MARGIN_S + 1
+        key = key_of("p1", ALL, clock.now)
+        replies = [await p.check(key) for p in (other, cut_off)]
+        second = key_of("p1", ALL, clock.now + 1)
+        replies += [await p.check(second) for p in (cut_off, other)]
+        return replies, target.ran
+
+    replies, ran = run(scenario)
+    assert codes(replies) == [Code.OK, Code.OK, Code.OK, Code.KEY_AMBIGUOUS]
+    assert replies[0] == replies[1]
+    assert len(ran) == 2
+
+
+@pytest.mark.parametrize(
+    ("view", "owner", "code"),
+    [("p1", "p3", Code.OWNER_UNAVAILABLE), ("p2", "p3", Code.OWNER_CHANGED)],
+)
+def test_a_check_sent_to_a_wrong_or_dead_owner_did_not_run(view, owner, code):
+    """Guards against two owners by two views, and against a false "unknown"."""
+
+    async def scenario(processes, clock, target):
+        every = ("p1", "p2", "p3")
+        processes[view].view(every)
+        keys = (make_key(clock.now, number) for number in range(200))
+        key = next(
+            k for k in keys if (owner_of(k, every), owner_of(k, ALL)) == (owner, "p2")
+        )
+        return await processes["p1"].check(key), target.ran
+
+    reply, ran = run(scenario)
+    assert (reply.code, ran) == (code, [])
