--- a/flamingoway/lane.py
+++ b/flamingoway/lane.py
@@ -17,6 +17,9 @@
 
 NO_TARGET_RETRY_AFTER_S = 1.0
 REFUSED_RETRY_AFTER_S = 0.1
+# Retries are a share of the first attempts, with some saved up.
+RETRY_RATIO = 0.2
+RETRY_BURST = 10.0
 # Refusals after which another target is worth a try.
 _NEXT_TARGET = (Code.NO_TARGET, Code.TARGET_REFUSED, Code.OVERLOADED)
 # Failures of an idempotent check after which it is sent again.
@@ -63,7 +66,7 @@
         self._clock = context.clock
         self._limit = ConcurrencyLimit(0)
         self._admission = Admission(context.settings.limits.max_queue, self._limit)
-        self._retries = RetryBudget()
+        self._retries = RetryBudget(RETRY_RATIO, RETRY_BURST, RETRY_BURST)
 
     @property
     def counts(self) -> dict[str, int]:
@@ -175,7 +178,7 @@
 
     async def _attempt(self, call: CheckCall, target: Target) -> Answer:
         """Send a check, again where that cannot make it run twice."""
-        self._retries.add_attempt()
+        self._retries.note_attempt()
         request_id = uuid.UUID(int=self._context.rng.getrandbits(128)).hex
         tried: list[str] = []
         while True:
@@ -200,7 +203,7 @@
             repeatable = exc.code in _NEXT_TARGET
         else:
             repeatable = call.kind.idempotent and exc.code in _REPEATABLE
-        if not repeatable or not self._retries.take():
+        if not repeatable or not self._retries.withdraw():
             return None
         return self.targets.reserve(tried)
 
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the external systems; not part of the product."""
+"""Stand-ins for the platform, used by demonstrations, tests and benchmarks."""
