Serve job requests through the router in a running process

Cause: the entry process did not start: in JobRouter the method list hid the built-in type in a later annotation. The explain endpoint answered 500 because the router returned a list where the API expects an Explanation. Before: TypeError at import; explain 500. After: the process starts; submissions and reads work in a trial with a scratch copy.

--- a/flamingoway/jobs.py
+++ b/flamingoway/jobs.py
@@ -1,5 +1,8 @@
 """Routes members' job requests to the owner of the job's shard."""
 
+# Annotations stay unevaluated, since the method ``list`` hides the built-in type.
+from __future__ import annotations
+
 import asyncio
 import hashlib
 import math
@@ -14,6 +17,7 @@
 from .messages import (
     CancelJob,
     ExplainJob,
+    Explanation,
     GetJob,
     JobList,
     JobView,
@@ -153,15 +157,14 @@
         except OutcomeUnknown as exc:
             return SubmitReply(int(Code.WRITE_UNRESOLVED), job_id, exc.message)
 
-    async def explain(self, environment: str, job_id: str) -> list[str]:
+    async def explain(self, environment: str, job_id: str) -> Explanation:
         """Return the reasons why a job waits.
 
         Raises:
             Refused: If the owner cannot be reached.
         """
         shard = self._shard_of(environment, job_id)
-        reply = await self._read(ExplainJob(shard, environment, job_id))
-        return reply.reasons
+        return await self._read(ExplainJob(shard, environment, job_id))
 
     async def _read(self, request: Request) -> Message:
         # A read that was not answered changed nothing, so it may be sent again.
--- a/standins/client.py
+++ b/standins/client.py
@@ -93,10 +93,13 @@
 
         def ended() -> bool:
             last.clear()
-            last.update(self.job(job_id).body)
+            last.update(self.job(job_id).body.get("job", {}))
             return last.get("state") in FINAL_STATES
 
-        wait_until(ended, timeout_s, f"job {job_id} ended, last: {last}")
+        try:
+            wait_until(ended, timeout_s, f"job {job_id} ended")
+        except TimeoutError as exc:
+            raise TimeoutError(f"{exc}; last seen: {last}") from None
         return last
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -263,7 +263,7 @@
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
         process = self.spawn(name, "flamingoway", "serve", f"--settings={path}")
-        self._wait_port(port)
+        self._wait_port(port, process)
         entry = Entry(process, path, port, deployment.region)
         self.entries.append(entry)
         return entry
@@ -309,8 +309,10 @@
             codes[process.name] = process.stop()
         return codes
 
-    def _wait_port(self, port: int) -> None:
+    def _wait_port(self, port: int, process: Process | None = None) -> None:
         def listening() -> bool:
+            if process is not None and not process.alive:
+                raise RuntimeError(f"{process.name}: {process.log.read_text()}")
             with socket.socket() as probe:
                 return probe.connect_ex((HOST, port)) == 0
 
