--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module runs on its own."""
--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,291 @@
+"""Speed and packing of placement decisions.
+
+``python -m benchmarks.placement [--json] [--seed N] [--workers 24,200,790]``
+
+For each number of workers a scheduler is filled with running tasks in proportion
+(5,800 at 790 workers) and mixed kinds of 290 members. Then each step ends random
+tasks and submits a job. ``steady`` ends as many tasks as exceed the target, so
+capacity is free and new tasks are placed at once; ``backlog`` keeps the workers full
+and 2,000 jobs queued and ends one task, so each step chooses among the members. The
+time of a decision is that of its step (report, submission and pass) divided by the
+tasks placed in it. ``drain`` places 10,000 queued
+tasks on empty workers. ``packing`` submits work worth the whole capacity and compares
+what is placed with a fractional bound, first fit and random placement.
+"""
+
+import argparse
+import gc
+import json
+import math
+import random
+import time
+from collections.abc import Callable
+
+from flamingoway.core.fairness import MemberShare
+from flamingoway.core.index import WorkerIndex
+from flamingoway.core.ledger import Ledger
+from flamingoway.core.policy import policies
+from flamingoway.core.reports import Finished, WorkerReport
+from flamingoway.core.scheduler import Scheduler
+from flamingoway.model import Job, JobSpec, Policy, Resources, Task, WorkerInfo
+from flamingoway.records import JobAccepted, TaskAssigned
+
+CAPACITY = Resources(16_000, 65_536)
+RACK_SIZE = 8
+ZONES = 4
+MEMBERS = 290
+RUNNING_PER_WORKER = 5_800 / 790
+SERVICE_PART = 0.2
+BACKLOG_JOBS = 2_000
+DRAIN_TASKS = 10_000
+STEPS = 3_000
+SIM_STEP_S = 0.018  # 55 starts a second
+
+# Name, policy, tasks, resources, weight in the mix.
+KINDS = [
+    ("fit-plan", Policy.BATCH, 1, Resources(2000, 4096), 30),
+    ("inventory-sort", Policy.BATCH, 2, Resources(1000, 2048), 30),
+    ("lineage-plan", Policy.BATCH, 1, Resources(4000, 16_384), 15),
+    ("marker-panel", Policy.BATCH, 1, Resources(500, 6144), 15),
+    ("gang-plan", Policy.GANG, 4, Resources(2000, 8192), 5),
+]
+SERVICE = ("viewer", Policy.SERVICE, 1, Resources(1500, 3072))
+
+
+def worker(number: int) -> WorkerInfo:
+    """Return the worker with a number."""
+    rack = number // RACK_SIZE
+    return WorkerInfo(
+        f"w{number:04}",
+        f"127.0.0.1:{number}",
+        "brittany",
+        f"z{rack % ZONES}",
+        f"r{rack}",
+        CAPACITY,
+    )
+
+
+class Load:
+    """Jobs of random kinds and members."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._count = 0
+
+    def job(self) -> JobSpec:
+        """Return a job of a random kind of a random member."""
+        weights = [kind[4] for kind in KINDS]
+        kind = self._rng.choices(KINDS, weights)[0]
+        return self.make(kind[:4], f"m{self._rng.randrange(MEMBERS)}")
+
+    def make(self, kind: tuple, member: str) -> JobSpec:
+        """Return a job of one kind."""
+        self._count += 1
+        name, policy, tasks, shape = kind
+        job_id = f"j{self._count}"
+        return JobSpec(job_id, "e", member, name, policy, tasks, shape)
+
+
+class Bench:
+    """A scheduler with workers and running tasks on a simulated clock."""
+
+    def __init__(self, workers: int, seed: int):
+        self._rng = random.Random(seed)
+        self._load = Load(self._rng)
+        self._now = 0.0
+        self._running: list[tuple[str, int, str]] = []
+        self.scheduler = Scheduler("bench", random.Random(seed))
+        for number in range(workers):
+            self.scheduler.set_worker(worker(number), True)
+        for member in range(MEMBERS):
+            share = MemberShare(weight=1.0 + member % 3)
+            self.scheduler._state.queue.set_share(("e", f"m{member}"), share)
+
+    def fill(self, running: int, full: bool) -> None:
+        """Start ``running`` tasks, a fifth of them services, or fill all workers."""
+        for _ in range(int(running * SERVICE_PART)):
+            self._submit(self._load.make(SERVICE, ""))
+        self.drain()
+        while full or len(self._running) < running:
+            self._submit(self._load.job())
+            if self._schedule() == 0:
+                break
+
+    def submit_jobs(self, count: int) -> None:
+        """Submit jobs without placing them."""
+        for _ in range(count):
+            self._submit(self._load.job())
+        self.scheduler.take_batch()
+
+    def steps(self, count: int, target: int | None) -> list[tuple[float, int]]:
+        """Run steps; return for each its seconds and the tasks placed.
+
+        Args:
+            count: Number of steps.
+            target: Tasks to keep running; ``None`` ends one task a step.
+        """
+        results = []
+        for _ in range(count):
+            ended = [self._end_one()]
+            while target is not None and len(self._running) > target:
+                ended.append(self._end_one())
+            spec = self._load.job()
+            self._now += SIM_STEP_S
+            begin = time.perf_counter()
+            for report in ended:
+                self.scheduler.on_report(report, self._now, self._now)
+            self._submit(spec)
+            placed = self._schedule()
+            results.append((time.perf_counter() - begin, placed))
+        return results
+
+    def drain(self) -> tuple[float, int]:
+        """Place everything that fits; return seconds and tasks placed."""
+        total = 0
+        begin = time.perf_counter()
+        while placed := self._schedule():
+            total += placed
+        return time.perf_counter() - begin, total
+
+    def _submit(self, spec: JobSpec) -> None:
+        self.scheduler.submit(spec, None, self._now, self._now)
+
+    def _schedule(self) -> int:
+        placed = self.scheduler.schedule(self._now, self._now)
+        for record in self.scheduler.take_batch().records:
+            if isinstance(record, TaskAssigned):
+                item = (record.task_id, record.attempt, record.worker_id)
+                self._running.append(item)
+        return placed
+
+    def _end_one(self) -> WorkerReport:
+        place = self._rng.randrange(len(self._running))
+        self._running[place], self._running[-1] = (
+            self._running[-1],
+            self._running[place],
+        )
+        task_id, attempt, worker_id = self._running.pop()
+        finished = Finished(task_id, attempt, "succeeded", b"{}")
+        return WorkerReport(worker_id, 1, CAPACITY, [], [finished])
+
+
+def speed(workers: int, seed: int, backlog: bool) -> dict:
+    """Measure decisions with free capacity or with a backlog."""
+    bench = Bench(workers, seed)
+    running = int(workers * RUNNING_PER_WORKER)
+    bench.fill(running, full=backlog)
+    if backlog:
+        bench.submit_jobs(BACKLOG_JOBS)
+        bench.drain()
+    target = None if backlog else running
+    bench.steps(STEPS // 10, target)
+    results = bench.steps(STEPS, target)
+    placed = sum(count for _, count in results)
+    seconds = sum(spent for spent, _ in results)
+    times = sorted(spent / count for spent, count in results if count)
+    return {
+        "workers": workers,
+        "mode": "backlog" if backlog else "steady",
+        "running": sum(
+            bench.scheduler.ledger.placed_count(f"w{n:04}") for n in range(workers)
+        ),
+        "queued": bench.scheduler.queued,
+        "decisions": placed,
+        "decisions_per_s": round(placed / seconds),
+        "mean_us": round(seconds / placed * 1e6, 1),
+        "p99_ms": round(times[math.ceil(len(times) * 0.99) - 1] * 1e3, 3),
+        "max_ms": round(times[-1] * 1e3, 3),
+    }
+
+
+def drain(workers: int, seed: int) -> dict:
+    """Measure how fast 10,000 queued tasks are placed on empty workers."""
+    bench = Bench(workers, seed)
+    small = ("sort", Policy.BATCH, 1, Resources(500, 1024))
+    for number in range(DRAIN_TASKS):
+        bench._submit(bench._load.make(small, f"m{number % MEMBERS}"))
+    bench.scheduler.take_batch()
+    seconds, placed = bench.drain()
+    return {
+        "workers": workers,
+        "mode": "drain",
+        "decisions": placed,
+        "decisions_per_s": round(placed / seconds),
+    }
+
+
+def packing(workers: int, seed: int) -> dict:
+    """Place work worth the whole capacity; return the placed part by method."""
+    chosen = {"best_fit": _best_fit, "first_fit": _first_fit, "random": _random_fit}
+    parts = {name: _pack(workers, seed, choose) for name, choose in chosen.items()}
+    return {"workers": workers, "mode": "packing"} | parts
+
+
+def _pack(workers: int, seed: int, choose: Callable) -> float:
+    """Return placed over possible amount of the scarcest resource."""
+    rng = random.Random(seed)
+    load = Load(rng)
+    ledger = Ledger()
+    index = WorkerIndex(ledger)
+    for number in range(workers):
+        info = worker(number)
+        ledger.set_capacity(info.worker_id, info.capacity)
+        index.set_worker(info)
+        index.set_open(info.worker_id, True)
+    total = CAPACITY.times(workers)
+    wanted = Resources()
+    placed = Resources()
+    batch = [kind[:4] for kind in KINDS if kind[1] is Policy.BATCH]
+    while wanted.dominant_share(total) < 1.0:
+        spec = load.make((*rng.choice(batch)[:2], 1, rng.choice(batch)[3]), "m")
+        wanted = wanted + spec.resources
+        ledger.apply(JobAccepted(spec, 0.0))
+        job = ledger.jobs[spec.job_id]
+        worker_id = choose(job, job.tasks[0], index, rng)
+        if worker_id is not None:
+            ledger.apply(TaskAssigned(job.tasks[0].task_id, 1, worker_id))
+            index.touch(worker_id)
+            placed = placed + spec.resources
+    scarce_placed = placed.dominant_share(total)
+    return round(scarce_placed / min(1.0, wanted.dominant_share(total)), 4)
+
+
+def _best_fit(job: Job, task: Task, index: WorkerIndex, rng) -> str | None:
+    workers = policies.get(Policy.BATCH).place(job, [task], index, frozenset())
+    return workers[0] if workers else None
+
+
+def _first_fit(job: Job, task: Task, index: WorkerIndex, rng) -> str | None:
+    return min(index.fits(job.spec.resources).tightest(), default=None)
+
+
+def _random_fit(job: Job, task: Task, index: WorkerIndex, rng) -> str | None:
+    fitting = list(index.fits(job.spec.resources).tightest())
+    return rng.choice(fitting) if fitting else None
+
+
+def main() -> None:
+    """Run all measurements and print them."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", default="24,200,790")
+    options = parser.parse_args()
+    rows = []
+    for workers in map(int, options.workers.split(",")):
+        for measure in (
+            lambda n: speed(n, options.seed, backlog=False),
+            lambda n: speed(n, options.seed, backlog=True),
+            lambda n: drain(n, options.seed),
+            lambda n: packing(n, options.seed),
+        ):
+            gc.collect()
+            rows.append(measure(workers))
+            if not options.json:
+                print("  ".join(f"{k}={v}" for k, v in rows[-1].items()), flush=True)
+    if options.json:
+        print(json.dumps(rows, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/flamingoway/core/fairness.py
+++ b/flamingoway/core/fairness.py
@@ -12,6 +12,7 @@
 import heapq
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..model import JobSpec, Policy, Resources
@@ -36,37 +37,58 @@
     NORMAL = 2
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class MemberShare:
-    """Weight and quota of a member in this shard."""
+    """Weight and quota of a member.
+
+    Attributes:
+        quota: Part of the quota that counts in this shard.
+        whole_quota: Quota over all shards.
+    """
 
     weight: float = 1.0
     quota: Resources = UNLIMITED
+    whole_quota: Resources = UNLIMITED
 
 
-@dataclass(frozen=True, slots=True)
-class GroupKey:
-    """What all lanes of a group have in common."""
+DEFAULT_SHARE = MemberShare()
+
+
+@dataclass(slots=True, eq=False)
+class Group:
+    """Lanes whose heads need the same: ``count`` tasks of one shape at once.
+
+    Attributes:
+        heap: Lanes with their order at the time; outdated items are skipped.
+        blocked: Whether it is skipped until the end of the pass.
+    """
 
     tier: Tier
     policy: Policy
     shape: Resources
+    count: int
+    heap: list[tuple[Order, "Lane"]] = field(default_factory=list)
+    blocked: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class Lane:
-    """Queued entries of one member, kind and shape, oldest first.
+    """Queued entries of one member, kind and group, oldest first.
 
     Attributes:
         entries: Wall-clock time of queueing by task id, or job id of a gang.
+        credit: By how much waiting lowered its share at the last refresh.
+        ready: Whether it is in the heap of its group.
     """
 
     member: MemberKey
     kind: str
-    group: GroupKey
+    group: Group
     number: int
+    key: tuple
     entries: OrderedDict[str, float] = field(default_factory=OrderedDict)
     order: Order = (0.0, 0.0, 0)
+    credit: float = 0.0
     ready: bool = False
 
     @property
@@ -92,9 +114,11 @@
         self._lanes: dict[tuple, Lane] = {}
         self._of_member: dict[MemberKey, dict[int, Lane]] = {}
         self._of_entry: dict[str, Lane] = {}
-        self._heaps: dict[GroupKey, list[tuple[Order, Lane]]] = {}
+        self._groups: dict[tuple, Group] = {}
+        self._tiers: dict[Tier, list[Group]] = {tier: [] for tier in Tier}
+        self._touched: dict[MemberKey, None] = {}
         self._parked: dict[MemberKey, set[Lane]] = {}
-        self._blocked: set[GroupKey] = set()
+        self._blocked: list[Group] = []
         self._aside: list[Lane] = []
         self._numbers = 0
         self._total = ZERO
@@ -111,20 +135,31 @@
         """Lanes that hold at least one entry."""
         return list(self._lanes.values())
 
+    def lane_of(self, entry: str) -> Lane:
+        """Return the lane of a queued entry."""
+        return self._of_entry[entry]
+
     def share_of(self, member: MemberKey) -> MemberShare:
         """Return weight and quota of a member; defaults if it is not known."""
-        return self._shares.get(member) or MemberShare()
+        return self._shares.get(member, DEFAULT_SHARE)
 
-    def set_share(self, member: MemberKey, weight: float, quota: Resources) -> None:
+    def set_share(self, member: MemberKey, share: MemberShare) -> None:
         """Set weight and quota of a member."""
-        self._shares[member] = MemberShare(weight, quota)
+        self._shares[member] = share
         self.touch(member)
 
     def set_kind_weight(self, environment: str, kind: str, weight: float) -> None:
         """Set the weight of a kind among the kinds of each member."""
         self._kind_weights[environment, kind] = weight
 
-    def push(self, entry: str, spec: JobSpec, at: float, front: bool = False) -> None:
+    def push(
+        self,
+        entry: str,
+        spec: JobSpec,
+        at: float,
+        front: bool = False,
+        count: int = 1,
+    ) -> None:
         """Queue a task, or a gang by its job id.
 
         Args:
@@ -132,20 +167,15 @@
             spec: Specification of the job.
             at: Wall-clock time from which waiting counts, in seconds.
             front: Whether it goes before the other entries of its lane.
+            count: Number of tasks that must be placed at once.
         """
-        member = (spec.environment, spec.member)
-        group = GroupKey(tier_of(spec), spec.policy, spec.resources)
-        key = (member, spec.kind, group)
-        lane = self._lanes.get(key)
-        if lane is None:
-            self._numbers += 1
-            lane = self._lanes[key] = Lane(member, spec.kind, group, self._numbers)
-            self._of_member.setdefault(member, {})[lane.number] = lane
+        lane = self._lane_for(spec, count)
         lane.entries[entry] = at
         self._of_entry[entry] = lane
         if front:
             lane.entries.move_to_end(entry, last=False)
-        if not lane.ready and lane not in self._parked.get(member, ()):
+        if not lane.ready and lane not in self._parked.get(lane.member, ()):
+            lane.credit = self._credit(at)
             self._offer(lane)
 
     def discard(self, entry: str) -> None:
@@ -159,34 +189,37 @@
 
     def touch(self, member: MemberKey) -> None:
         """Reorder the lanes of a member whose usage, weight or quota changed."""
-        parked = self._parked.pop(member, ())
-        for lane in self._of_member.get(member, {}).values():
-            if lane.ready or lane in parked:
-                self._offer(lane)
+        self._touched[member] = None
 
     def refresh(self, total: Resources, wall: float) -> None:
         """Recompute all orders, for ageing and changed capacity."""
         self._total = total
         self._wall = wall
-        self._heaps.clear()
+        self._touched.clear()
         self._parked.clear()
+        self._drop_empty_groups()
         for lane in self._lanes.values():
-            self._offer(lane)
+            lane.credit = self._credit(lane.entries[lane.head])
+        for member in self._of_member:
+            self._reorder(member, self._of_member[member].values())
 
     def next_lane(self, tier: Tier) -> Lane | None:
         """Return the lane to serve next in a tier, or ``None``."""
+        if self._touched:
+            self._reorder_touched()
         best: Lane | None = None
-        for group in self._heaps:
-            if group.tier is not tier or group in self._blocked:
+        for group in self._tiers[tier]:
+            if group.blocked:
                 continue
-            lane = self._first(group)
+            lane = _first(group.heap)
             if lane is not None and (best is None or lane.order < best.order):
                 best = lane
         return best
 
-    def block(self, group: GroupKey) -> None:
+    def block(self, group: Group) -> None:
         """Skip a group until the end of the pass: its shape fits nowhere."""
-        self._blocked.add(group)
+        group.blocked = True
+        self._blocked.append(group)
 
     def set_aside(self, lane: Lane) -> None:
         """Skip one lane until the end of the pass."""
@@ -200,6 +233,8 @@
 
     def end_pass(self) -> None:
         """Offer blocked groups and lanes set aside again."""
+        for group in self._blocked:
+            group.blocked = False
         self._blocked.clear()
         for lane in self._aside:
             if lane.entries:
@@ -207,50 +242,83 @@
         self._aside.clear()
 
     def within_quota(self, lane: Lane, need: Resources) -> bool:
-        """Tell whether a member may hold ``need`` more."""
-        quota = self.share_of(lane.member).quota
-        if quota is UNLIMITED:
+        """Tell whether a member may hold ``need`` more.
+
+        What exceeds this shard's part of the quota by itself, but not the whole
+        quota, may run alone; else it could run in no shard.
+        """
+        share = self._shares.get(lane.member)
+        if share is None:
+            return True
+        used = self._ledger.member_used(*lane.member)
+        if (used + need).fits_in(share.quota):
             return True
-        return (self._ledger.member_used(*lane.member) + need).fits_in(quota)
+        return used == ZERO and need.fits_in(share.whole_quota)
+
+    def _lane_for(self, spec: JobSpec, count: int) -> Lane:
+        shape = spec.resources
+        amounts = (shape.cores_milli, shape.memory_mb, shape.accelerators)
+        member = (spec.environment, spec.member)
+        group_key = (tier_of(spec), spec.policy, *amounts, count)
+        key = (member, spec.kind, group_key)
+        lane = self._lanes.get(key)
+        if lane is not None:
+            return lane
+        group = self._groups.get(group_key)
+        if group is None:
+            group = Group(group_key[0], spec.policy, shape, count)
+            self._groups[group_key] = group
+            self._tiers[group.tier].append(group)
+        self._numbers += 1
+        lane = Lane(member, spec.kind, group, self._numbers, key)
+        self._lanes[key] = lane
+        self._of_member.setdefault(member, {})[lane.number] = lane
+        return lane
+
+    def _reorder_touched(self) -> None:
+        for member in self._touched:
+            parked = self._parked.pop(member, ())
+            lanes = self._of_member.get(member)
+            if lanes:
+                waiting = [x for x in lanes.values() if x.ready or x in parked]
+                self._reorder(member, waiting)
+        self._touched.clear()
+
+    def _reorder(self, member: MemberKey, lanes: Iterable[Lane]) -> None:
+        share = self._member_order(member)
+        for lane in lanes:
+            self._put(lane, share)
 
     def _offer(self, lane: Lane) -> None:
-        """Put a lane into its group's heap with its present order."""
+        self._put(lane, self._member_order(lane.member))
+
+    def _put(self, lane: Lane, share: float) -> None:
+        """Put a lane into its group's heap; ``share`` is its member's order."""
+        environment, member = lane.member
+        used = self._ledger.kind_used(environment, member, lane.kind)
+        weight = self._kind_weights.get((environment, lane.kind), 1.0)
+        kind_share = used.dominant_share(self._total) / weight - lane.credit
+        lane.order = (share, kind_share, lane.number)
         lane.ready = True
-        lane.order = self._order(lane)
-        heap = self._heaps.get(lane.group)
-        if heap is None:
-            heap = self._heaps[lane.group] = []
+        heap = lane.group.heap
         if len(heap) > MIN_HEAP and len(heap) > HEAP_SLACK * len(self._lanes):
             heap[:] = [item for item in heap if _current(item)]
             heapq.heapify(heap)
         heapq.heappush(heap, (lane.order, lane))
 
-    def _first(self, group: GroupKey) -> Lane | None:
-        heap = self._heaps[group]
-        while heap and not _current(heap[0]):
-            heapq.heappop(heap)
-        return heap[0][1] if heap else None
+    def _member_order(self, member: MemberKey) -> float:
+        used = self._ledger.member_used(*member)
+        share = used.dominant_share(self._total) / self.share_of(member).weight
+        lanes = self._of_member[member].values()
+        return share - max(lane.credit for lane in lanes)
 
-    def _order(self, lane: Lane) -> Order:
-        environment, member = lane.member
-        share = self._share(self._ledger.member_used(environment, member))
-        weight = self.share_of(lane.member).weight
-        oldest = min(
-            other.entries[other.head]
-            for other in self._of_member[lane.member].values()
-            if other.entries
-        )
-        kind_share = self._share(
-            self._ledger.kind_used(environment, member, lane.kind)
-        ) / self._kind_weights.get((environment, lane.kind), 1.0)
-        return (
-            share / weight - self._credit(oldest),
-            kind_share - self._credit(lane.entries[lane.head]),
-            lane.number,
-        )
-
-    def _share(self, used: Resources) -> float:
-        return used.dominant_share(self._total)
+    def _drop_empty_groups(self) -> None:
+        used = {id(lane.group) for lane in self._lanes.values()}
+        for key, group in list(self._groups.items()):
+            group.heap.clear()
+            if id(group) not in used:
+                del self._groups[key]
+                self._tiers[group.tier].remove(group)
 
     def _credit(self, queued_at: float) -> float:
         """Return by how much waiting lowers a share; may be below zero.
@@ -264,7 +332,7 @@
         """Forget an empty lane."""
         lane.ready = False
         lane.order = (math.inf, math.inf, lane.number)
-        del self._lanes[lane.member, lane.kind, lane.group]
+        del self._lanes[lane.key]
         lanes = self._of_member[lane.member]
         del lanes[lane.number]
         if not lanes:
@@ -274,6 +342,16 @@
             parked.discard(lane)
 
 
+def _first(heap: list[tuple[Order, Lane]]) -> Lane | None:
+    """Return the first lane of a heap, without its outdated items."""
+    while heap:
+        order, lane = heap[0]
+        if lane.ready and lane.order is order:
+            return lane
+        heapq.heappop(heap)
+    return None
+
+
 def _current(item: tuple[Order, Lane]) -> bool:
     """Tell whether a heap item still describes its lane."""
-    return item[1].ready and item[1].order == item[0]
+    return item[1].ready and item[1].order is item[0]
--- a/flamingoway/core/feasibility.py
+++ b/flamingoway/core/feasibility.py
@@ -1,5 +1,7 @@
 """Whether a job could ever run in a shard."""
 
+from collections.abc import Set
+
 from ..model import JobSpec, Policy, Resources
 from ..status import Code
 from .effects import Reply
@@ -41,9 +43,22 @@
     return False
 
 
+def fits_elsewhere(
+    spec: JobSpec, count: int, index: WorkerIndex, avoid: Set[str]
+) -> bool:
+    """Tell whether open workers outside ``avoid``, if empty, could hold the tasks."""
+    for worker_id in index.open_workers:
+        if worker_id not in avoid:
+            capacity = index.infos[worker_id].capacity
+            count -= slots_in(capacity, spec.resources, count)
+            if count <= 0:
+                return True
+    return False
+
+
 def within_quota(spec: JobSpec, queue: FairQueue) -> bool:
     """Tell whether the quota covers what must run at once."""
-    quota = queue.share_of((spec.environment, spec.member)).quota
+    quota = queue.share_of((spec.environment, spec.member)).whole_quota
     wanted = spec.tasks if spec.policy is Policy.GANG else 1
     return spec.resources.times(wanted).fits_in(quota)
 
--- /dev/null
+++ b/flamingoway/core/impossible.py
@@ -0,0 +1,52 @@
+"""Ends accepted jobs that can no longer run."""
+
+from ..model import Policy
+from ..status import Code
+from .fairness import Lane
+from .feasibility import fits_some_day, within_quota
+from .state import ShardState
+
+# Workers are replaced and documents rolled back within minutes; a job is ended only
+# if it has been impossible for longer than that.
+IMPOSSIBLE_GRACE_S = 900.0
+
+
+class ImpossibleJobs:
+    """Since when the first job of each lane could not run."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        self._since: dict[str, float] = {}
+
+    def end_them(self) -> None:
+        """End queued jobs that no worker or quota has allowed for long enough.
+
+        Services are kept: the operator, not a member, decides about them.
+        """
+        impossible = {}
+        for lane in self._state.queue.lanes:
+            reason = self._reason(lane)
+            if reason:
+                since = self._since.get(lane.head, self._state.now)
+                impossible[lane.head] = since
+                if self._state.now - since >= IMPOSSIBLE_GRACE_S:
+                    self._end(lane, reason)
+        self._since = impossible
+
+    def _reason(self, lane: Lane) -> str:
+        state = self._state
+        if lane.group.policy is Policy.SERVICE or not state.index.infos:
+            return ""
+        spec = self._job(lane).spec
+        if not fits_some_day(spec, state.index):
+            return "no worker of the shard can hold it any more"
+        if not within_quota(spec, state.queue):
+            return "the member's quota is below its size now"
+        return ""
+
+    def _end(self, lane: Lane, reason: str) -> None:
+        self._state.fail_job(self._job(lane), Code.JOB_IMPOSSIBLE, reason)
+
+    def _job(self, lane: Lane):
+        ledger = self._state.ledger
+        return ledger.jobs.get(lane.head) or ledger.job_of(lane.head)
--- a/flamingoway/core/index.py
+++ b/flamingoway/core/index.py
@@ -8,6 +8,7 @@
 
 from bisect import bisect_left, insort
 from collections.abc import Iterator
+from itertools import islice
 
 from ..model import Resources, WorkerInfo
 from .ledger import ZERO, Ledger
@@ -114,7 +115,7 @@
         self._open: set[str] = set()
         self._free: dict[str, Free] = {}
         self._reserved: dict[str, Free] = {}
-        self._lists: dict[tuple[Resources, bool], ShapeList] = {}
+        self._lists: dict[tuple[int, int, int, bool], ShapeList] = {}
         self._scarce = 0
         self._total = ZERO
 
@@ -133,6 +134,12 @@
         """Capacity of all known workers together."""
         return self._total
 
+    def count_that_could_hold(self, shape: Resources, limit: int) -> int:
+        """Return on how many open workers, if empty, a shape fits, up to a limit."""
+        infos = (self._infos[worker_id] for worker_id in self._open)
+        fitting = (info for info in infos if shape.fits_in(info.capacity))
+        return sum(1 for _ in islice(fitting, limit))
+
     def rack_of(self, worker_id: str) -> Rack:
         """Return zone and rack; kept after removal until the lists are updated."""
         return self._rack_of[worker_id]
@@ -208,15 +215,18 @@
         Workers with free accelerators come last for shapes that need none; among
         the others the one with the least left of the scarcest resource is first.
         """
-        free = self.free(worker_id, whole)
-        left = _minus(free, _amounts(shape))
-        if min(left) < 0:
+        cores, memory, accelerators = self.free(worker_id, whole)
+        left_cores = cores - shape.cores_milli
+        left_memory = memory - shape.memory_mb
+        if left_cores < 0 or left_memory < 0 or accelerators < shape.accelerators:
             return None
-        wasted = free[2] if shape.accelerators == 0 else 0
-        capacity = _amounts(self._infos[worker_id].capacity)
-        parts = [have / (full or 1) for have, full in zip(left, capacity, strict=True)]
-        scarce = parts[self._scarce]
-        return wasted, scarce, parts[0] + parts[1] - scarce
+        capacity = self._infos[worker_id].capacity
+        cores_part = left_cores / (capacity.cores_milli or 1)
+        memory_part = left_memory / (capacity.memory_mb or 1)
+        wasted = 0 if shape.accelerators else accelerators
+        if self._scarce == 0:
+            return wasted, cores_part, memory_part
+        return wasted, memory_part, cores_part
 
     def fits(self, shape: Resources, whole: bool = False) -> ShapeList:
         """Return the list of workers on which a shape fits now.
@@ -225,7 +235,7 @@
             shape: Amount that one task takes.
             whole: Whether reserved capacity counts as free.
         """
-        key = (shape, whole)
+        key = (*_amounts(shape), whole)
         found = self._lists.get(key)
         if found is None:
             if len(self._lists) >= MAX_SHAPES:
--- a/flamingoway/core/ledger.py
+++ b/flamingoway/core/ledger.py
@@ -8,9 +8,6 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-import msgspec
-
-from ..errors import FlamingowayError
 from ..model import (
     Job,
     JobSpec,
@@ -31,65 +28,20 @@
     TaskEnded,
     TaskStopping,
 )
+from .snapshot import (
+    LedgerError,
+    decode_snapshot,
+    encode_snapshot,
+    index_of,
+    task_id_of,
+)
 
-SNAPSHOT_FORMAT = 1
-MAX_PART_BYTES = 512 * 1024
 ZERO = Resources()
 
 MemberKey = tuple[str, str]
 KindKey = tuple[str, str, str]
 
 
-class LedgerError(FlamingowayError):
-    """A record contradicts the state, for example an assignment over capacity."""
-
-
-class _TaskRow(msgspec.Struct, array_like=True):
-    """A task in a snapshot."""
-
-    state: str
-    attempt: int
-    failures: int
-    worker_id: str
-    result: bytes
-    error: str
-    checkpoint: bytes
-    failed_on: list[str]
-
-
-class _JobRow(msgspec.Struct, array_like=True):
-    """A job in a snapshot, with its tasks in order."""
-
-    spec: JobSpec
-    accepted_at: float
-    state: str
-    code: int
-    reason: str
-    ended_at: float
-    tasks: list[_TaskRow]
-
-
-class _Snapshot(msgspec.Struct, array_like=True):
-    """Whole state of a shard."""
-
-    format: int
-    jobs: list[_JobRow]
-
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(_Snapshot)
-
-
-def task_id_of(job_id: str, index: int) -> str:
-    """Return the id of the task numbered ``index``, from 0, of a job."""
-    return f"{job_id}/{index}"
-
-
-def index_of(task_id: str) -> int:
-    """Return the number of a task within its job, from 0."""
-    return int(task_id.rpartition("/")[2])
-
-
 class Ledger:
     """Jobs, tasks and allocations of one shard."""
 
@@ -101,6 +53,7 @@
         self._placed: dict[str, dict[str, Task]] = {}
         self._member_used: dict[MemberKey, Resources] = {}
         self._kind_used: dict[KindKey, Resources] = {}
+        self._service_used: dict[str, Resources] = {}
         self._appliers: dict[type, Callable] = {
             JobAccepted: self._apply_accepted,
             JobScaled: self._apply_scaled,
@@ -139,6 +92,10 @@
         """Return what the placed tasks of a worker hold."""
         return self._used.get(worker_id, ZERO)
 
+    def service_used_on(self, worker_id: str) -> Resources:
+        """Return what the services among the placed tasks of a worker hold."""
+        return self._service_used.get(worker_id, ZERO)
+
     def capacity_of(self, worker_id: str) -> Resources | None:
         """Return the capacity of a worker, or ``None`` if it is not known."""
         return self._capacity.get(worker_id)
@@ -193,10 +150,7 @@
 
     def snapshot(self) -> list[bytes]:
         """Return the whole state as parts of at most 512 KiB."""
-        rows = [_job_row(job) for job in self._jobs.values()]
-        data = _ENCODER.encode(_Snapshot(SNAPSHOT_FORMAT, rows))
-        starts = range(0, len(data), MAX_PART_BYTES)
-        return [data[start : start + MAX_PART_BYTES] for start in starts]
+        return encode_snapshot(self._jobs.values())
 
     @classmethod
     def restore(cls, parts: Iterable[bytes]) -> "Ledger":
@@ -205,15 +159,9 @@
         Raises:
             LedgerError: If the parts are not a snapshot of a known format.
         """
-        try:
-            snapshot = _DECODER.decode(b"".join(parts))
-        except msgspec.DecodeError as error:
-            raise LedgerError(f"snapshot cannot be decoded: {error}") from error
-        if snapshot.format != SNAPSHOT_FORMAT:
-            raise LedgerError(f"snapshot format {snapshot.format} is not known")
         ledger = cls()
-        for row in snapshot.jobs:
-            ledger._add_job(_job_from(row))
+        for job in decode_snapshot(parts):
+            ledger._add_job(job)
         return ledger
 
     def _add_job(self, job: Job) -> None:
@@ -241,19 +189,21 @@
         worker_id = task.worker_id
         self._used[worker_id] = self.used_on(worker_id) + spec.resources
         self._placed.setdefault(worker_id, {})[task.task_id] = task
-        self._add_totals(spec, spec.resources)
+        self._add_totals(spec, worker_id, spec.resources)
 
     def _release(self, task: Task, spec: JobSpec) -> None:
         worker_id = task.worker_id
         self._used[worker_id] = self._used[worker_id] - spec.resources
         del self._placed[worker_id][task.task_id]
-        self._add_totals(spec, ZERO - spec.resources)
+        self._add_totals(spec, worker_id, ZERO - spec.resources)
 
-    def _add_totals(self, spec: JobSpec, amount: Resources) -> None:
+    def _add_totals(self, spec: JobSpec, worker_id: str, amount: Resources) -> None:
         member = (spec.environment, spec.member)
         kind = (spec.environment, spec.member, spec.kind)
         _add(self._member_used, member, amount)
         _add(self._kind_used, kind, amount)
+        if spec.policy is Policy.SERVICE:
+            _add(self._service_used, worker_id, amount)
 
     def _apply_accepted(self, record: JobAccepted) -> None:
         spec = record.spec
@@ -342,7 +292,7 @@
         del self._jobs[record.job_id]
 
 
-def _add(totals: dict, key: tuple, amount: Resources) -> None:
+def _add(totals: dict, key: object, amount: Resources) -> None:
     """Add to a running total; a total of nothing is dropped."""
     total = totals.get(key, ZERO) + amount
     if total == ZERO:
@@ -364,53 +314,3 @@
     """Return the state of an unfinished job from the states of its tasks."""
     started = any(t.state.placed or t.state is TaskState.SUCCEEDED for t in job.tasks)
     return JobState.RUNNING if started else JobState.QUEUED
-
-
-def _job_row(job: Job) -> _JobRow:
-    tasks = [
-        _TaskRow(
-            task.state.value,
-            task.attempt,
-            task.failures,
-            task.worker_id,
-            task.result,
-            task.error,
-            task.checkpoint,
-            task.failed_on,
-        )
-        for task in job.tasks
-    ]
-    return _JobRow(
-        job.spec,
-        job.accepted_at,
-        job.state.value,
-        job.code,
-        job.reason,
-        job.ended_at,
-        tasks,
-    )
-
-
-def _job_from(row: _JobRow) -> Job:
-    job_id = row.spec.job_id
-    job = Job(row.spec, row.accepted_at)
-    job.state = JobState(row.state)
-    job.code = row.code
-    job.reason = row.reason
-    job.ended_at = row.ended_at
-    job.tasks = [
-        Task(
-            task_id_of(job_id, index),
-            job_id,
-            TaskState(task.state),
-            task.attempt,
-            task.failures,
-            task.worker_id,
-            task.result,
-            task.error,
-            task.checkpoint,
-            list(task.failed_on),
-        )
-        for index, task in enumerate(row.tasks)
-    ]
-    return job
--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -4,14 +4,17 @@
 
 from ..model import Job, Policy, Task, TaskState
 from .fairness import Lane, Tier
+from .feasibility import fits_elsewhere
+from .gangs import GangReserver
 from .policy import policies
+from .preemption import Preemptor
 from .state import ShardState
 
 # A pass stops after this many placements, so that the owner can commit and serve
 # other events between two passes.
 MAX_PLACEMENTS = 500
-# Gangs that do not fit are tried one by one; small work goes on behind them.
-MAX_GANGS_ASIDE = 16
+# A task for which only workers are free on which it failed looks for others again.
+AVOID_WAIT_S = 2.0
 
 
 class Outcome(enum.Enum):
@@ -20,7 +23,7 @@
     PLACED = "placed"
     NO_ROOM = "no room"
     OVER_QUOTA = "over quota"
-    DROPPED = "dropped"
+    LATER = "later"
 
 
 class Placer:
@@ -28,7 +31,8 @@
 
     def __init__(self, state: ShardState):
         self._state = state
-        self._aside = 0
+        self._gangs = GangReserver(state)
+        self._preemptor = Preemptor(state)
         self._more = False
 
     @property
@@ -36,64 +40,112 @@
         """Whether the last pass stopped at its limit with work left to place."""
         return self._more
 
+    @property
+    def reserved_for(self) -> str | None:
+        """Job id of the gang for which capacity is reserved, or ``None``."""
+        return self._gangs.holder
+
+    def next_check(self) -> float | None:
+        """Return when waiting alone may change what is placed, or ``None``."""
+        times = (self._gangs.next_check(), self._preemptor.next_check())
+        return min((t for t in times if t is not None), default=None)
+
     def run(self) -> int:
         """Place what fits now, most entitled first; return the number of tasks."""
-        placed = 0
+        self._gangs.check()
+        self._preemptor.check()
         self._more = False
-        for tier in Tier:
+        placed = self._serve(Tier.URGENT, MAX_PLACEMENTS)
+        placed += self._serve_reserved()
+        for tier in (Tier.SERVICE, Tier.NORMAL):
             placed += self._serve(tier, MAX_PLACEMENTS - placed)
-            if placed >= MAX_PLACEMENTS:
-                self._more = len(self._state.queue) > 0
-                break
         self._state.queue.end_pass()
+        self._more = placed >= MAX_PLACEMENTS and len(self._state.queue) > 0
         return placed
 
+    def _serve_reserved(self) -> int:
+        """Place the gang with the reservation, wherever it is in its lane."""
+        job_id = self._gangs.holder
+        if job_id is None:
+            return 0
+        job, tasks = self._gang(job_id)
+        lane = self._state.queue.lane_of(job_id)
+        outcome = self._try(lane, job_id, job, tasks)
+        if outcome is Outcome.PLACED:
+            return len(tasks)
+        if outcome is not Outcome.NO_ROOM:
+            self._gangs.release(job_id)
+        return 0
+
     def _serve(self, tier: Tier, limit: int) -> int:
         placed = 0
-        self._aside = 0
         queue = self._state.queue
         while placed < limit:
             lane = queue.next_lane(tier)
             if lane is None:
                 break
             job, tasks = self._head(lane)
-            outcome = self._try(lane, job, tasks)
+            outcome = self._try(lane, lane.head, job, tasks)
             if outcome is Outcome.PLACED:
                 placed += len(tasks)
             elif outcome is Outcome.OVER_QUOTA:
                 queue.park(lane)
             elif outcome is Outcome.NO_ROOM:
-                self._skip(lane)
+                self._skip(lane, job, len(tasks))
         return placed
 
     def _head(self, lane: Lane) -> tuple[Job, list[Task]]:
         ledger = self._state.ledger
-        if lane.group.policy is not Policy.GANG:
-            task = ledger.tasks[lane.head]
-            return ledger.jobs[task.job_id], [task]
-        job = ledger.jobs[lane.head]
+        if lane.group.policy is Policy.GANG:
+            return self._gang(lane.head)
+        task = ledger.tasks[lane.head]
+        return ledger.jobs[task.job_id], [task]
+
+    def _gang(self, job_id: str) -> tuple[Job, list[Task]]:
+        job = self._state.ledger.jobs[job_id]
         return job, [t for t in job.tasks if t.state is TaskState.QUEUED]
 
-    def _try(self, lane: Lane, job: Job, tasks: list[Task]) -> Outcome:
+    def _try(self, lane: Lane, entry: str, job: Job, tasks: list[Task]) -> Outcome:
         state = self._state
         need = lane.group.shape
         if len(tasks) != 1:
             need = need.times(len(tasks))
         if not state.queue.within_quota(lane, need):
             return Outcome.OVER_QUOTA
-        policy = policies.get(lane.group.policy)
-        workers = policy.place(job, tasks, state.index, state.ledger)
+        with self._gangs.lifted(entry):
+            workers = self._choose(lane, job, tasks)
         if workers is None:
             return Outcome.NO_ROOM
-        state.queue.discard(lane.head)
+        state.queue.discard(entry)
+        if not workers:
+            state.enqueue_later(job, tasks[0], AVOID_WAIT_S)
+            return Outcome.LATER
+        self._gangs.release(entry)
         for task, worker_id in zip(tasks, workers, strict=True):
             state.assign(job, task, worker_id)
         return Outcome.PLACED
 
-    def _skip(self, lane: Lane) -> None:
+    def _choose(self, lane: Lane, job: Job, tasks: list[Task]) -> list[str] | None:
+        """Return workers, ``None`` without room, or an empty list to try later."""
+        index = self._state.index
+        policy = policies.get(lane.group.policy)
+        avoid = {worker for task in tasks for worker in task.failed_on}
+        workers = policy.place(job, tasks, index, avoid)
+        if workers is not None or not avoid:
+            return workers
+        if policy.place(job, tasks, index, frozenset()) is None:
+            return None
+        if fits_elsewhere(job.spec, len(tasks), index, avoid):
+            return []
+        return policy.place(job, tasks, index, frozenset())
+
+    def _skip(self, lane: Lane, job: Job, count: int) -> None:
         queue = self._state.queue
-        self._aside += 1
-        if lane.group.policy is Policy.GANG and self._aside < MAX_GANGS_ASIDE:
+        if lane.group.policy is Policy.GANG:
+            self._gangs.note_blocked(job, count)
+            queue.block(lane.group)
+        elif lane.group.tier is Tier.URGENT:
+            self._preemptor.make_room(lane)
             queue.set_aside(lane)
         else:
             queue.block(lane.group)
--- a/flamingoway/core/policy.py
+++ b/flamingoway/core/policy.py
@@ -5,21 +5,30 @@
 """
 
 from collections import Counter
+from collections.abc import Set
 from typing import Protocol
 
 from ..model import Job, Policy, Task
 from ..registry import Registry
 from .index import ShapeList, WorkerIndex
-from .ledger import Ledger
+
+Avoid = Set[str]
 
 
 class PlacementPolicy(Protocol):
     """Chooses workers for tasks."""
 
     def place(
-        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+        self, job: Job, tasks: list[Task], index: WorkerIndex, avoid: Avoid
     ) -> list[str] | None:
-        """Return a worker for each task, or ``None`` if they do not all fit."""
+        """Return a worker for each task, or ``None`` if they do not all fit.
+
+        Args:
+            job: The job.
+            tasks: Its tasks to place; only gangs have more than one.
+            index: Workers and their free capacity.
+            avoid: Workers on which the tasks failed.
+        """
 
 
 policies: Registry[PlacementPolicy] = Registry("placement policy")
@@ -30,30 +39,25 @@
     return job.spec.urgent
 
 
-def _first_allowed(workers, avoid: list[str]) -> str | None:
-    """Return the first worker on which the task has not failed yet."""
-    if not avoid:
-        return next(workers, None)
-    return next((worker for worker in workers if worker not in avoid), None)
-
-
 class BatchPolicy:
     """Packs: the worker with the least left of the scarcest resource."""
 
     def place(
-        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+        self, job: Job, tasks: list[Task], index: WorkerIndex, avoid: Avoid
     ) -> list[str] | None:
         """Return the tightest worker for the first of ``tasks``."""
         fits = index.fits(job.spec.resources, whole_capacity(job))
-        worker_id = _first_allowed(fits.tightest(), tasks[0].failed_on)
-        return None if worker_id is None else [worker_id]
+        for worker_id in fits.tightest():
+            if worker_id not in avoid:
+                return [worker_id]
+        return None
 
 
 class ServicePolicy:
     """Spreads replicas over zones, then racks, then workers."""
 
     def place(
-        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+        self, job: Job, tasks: list[Task], index: WorkerIndex, avoid: Avoid
     ) -> list[str] | None:
         """Return the worker that leaves the replicas most evenly spread."""
         fits = index.fits(job.spec.resources, whole_capacity(job))
@@ -84,16 +88,15 @@
     """Places all tasks in one decision or none, on as few workers as possible."""
 
     def place(
-        self, job: Job, tasks: list[Task], index: WorkerIndex, ledger: Ledger
+        self, job: Job, tasks: list[Task], index: WorkerIndex, avoid: Avoid
     ) -> list[str] | None:
         """Return a worker for each of ``tasks``, or ``None``."""
         fits = index.fits(job.spec.resources, whole_capacity(job))
-        avoid = {worker for task in tasks for worker in task.failed_on}
         chosen = take_slots(fits, len(tasks), avoid)
         return chosen if len(chosen) == len(tasks) else None
 
 
-def take_slots(fits: ShapeList, wanted: int, avoid: set[str]) -> list[str]:
+def take_slots(fits: ShapeList, wanted: int, avoid: Avoid) -> list[str]:
     """Return up to ``wanted`` workers, one entry per task, roomiest worker first."""
     chosen: list[str] = []
     for worker_id in fits.roomiest():
--- /dev/null
+++ b/flamingoway/core/preemption.py
@@ -0,0 +1,131 @@
+"""Makes room for urgent work by stopping resumable work.
+
+Only resumable, less urgent tasks are stopped, and they are checkpointed first. The
+capacity that they free is withheld from other work until the urgent task that asked
+for it is placed, is gone, or ``CLAIM_S`` has passed.
+"""
+
+from dataclasses import dataclass
+from itertools import islice
+
+from ..model import Resources, Task, TaskState
+from .fairness import Lane
+from .ledger import MemberKey
+from .state import ShardState, member_of
+
+# A checkpoint is usually written within seconds; after this time another try is made.
+CLAIM_S = 30.0
+# Bounds on the cost of one pass.
+MAX_CLAIMS_PER_PASS = 16
+MAX_WORKERS_SEARCHED = 64
+GOOD_CHOICES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Capacity of a worker that one urgent task waits for."""
+
+    worker_id: str
+    need: Resources
+    until: float
+    member: MemberKey
+
+
+class Preemptor:
+    """Chooses tasks to stop for urgent ones."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        self._claims: dict[str, Claim] = {}
+        self._searched = 0
+
+    @property
+    def claims(self) -> dict[str, Claim]:
+        """Open claims by the id of the urgent task."""
+        return self._claims
+
+    def check(self) -> None:
+        """Drop claims of tasks that no longer wait, and those that are too old."""
+        queue, now = self._state.queue, self._state.now
+        for task_id, claim in list(self._claims.items()):
+            if task_id not in queue or now >= claim.until:
+                del self._claims[task_id]
+                self._state.index.unreserve(claim.worker_id, claim.need)
+
+    def next_check(self) -> float | None:
+        """Return when the first claim ends, or ``None``."""
+        return min((claim.until for claim in self._claims.values()), default=None)
+
+    def make_room(self, lane: Lane) -> None:
+        """Preempt for the first tasks of an urgent lane whose shape fits nowhere."""
+        need = lane.group.shape
+        pending = sum(c.member == lane.member for c in self._claims.values())
+        for task_id in list(islice(lane.entries, MAX_CLAIMS_PER_PASS)):
+            if task_id in self._claims:
+                continue
+            if not self._state.queue.within_quota(lane, need.times(pending + 1)):
+                return
+            if not self._claim(task_id, need):
+                return
+            pending += 1
+
+    def _claim(self, task_id: str, need: Resources) -> bool:
+        choice = self._choose(need)
+        if choice is None:
+            return False
+        worker_id, victims = choice
+        for victim in victims:
+            self._state.stop(victim, checkpoint=True)
+        job = self._state.ledger.job_of(task_id)
+        until = self._state.now + CLAIM_S
+        self._claims[task_id] = Claim(worker_id, need, until, member_of(job))
+        self._state.index.reserve(worker_id, need)
+        return True
+
+    def _choose(self, need: Resources) -> tuple[str, list[Task]] | None:
+        """Return a worker and the tasks to stop there, the fewest found."""
+        workers = self._state.preemptible_workers
+        best: tuple[int, int, str, list[Task]] | None = None
+        found = 0
+        for _ in range(min(MAX_WORKERS_SEARCHED, len(workers))):
+            self._searched = (self._searched + 1) % len(workers)
+            worker_id = workers[self._searched]
+            victims = self._victims(worker_id, need)
+            if victims is None:
+                continue
+            cost = sum(self._shape(task).cores_milli for task in victims)
+            option = (len(victims), cost, worker_id, victims)
+            if best is None or option[:3] < best[:3]:
+                best = option
+            found += 1
+            if found >= GOOD_CHOICES:
+                break
+        return (best[2], best[3]) if best else None
+
+    def _victims(self, worker_id: str, need: Resources) -> list[Task] | None:
+        """Return the tasks to stop so that ``need`` becomes free, or ``None``."""
+        if worker_id not in self._state.index.open_workers:
+            return None
+        # Reserved capacity belongs to other claims or to a gang.
+        missing = need - Resources(*self._state.index.free(worker_id))
+        tasks = [
+            t for t in self._state.ledger.placed_on(worker_id) if self._may_stop(t)
+        ]
+        enough = [t for t in tasks if missing.fits_in(self._shape(t))]
+        if enough:
+            return [min(enough, key=lambda t: self._shape(t).cores_milli)]
+        chosen = []
+        for task in sorted(tasks, key=lambda t: -self._shape(t).cores_milli):
+            chosen.append(task)
+            missing = missing - self._shape(task)
+            if missing.fits_in(Resources()):
+                return chosen
+        return None
+
+    def _may_stop(self, task: Task) -> bool:
+        spec = self._state.ledger.jobs[task.job_id].spec
+        running = task.state is TaskState.ASSIGNED
+        return running and spec.resumable and not spec.urgent
+
+    def _shape(self, task: Task) -> Resources:
+        return self._state.ledger.jobs[task.job_id].spec.resources
--- /dev/null
+++ b/flamingoway/core/retention.py
@@ -0,0 +1,44 @@
+"""Forgets finished jobs after a retention time, or beyond a count."""
+
+from collections import deque
+
+from ..records import JobForgotten
+from .state import ShardState
+
+RETENTION_S = 24 * 3600.0
+# Three days of the design size; bounds the snapshot when jobs end in bursts.
+MAX_FINISHED = 20_000
+# Bounds the cost of one pass.
+MAX_FORGOTTEN_PER_PASS = 100
+
+
+class Retention:
+    """Finished jobs of a shard, in the order in which they ended."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        ended = [j for j in state.ledger.jobs.values() if j.state.final]
+        ended.sort(key=lambda job: job.ended_at)
+        self._finished = deque(job.spec.job_id for job in ended)
+
+    def note_ended(self, job_id: str) -> None:
+        """Note a job that reached its final state."""
+        self._finished.append(job_id)
+
+    def forget_old(self) -> None:
+        """Forget jobs past their retention; those that still stop are kept."""
+        state = self._state
+        for _ in range(min(MAX_FORGOTTEN_PER_PASS, len(self._finished))):
+            job_id = self._finished[0]
+            job = state.ledger.jobs.get(job_id)
+            if job is None or not job.state.final:
+                self._finished.popleft()
+                continue
+            recent = state.wall - job.ended_at < RETENTION_S
+            if recent and len(self._finished) <= MAX_FINISHED:
+                return
+            self._finished.popleft()
+            if any(task.state.placed for task in job.tasks):
+                self._finished.append(job_id)
+            else:
+                state.record(JobForgotten(job_id))
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -6,18 +6,35 @@
 discarded and the next owner starts from snapshot and log.
 """
 
+import math
 import random
 from collections.abc import Iterable
 
-from ..model import Job, JobSpec, JobState, Policy, Task, TaskState, WorkerInfo
+from ..document import Document
+from ..model import (
+    Job,
+    JobSpec,
+    JobState,
+    Policy,
+    Resources,
+    Task,
+    TaskState,
+    WorkerInfo,
+)
 from ..records import CancelRequested, JobAccepted
 from ..status import Code
-from .effects import AckResult, Batch, Reply, StartTask, StopTask
+from .effects import AckResult, Batch, Reply, StartTask
+from .fairness import MemberShare
 from .feasibility import refusal
+from .health import MIN_FAILED_WORKERS
+from .impossible import ImpossibleJobs
 from .ledger import Ledger
 from .placement import Placer
 from .reports import Attempt, Finished, RefusedStart, WorkerReport
+from .retention import Retention
+from .services import REPLACE_CHECK_S, ServiceKeeper
 from .state import ShardState, gang_is_whole, start_of
+from .strays import Strays
 
 # Shares are recomputed at this interval for ageing and changed capacity.
 REFRESH_S = 5.0
@@ -36,6 +53,11 @@
         self._shard = shard
         self._state = ShardState(ledger if ledger is not None else Ledger(), rng)
         self._placer = Placer(self._state)
+        self._services = ServiceKeeper(self._state)
+        self._strays = Strays(self._state)
+        self._retention = Retention(self._state)
+        self._impossible = ImpossibleJobs(self._state)
+        self._state.ended = self._retention.note_ended
         self._refresh_at = 0.0
         self._refresh_needed = True
         self._enqueue_restored()
@@ -50,20 +72,45 @@
         """Number of queued tasks; a gang counts once."""
         return len(self._state.queue)
 
+    def set_document(
+        self, environment: str, document: Document, quota_share: float
+    ) -> None:
+        """Put a document into effect: shares, quotas, kind weights and services.
+
+        Members that the document no longer names keep their last share and quota,
+        so that their accepted work still finishes.
+
+        Args:
+            environment: Name of the environment.
+            document: The document.
+            quota_share: Part of quotas and replicas that falls on this shard.
+        """
+        queue = self._state.queue
+        for member in document.members:
+            quota = member.quota.amount
+            share = MemberShare(member.weight, _part(quota, quota_share), quota)
+            queue.set_share((environment, member.name), share)
+        for kind in document.jobs:
+            queue.set_kind_weight(environment, kind.name, kind.weight)
+        self._services.set_document(environment, document, quota_share)
+        self._refresh_needed = True
+
     def set_worker(self, info: WorkerInfo, schedulable: bool) -> None:
         """Add a worker, or change its capacity or whether it takes new tasks."""
         state = self._state
         state.ledger.set_capacity(info.worker_id, info.capacity)
         state.index.set_worker(info)
-        state.index.set_open(info.worker_id, schedulable)
-        state.free_changes += 1
+        state.set_schedulable(info.worker_id, schedulable)
         self._refresh_needed = True
 
     def remove_worker(self, worker_id: str) -> None:
         """Forget a worker; its tasks are proved not to run and are queued again."""
+        state = self._state
         self._lose_tasks(worker_id)
-        self._state.index.remove_worker(worker_id)
-        self._state.ledger.forget_worker(worker_id)
+        state.set_schedulable(worker_id, False)
+        state.index.remove_worker(worker_id)
+        state.ledger.forget_worker(worker_id)
+        state.health.forget(worker_id)
         self._refresh_needed = True
 
     def submit(self, spec: JobSpec, ticket: object, now: float, wall: float) -> None:
@@ -124,7 +171,7 @@
         running = {(a.task_id, a.attempt) for a in report.running}
         for refused in report.refused:
             self._on_refused(report.worker_id, refused, running)
-        self._stop_strays(report)
+        self._strays.update(report)
         if report.acked_starts:
             self._lose_missing(report.worker_id, running)
 
@@ -155,21 +202,31 @@
         """Place queued tasks; return the number placed."""
         state = self._state
         state.set_time(now, wall)
+        for worker_id in state.health.advance(now):
+            state.update_open(worker_id)
+        self._services.reconcile()
         state.enqueue_due()
         if self._refresh_needed or now >= self._refresh_at:
             self._refresh_needed = False
             self._refresh_at = now + REFRESH_S
             state.index.refresh()
             state.queue.refresh(state.index.total, wall)
+            self._impossible.end_them()
+            self._retention.forget_old()
         return self._placer.run()
 
     def next_wakeup(self, now: float) -> float | None:
         """Return when ``schedule`` should be called next without other events."""
         if self._placer.more:
             return now
-        times = [self._state.next_delayed()]
-        if self._state.queue:
-            times.append(self._refresh_at)
+        times = [
+            self._state.next_delayed(),
+            self._state.health.next_change(),
+            self._placer.next_check(),
+            self._refresh_at,
+        ]
+        if self._services.pending:
+            times.append(now + REPLACE_CHECK_S)
         return min((max(now, t) for t in times if t is not None), default=None)
 
     def take_batch(self) -> Batch:
@@ -191,12 +248,22 @@
         return [f"{waiting} of {job.spec.tasks} tasks are queued"]
 
     def _enqueue_restored(self) -> None:
+        self._state.count_restored()
         for job in self._state.ledger.jobs.values():
+            self._stop_half_gang(job)
             for task in job.tasks:
                 self._state.enqueue(job, task, front=False)
 
+    def _stop_half_gang(self, job: Job) -> None:
+        """Stop a gang of which only a part was placed when the log ended."""
+        if job.spec.policy is not Policy.GANG or job.state.final:
+            return
+        if any(task.state is TaskState.QUEUED for task in job.tasks):
+            for task in job.tasks:
+                self._state.stop(task, checkpoint=job.spec.resumable)
+
     def _on_finished(self, worker_id: str, finished: Finished) -> None:
-        task = self._current(worker_id, finished.task_id, finished.attempt)
+        task = self._state.placed(worker_id, finished.task_id, finished.attempt)
         if task is not None:
             self._end(task, finished)
         # Results of older or unknown attempts are acknowledged as well, so that the
@@ -206,21 +273,58 @@
 
     def _end(self, task: Task, finished: Finished) -> None:
         state = self._state
-        state.end_attempt(task, finished.outcome, finished.result, finished.error)
+        worker_id = task.worker_id
         job = state.ledger.jobs[task.job_id]
-        if not state.end_if_done(job):
+        counted = state.retries.counts(job.spec, worker_id)
+        state.end_attempt(
+            task, finished.outcome, finished.result, finished.error, counted
+        )
+        if finished.outcome == "failed":
+            self._on_failed(job, task, worker_id)
+        elif finished.outcome == "succeeded":
+            state.health.note_success(worker_id)
+            self._on_succeeded(job, task)
+        else:
             self._requeue(job, task)
+            state.health.note_no_verdict(worker_id)
+        state.update_open(worker_id)
+
+    def _on_succeeded(self, job: Job, task: Task) -> None:
+        state = self._state
+        if state.end_if_done(job):
+            return
+        if task.state is TaskState.QUEUED:
+            state.enqueue_later(job, task, state.retries.delay(task, state.now))
+        else:
+            state.retries.forget(task.task_id)
+            self._requeue(job, task)
+
+    def _on_failed(self, job: Job, task: Task, worker_id: str) -> None:
+        state = self._state
+        known = len(state.index.infos)
+        state.health.note_failure(worker_id, job.spec.job_id, state.now, known)
+        if job.state.final:
+            return
+        workers = state.index.count_that_could_hold(
+            job.spec.resources, MIN_FAILED_WORKERS
+        )
+        code = state.retries.verdict(job.spec, task, workers)
+        if code is None:
+            state.enqueue_later(job, task, state.retries.delay(task, state.now))
+            self._requeue(job, task)
+            return
+        names = ", ".join(task.failed_on)
+        state.fail_job(job, code, f"{task.task_id} failed on {names}: {task.error}")
 
     def _on_refused(
         self, worker_id: str, refused: RefusedStart, running: set[tuple[str, int]]
     ) -> None:
-        task = self._current(worker_id, refused.task_id, refused.attempt)
+        task = self._state.placed(worker_id, refused.task_id, refused.attempt)
         if task is None or (refused.task_id, refused.attempt) in running:
             return
         if refused.reason == "duplicate" and not _other_attempt(refused, running):
             return
-        self._state.end_attempt(task, "refused")
-        self._requeue(self._state.ledger.jobs[task.job_id], task)
+        self._end_unrun(task, "refused")
 
     def _requeue(self, job: Job, task: Task) -> None:
         """Queue a task whose attempt ended; a gang first stops as a whole."""
@@ -231,32 +335,32 @@
 
     def _lose_tasks(self, worker_id: str) -> None:
         for task in self._state.ledger.placed_on(worker_id):
-            self._lose(task)
+            self._end_unrun(task, "lost")
+        self._strays.clear(worker_id)
 
     def _lose_missing(self, worker_id: str, running: set[tuple[str, int]]) -> None:
         for task in self._state.ledger.placed_on(worker_id):
             if (task.task_id, task.attempt) not in running:
-                self._lose(task)
-
-    def _lose(self, task: Task) -> None:
-        self._state.end_attempt(task, "lost")
-        self._requeue(self._state.ledger.jobs[task.job_id], task)
-
-    def _stop_strays(self, report: WorkerReport) -> None:
-        """Stop what a worker runs without being meant to, and repeat lost stops."""
-        for running in report.running:
-            task = self._current(report.worker_id, running.task_id, running.attempt)
-            if task is None or task.state is TaskState.STOPPING:
-                stop = StopTask(report.worker_id, running.task_id, running.attempt)
-                self._state.effect(stop)
-
-    def _current(self, worker_id: str, task_id: str, attempt: int) -> Task | None:
-        """Return the task if exactly this attempt is placed on this worker."""
-        task = self._state.ledger.tasks.get(task_id)
-        if task is None or not task.state.placed:
-            return None
-        same = task.attempt == attempt and task.worker_id == worker_id
-        return task if same else None
+                self._end_unrun(task, "lost")
+
+    def _end_unrun(self, task: Task, outcome: str) -> None:
+        """End an attempt that told nothing about its task or worker."""
+        state = self._state
+        worker_id = task.worker_id
+        state.end_attempt(task, outcome)
+        self._requeue(state.ledger.jobs[task.job_id], task)
+        state.health.note_no_verdict(worker_id)
+        state.update_open(worker_id)
+
+
+def _part(quota: Resources, share: float) -> Resources:
+    """Return a share of a quota."""
+    return Resources(
+        int(quota.cores_milli * share),
+        int(quota.memory_mb * share),
+        # A single accelerator is not divided between shards.
+        math.ceil(quota.accelerators * share),
+    )
 
 
 def _duplicate_reply(known: Job, spec: JobSpec, ticket: object) -> Reply:
--- a/flamingoway/core/state.py
+++ b/flamingoway/core/state.py
@@ -6,12 +6,16 @@
 
 import heapq
 import random
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Callable
 
 from ..model import Job, JobState, Policy, Task, TaskState
 from ..records import AnyRecord, JobEnded, TaskAssigned, TaskEnded, TaskStopping
 from ..status import Code
 from .effects import Batch, Effect, StartTask, StopTask
 from .fairness import FairQueue
+from .health import TaskRetries, WorkerHealth
 from .index import WorkerIndex
 from .ledger import Ledger, MemberKey
 
@@ -22,7 +26,7 @@
     Attributes:
         now: Monotonic time of the current event, in seconds.
         wall: Wall-clock time of the current event, in seconds since the epoch.
-        free_changes: Grows whenever capacity may have become free.
+        ended: Called with the id of each job that reached its final state.
     """
 
     def __init__(self, ledger: Ledger, rng: random.Random):
@@ -33,12 +37,22 @@
         self.batch = Batch()
         self.now = 0.0
         self.wall = 0.0
-        self.free_changes = 0
-        self.urgent_waiting = 0
+        self.health = WorkerHealth(rng)
+        self.retries = TaskRetries(rng, self.health)
+        self.ended: Callable[[str], None] = lambda job_id: None
+        self._schedulable: set[str] = set()
+        self._blocked: Counter = Counter()
+        self._preemptible: Counter = Counter()
+        self._preemptible_workers: list[str] = []
         self._delayed: list[tuple[float, int, str]] = []
         self._delays = 0
         self._held_until: dict[str, float] = {}
 
+    @property
+    def preemptible_workers(self) -> list[str]:
+        """Workers that run resumable work that is not urgent, in order of id."""
+        return self._preemptible_workers
+
     def set_time(self, now: float, wall: float) -> None:
         """Set the time of the current event."""
         self.now = now
@@ -63,6 +77,9 @@
         attempt = task.attempt + 1
         self.record(TaskAssigned(task.task_id, attempt, worker_id, self.wall))
         self.effect(start_of(job, task))
+        self.health.note_assigned(worker_id, self.now)
+        self.retries.note_start()
+        self._count_preemptible(job, worker_id, 1)
         self.changed(member_of(job), worker_id)
 
     def stop(self, task: Task, checkpoint: bool = False) -> None:
@@ -86,7 +103,7 @@
         self.record(
             TaskEnded(task.task_id, task.attempt, outcome, result, error, counted)
         )
-        self.free_changes += 1
+        self._count_preemptible(job, worker_id, -1)
         self.changed(member_of(job), worker_id)
 
     def end_job(
@@ -95,9 +112,11 @@
         """Put a job into its final state; tasks that still run are stopped."""
         for task in job.tasks:
             self.queue.discard(task.task_id)
+            self.retries.forget(task.task_id)
             self.stop(task)
         self.queue.discard(job.spec.job_id)
         self.record(JobEnded(job.spec.job_id, state.value, code, reason, self.wall))
+        self.ended(job.spec.job_id)
 
     def end_if_done(self, job: Job) -> bool:
         """End a job all of whose tasks succeeded; return whether it is final."""
@@ -119,11 +138,14 @@
         if job.state.final or task.state is not TaskState.QUEUED:
             return
         entry = entry_of(job, task)
-        if entry in self.queue or entry in self._held_until:
+        if entry in self.queue or entry in self._held_until or self._blocked[entry]:
             return
         if job.spec.policy is Policy.GANG and not gang_is_whole(job):
             return
-        self.queue.push(entry, job.spec, job.accepted_at, front)
+        count = 1
+        if job.spec.policy is Policy.GANG:
+            count = sum(other.state is TaskState.QUEUED for other in job.tasks)
+        self.queue.push(entry, job.spec, job.accepted_at, front, count)
 
     def enqueue_later(self, job: Job, task: Task, delay: float) -> None:
         """Queue a task, or its gang, after ``delay`` seconds."""
@@ -153,10 +175,64 @@
         """Return the monotonic time of the next delayed task, or ``None``."""
         return self._delayed[0][0] if self._delayed else None
 
+    def block(self, entry: str) -> None:
+        """Keep an entry out of the queue until as many calls of ``unblock``."""
+        self._blocked[entry] += 1
+        self.queue.discard(entry)
+
+    def unblock(self, entry: str) -> None:
+        """Undo one call of ``block``."""
+        self._blocked[entry] -= 1
+        if self._blocked[entry] <= 0:
+            del self._blocked[entry]
+
+    def placed(self, worker_id: str, task_id: str, attempt: int) -> Task | None:
+        """Return the task if exactly this attempt is placed on this worker."""
+        task = self.ledger.tasks.get(task_id)
+        if task is None or not task.state.placed:
+            return None
+        same = task.attempt == attempt and task.worker_id == worker_id
+        return task if same else None
+
+    def set_schedulable(self, worker_id: str, schedulable: bool) -> None:
+        """Note whether the owner lets a worker take new tasks."""
+        if schedulable:
+            self._schedulable.add(worker_id)
+        else:
+            self._schedulable.discard(worker_id)
+        self.update_open(worker_id)
+
+    def update_open(self, worker_id: str) -> None:
+        """Open or close a worker from the owner's word and its health."""
+        if worker_id in self.index.infos:
+            healthy = self.health.takes_tasks(worker_id)
+            is_open = healthy and worker_id in self._schedulable
+            self.index.set_open(worker_id, is_open)
+
+    def count_restored(self) -> None:
+        """Count the preemptible tasks of a restored ledger."""
+        for worker_id in self.ledger.workers_with_tasks():
+            for task in self.ledger.placed_on(worker_id):
+                self._count_preemptible(self.ledger.jobs[task.job_id], worker_id, 1)
+
+    def _count_preemptible(self, job: Job, worker_id: str, change: int) -> None:
+        if job.spec.urgent or not job.spec.resumable:
+            return
+        before = self._preemptible[worker_id]
+        self._preemptible[worker_id] = before + change
+        workers = self._preemptible_workers
+        if before == 0:
+            insort(workers, worker_id)
+        elif before + change == 0:
+            del workers[bisect_left(workers, worker_id)]
+            del self._preemptible[worker_id]
+
     def changed(self, member: MemberKey, worker_id: str) -> None:
         """Bring index and queue in line after an allocation changed."""
         self.index.touch(worker_id)
         self.queue.touch(member)
+        if worker_id in self.health.unwell:
+            self.update_open(worker_id)
 
 
 def member_of(job: Job) -> MemberKey:
--- /dev/null
+++ b/flamingoway/core/strays.py
@@ -0,0 +1,68 @@
+"""Attempts that a worker runs although they are not placed on it.
+
+Such an attempt is told to stop. As long as it may run, its task is kept out of the
+queue, so that the task never runs in two places at once.
+"""
+
+from ..model import Task, TaskState
+from .effects import StopTask
+from .reports import Attempt, WorkerReport
+from .state import ShardState, entry_of
+
+
+class Strays:
+    """Stray attempts by worker."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        self._on_worker: dict[str, set[str]] = {}
+
+    def update(self, report: WorkerReport) -> None:
+        """Stop the strays of a report; queue the tasks whose strays are gone."""
+        strays = set()
+        for running in report.running:
+            task = self._state.placed(
+                report.worker_id, running.task_id, running.attempt
+            )
+            if task is None:
+                self._stop(report.worker_id, running)
+                strays.add(running.task_id)
+            elif task.state is TaskState.STOPPING:
+                # The first stop may have been lost with a connection.
+                self._stop(report.worker_id, running)
+        if strays or report.worker_id in self._on_worker:
+            self._replace(report.worker_id, strays)
+
+    def clear(self, worker_id: str) -> None:
+        """Note that nothing runs on a worker any more."""
+        if worker_id in self._on_worker:
+            self._replace(worker_id, set())
+
+    def _stop(self, worker_id: str, running: Attempt) -> None:
+        self._state.effect(StopTask(worker_id, running.task_id, running.attempt))
+
+    def _replace(self, worker_id: str, strays: set[str]) -> None:
+        old = self._on_worker.pop(worker_id, set())
+        if strays:
+            self._on_worker[worker_id] = strays
+        for task_id in sorted(strays - old):
+            self._block(task_id)
+        for task_id in sorted(old - strays):
+            self._unblock(task_id)
+
+    def _block(self, task_id: str) -> None:
+        state = self._state
+        task = state.ledger.tasks.get(task_id)
+        if task is None:
+            return
+        entry = entry_of(state.ledger.jobs[task.job_id], task)
+        state.block(entry)
+
+    def _unblock(self, task_id: str) -> None:
+        state = self._state
+        task: Task | None = state.ledger.tasks.get(task_id)
+        if task is None:
+            return
+        job = state.ledger.jobs[task.job_id]
+        state.unblock(entry_of(job, task))
+        state.enqueue(job, task)
