Run the whole path: both deployments end to end by separate processes

Cause: the demonstration stopped after the first kill, because it still asked the killed entry process. Ruled out: a fault of the takeover; the log shows epoch 2 about 4 s after the kill and all 12 jobs of the killed owner succeeded.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,6 +23,7 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
+LOG_TAIL_CHARS = 4000
 OPERATOR_KEY = "key-operator"
 
 
@@ -302,6 +303,13 @@
             request("POST", f"{url}faults", faults)
         return request("GET", f"{url}counts").body
 
+    def print_logs(self) -> None:
+        """Print the end of each entry process's log to standard error."""
+        for entry in self.entries:
+            state = "runs" if entry.process.alive else "ended"
+            print(f"--- {entry.process.name} ({state})", file=sys.stderr)
+            print(entry.process.log.read_text()[-LOG_TAIL_CHARS:], file=sys.stderr)
+
     def stop(self) -> dict[str, int]:
         """Stop all processes, entry processes first; return their exit codes."""
         codes = {}
@@ -328,6 +336,9 @@
         try:
             cluster.start_platform(vm_lag_s)
             yield cluster
+        except BaseException:
+            cluster.print_logs()
+            raise
         finally:
             cluster.stop()
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -54,7 +54,7 @@
     promote(cluster, entries, deployment)
     run_checks(entries, deployment)
     run_jobs(entries, deployment)
-    kill_owner(entries, deployment)
+    kill_owner(cluster, entries, deployment)
 
 
 def promote(cluster: Cluster, entries: list[Entry], deployment: Deployment) -> None:
@@ -107,7 +107,7 @@
     report("a running job was cancelled")
 
 
-def kill_owner(entries: list[Entry], deployment: Deployment) -> None:
+def kill_owner(cluster: Cluster, entries: list[Entry], deployment: Deployment) -> None:
     """Kill the shard's owner while jobs run; every job must end exactly once."""
     plan = PLANS[deployment.name]
     environment = f"{deployment.name}-production"
@@ -125,6 +125,9 @@
     states = Counter(member.wait(job_id)["state"] for job_id in ids)
     expect(states == {"succeeded": JOBS}, f"jobs after the kill: {states}")
     report(f"all {JOBS} jobs succeeded under the new owner")
+    cluster.restart_entry(owner)
+    cluster.wait_ready()
+    report(f"{owner.process.name} was started again and is ready")
 
 
 def find_owner(entries: list[Entry], deployment: Deployment) -> Entry:
