Release tasks of workers that vanish with stray attempts

Cause: the scheduler keeps a task out of the queue while a stray attempt of it may run on a worker, but only workers with placed tasks were checked for lost leases. Ruled out: calling the scheduler at each check; a loss of contact is now passed on once. The scheduler also makes no placement before the VM list is known.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -147,7 +147,8 @@
         """Place queued tasks and hand all decisions to the group commit."""
         if self._dropped:
             return
-        if self.writable and not self.stopping:
+        # Without a VM list nothing is known of what could run where.
+        if self.writable and not self.stopping and self._shown:
             now = self._context.clock()
             self._scheduler.schedule(now, self._context.wall())
         self.collect()
@@ -160,15 +161,11 @@
 
     def check_workers(self) -> None:
         """Queue again the tasks of workers that are proved not to run them."""
-        ledger = self._scheduler.ledger
-        now, wall = self._context.clock(), self._context.wall()
-        for worker_id in ledger.workers_with_tasks():
+        for worker_id in self._scheduler.ledger.workers_with_tasks():
             self._fleet.expect(worker_id)
-            if self._fleet.proved_lost(worker_id, self._deposed_at()):
-                logging.warning("worker %s: its tasks are lost", worker_id)
-                self._scheduler.on_task_lost(worker_id, now, wall)
-                self._fleet.lose(worker_id)
-                self.wake.set()
+        deposed_at = self._deposed_at()
+        for worker_id in self._fleet.take_lost(deposed_at):
+            self._lose(worker_id)
         for session in list(self._fleet.sessions.values()):
             if session.gone and not session.connection:
                 self._forget(session)
@@ -228,6 +225,14 @@
             self._shown[session.worker_id] = state
             self._scheduler.set_worker(info, session.schedulable)
 
+    def _lose(self, worker_id: str) -> None:
+        count = self._scheduler.ledger.placed_count(worker_id)
+        if count:
+            logging.warning("worker %s: its %d tasks are lost", worker_id, count)
+        now, wall = self._context.clock(), self._context.wall()
+        self._scheduler.on_task_lost(worker_id, now, wall)
+        self.wake.set()
+
     def _forget(self, session: WorkerSession) -> None:
         if self._scheduler.ledger.placed_on(session.worker_id):
             return
--- a/flamingoway/fleet.py
+++ b/flamingoway/fleet.py
@@ -30,6 +30,7 @@
         info: Description in the VM list; ``None`` if the list does not have it.
         leaving: Whether the VM list says that the machine is leaving.
         gone: Whether the VM list does not have this machine.
+        lost: Whether the worker was found to run nothing since the last contact.
         connection: Number of the current stream; 0 if there is none.
         last_connection: Number of the newest stream that brought a report.
         unconfirmed: Starts that no report covers yet.
@@ -40,6 +41,7 @@
     info: WorkerInfo | None = None
     leaving: bool = False
     gone: bool = True
+    lost: bool = False
     link: WorkerClient | None = None
     task: asyncio.Task | None = None
     connection: int = 0
@@ -151,6 +153,7 @@
             return None
         if event.connection < session.last_connection:
             return None
+        session.lost = False
         session.connection = event.connection
         session.last_connection = event.connection
         session.report_seq = event.report.seq
@@ -195,19 +198,25 @@
         if session is not None:
             self._flush(session, attempts)
 
-    def lose(self, worker_id: str) -> None:
-        """Drop what waits for a worker whose tasks are proved not to run."""
-        session = self._sessions[worker_id]
-        for waiting in (session.unconfirmed, session.starts, session.stops):
-            waiting.clear()
+    def take_lost(self, deposed_at: float | None) -> list[str]:
+        """Return the workers that are proved to run nothing any more.
 
-    def proved_lost(self, worker_id: str, deposed_at: float | None) -> bool:
-        """Tell whether an unreachable worker's tasks are sure to have ended."""
-        session = self._sessions[worker_id]
-        if session.connection:
-            return False
-        safe_at = session.lease.safe_at(self._terms, deposed_at)
-        return self._context.clock() >= safe_at
+        Each loss of contact is returned once; what waits for the worker is dropped.
+
+        Args:
+            deposed_at: When the former owners were proved gone, or ``None``.
+        """
+        now = self._context.clock()
+        lost = []
+        for session in self._sessions.values():
+            if session.connection or session.lost:
+                continue
+            if now >= session.lease.safe_at(self._terms, deposed_at):
+                session.lost = True
+                for waiting in (session.unconfirmed, session.starts, session.stops):
+                    waiting.clear()
+                lost.append(session.worker_id)
+        return lost
 
     async def close(self) -> None:
         """Send nothing more and end all links."""
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -307,10 +307,11 @@
         loops = [
             self._controller.committer.run,
             self._handle_events,
-            self._decide,
             feeds.check_workers,
             feeds.follow_vms,
             feeds.follow_documents,
+            # After workers and documents, which begin their first round before it.
+            self._decide,
             self._follow_owners,
             self._confirm_epoch,
             self._former.run,
