Check settings with the line of the mistake, and table the mistakes

Cause: mistakes in settings were reported without a line, and duplicate names, a zone in two shards, bad addresses and impossible limits were accepted. Two shards with one zone would give two owners the same workers.

Ruled out: refusing a process whose region has no shard, and equal HTTP and peer ports. A region may have entry processes only, and the settings of tests/test_membership.py use both; equal ports still fail when the second one is bound. Ruled out: showing a malformed key hash, because it may be the key.

Before: 2 checks without a line.

--- a/flamingoway/document.py
+++ b/flamingoway/document.py
@@ -7,21 +7,25 @@
 import hashlib
 import math
 import re
-from collections.abc import Iterable, Iterator
-from typing import Literal, NamedTuple
+from collections.abc import Iterator
+from typing import Literal
 
 import msgspec
 
 from . import yamlio
 from .errors import BadDocument
+from .mistakes import (
+    Mistake,
+    bad_key_hash,
+    bad_name,
+    bad_names,
+    not_positive,
+    outside,
+)
 from .model import Resources
 from .settings import Model
 
 MAX_DOCUMENT_BYTES = 512 * 1024
-# Names appear in URLs, job ids and metric labels.
-NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
-NAME_RULE = "1 to 63 lower-case letters, digits and inner hyphens"
-HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
 MAX_TASKS = 1000
 MAX_ATTEMPTS = 100
 MAX_REPLICAS = 1000
@@ -164,17 +168,12 @@
     tried_digest: str = ""
 
 
-class _Mistake(NamedTuple):
-    steps: yamlio.Steps
-    problem: str
-
-
-def _mistakes(document: Document) -> Iterator[_Mistake]:
-    yield from _bad_name(["application"], document.application)
+def _mistakes(document: Document) -> Iterator[Mistake]:
+    yield from bad_name(["application"], document.application)
     if not document.members:
-        yield _Mistake(["members"], "found no member; allowed: one or more")
+        yield Mistake(["members"], "found no member; allowed: one or more")
     for group in ("members", "checks", "jobs", "services"):
-        yield from _bad_names(group, getattr(document, group))
+        yield from bad_names(group, getattr(document, group))
     yield from _clashes(document)
     for index, member in enumerate(document.members):
         yield from _member_mistakes(["members", index], member)
@@ -185,91 +184,66 @@
         yield from _job_mistakes(["jobs", index], job)
     for index, service in enumerate(document.services):
         steps = ["services", index]
-        yield from _outside([*steps, "replicas"], service.replicas, 0, MAX_REPLICAS)
+        yield from outside([*steps, "replicas"], service.replicas, 0, MAX_REPLICAS)
         yield from _resource_mistakes([*steps, "resources"], service.resources)
 
 
-def _bad_name(steps: yamlio.Steps, name: str) -> Iterator[_Mistake]:
-    if not NAME_PATTERN.fullmatch(name):
-        yield _Mistake(steps, f"found {name!r}; allowed: {NAME_RULE}")
-
-
-def _bad_names(group: str, entries: Iterable) -> Iterator[_Mistake]:
-    first_index: dict[str, int] = {}
-    for index, entry in enumerate(entries):
-        steps = [group, index, "name"]
-        yield from _bad_name(steps, entry.name)
-        first = first_index.setdefault(entry.name, index)
-        if first != index:
-            yield _Mistake(
-                steps,
-                f"found {entry.name!r}, the name of {group}[{first}]; "
-                "allowed: a name that occurs once",
-            )
-
-
-def _clashes(document: Document) -> Iterator[_Mistake]:
+def _clashes(document: Document) -> Iterator[Mistake]:
     # Tasks of services and of jobs are told apart by their kind alone.
     jobs = {kind.name for kind in document.jobs}
     for index, service in enumerate(document.services):
         if service.name in jobs:
-            yield _Mistake(
+            yield Mistake(
                 ["services", index, "name"],
                 f"found {service.name!r}, the name of a job kind; "
                 "allowed: a name that no job kind has",
             )
 
 
-def _member_mistakes(steps: yamlio.Steps, member: MemberModel) -> Iterator[_Mistake]:
+def _member_mistakes(steps: yamlio.Steps, member: MemberModel) -> Iterator[Mistake]:
     if not member.key_sha256:
-        yield _Mistake([*steps, "key_sha256"], "found no key; allowed: one or more")
+        yield Mistake([*steps, "key_sha256"], "found no key; allowed: one or more")
     for index, key_hash in enumerate(member.key_sha256):
-        if not HASH_PATTERN.fullmatch(key_hash):
-            # The value is not shown: it may be the key itself.
-            yield _Mistake(
-                [*steps, "key_sha256", index],
-                f"found {len(key_hash)} characters that are not a SHA-256; "
-                "allowed: 64 digits 0-9 and a-f",
-            )
-    yield from _not_positive([*steps, "weight"], member.weight)
-    yield from _not_positive([*steps, "check_rate"], member.check_rate)
+        yield from bad_key_hash([*steps, "key_sha256", index], key_hash)
+    yield from not_positive([*steps, "weight"], member.weight)
+    yield from not_positive([*steps, "check_rate"], member.check_rate)
     yield from _resource_mistakes([*steps, "quota"], member.quota)
 
 
-def _shared_keys(document: Document) -> Iterator[_Mistake]:
+def _shared_keys(document: Document) -> Iterator[Mistake]:
     holders: dict[str, str] = {}
     for index, member in enumerate(document.members):
         for place, key_hash in enumerate(member.key_sha256):
             holder = holders.setdefault(key_hash, f"members[{index}]")
             if holder != f"members[{index}]":
-                yield _Mistake(
+                yield Mistake(
                     ["members", index, "key_sha256", place],
                     f"found a key of {holder}; allowed: a key of one member",
                 )
 
 
-def _check_mistakes(steps: yamlio.Steps, check: CheckKind) -> Iterator[_Mistake]:
+def _check_mistakes(steps: yamlio.Steps, check: CheckKind) -> Iterator[Mistake]:
     if not re.fullmatch(r"/[!-~]*", check.path):
-        yield _Mistake(
+        yield Mistake(
             [*steps, "path"],
             f"found {check.path!r}; allowed: a path that begins with / and has "
             "printable ASCII characters without spaces",
         )
     if not 0 < check.timeout_s <= MAX_CHECK_TIMEOUT_S:
-        yield _Mistake(
+        yield Mistake(
             [*steps, "timeout_s"],
             f"found {check.timeout_s}; allowed: above 0, up to "
             f"{MAX_CHECK_TIMEOUT_S:g} seconds",
         )
 
 
-def _job_mistakes(steps: yamlio.Steps, job: JobKind) -> Iterator[_Mistake]:
+def _job_mistakes(steps: yamlio.Steps, job: JobKind) -> Iterator[Mistake]:
     yield from _resource_mistakes([*steps, "resources"], job.resources)
-    yield from _not_positive([*steps, "weight"], job.weight)
-    yield from _outside([*steps, "max_tasks"], job.max_tasks, 1, MAX_TASKS)
-    yield from _outside([*steps, "max_attempts"], job.max_attempts, 1, MAX_ATTEMPTS)
+    yield from not_positive([*steps, "weight"], job.weight)
+    yield from outside([*steps, "max_tasks"], job.max_tasks, 1, MAX_TASKS)
+    yield from outside([*steps, "max_attempts"], job.max_attempts, 1, MAX_ATTEMPTS)
     if not 0 <= job.run_time_s < math.inf:
-        yield _Mistake(
+        yield Mistake(
             [*steps, "run_time_s"],
             f"found {job.run_time_s}; allowed: seconds from 0 (unknown)",
         )
@@ -277,36 +251,24 @@
 
 def _resource_mistakes(
     steps: yamlio.Steps, resources: ResourceModel
-) -> Iterator[_Mistake]:
+) -> Iterator[Mistake]:
     if not 0.001 <= resources.cores < math.inf:
-        yield _Mistake(
+        yield Mistake(
             [*steps, "cores"],
             f"found {resources.cores}; allowed: 0.001 cores or more",
         )
     if resources.memory_mb < 1:
-        yield _Mistake(
+        yield Mistake(
             [*steps, "memory_mb"],
             f"found {resources.memory_mb}; allowed: 1 megabyte or more",
         )
     if resources.accelerators < 0:
-        yield _Mistake(
+        yield Mistake(
             [*steps, "accelerators"],
             f"found {resources.accelerators}; allowed: 0 or more",
         )
 
 
-def _not_positive(steps: yamlio.Steps, value: float) -> Iterator[_Mistake]:
-    if not 0 < value < math.inf:
-        yield _Mistake(steps, f"found {value}; allowed: a number above 0")
-
-
-def _outside(
-    steps: yamlio.Steps, value: int, lowest: int, highest: int
-) -> Iterator[_Mistake]:
-    if not lowest <= value <= highest:
-        yield _Mistake(steps, f"found {value}; allowed: {lowest} to {highest}")
-
-
 __all__ = [
     "CheckKind",
     "Document",
--- a/flamingoway/settings.py
+++ b/flamingoway/settings.py
@@ -1,9 +1,12 @@
 """Settings of one entry process, read from YAML and validated."""
 
+from typing import Literal
+
 import msgspec
 
 from . import yamlio
 from .errors import BadSettings
+from .settingscheck import find_mistakes
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
@@ -39,12 +42,12 @@
 
     Attributes:
         application: Documents move only between environments of one application.
-        stage: ``trial`` or ``production``.
+        stage: Documents are tried in trial and promoted to production.
     """
 
     name: str
     application: str
-    stage: str
+    stage: Literal["trial", "production"]
     shards: list[str]
 
 
@@ -98,16 +101,20 @@
 
 
 class TraceSettings(Model):
-    """Trace export; ``exporter`` is ``none``, ``log`` or ``otlp``."""
+    """Trace export.
+
+    Attributes:
+        sample_ratio: Part of the traces begun here that is exported, 0 to 1.
+    """
 
-    exporter: str = "none"
+    exporter: Literal["none", "log", "otlp"] = "none"
     sample_ratio: float = 1.0
 
 
 class LogSettings(Model):
     """Log output."""
 
-    level: str = "info"
+    level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class Settings(Model):
@@ -177,26 +184,6 @@
 def parse_settings(data: bytes, path: str = "<settings>") -> Settings:
     """Validate the bytes of a settings file; see :func:`load_settings`."""
     settings = yamlio.decode(data, Settings, BadSettings, path)
-    _check_references(settings, path)
+    for mistake in find_mistakes(settings):
+        raise yamlio.mistake(data, BadSettings, path, mistake.steps, mistake.problem)
     return settings
-
-
-def _check_references(settings: Settings, path: str) -> None:
-    shard_names = [shard.name for shard in settings.shards]
-    for index, environment in enumerate(settings.environments):
-        field = f"environments[{index}]"
-        if environment.stage not in ("trial", "production"):
-            raise BadSettings(
-                f"{path}: {field}.stage: found {environment.stage!r}; "
-                "allowed: trial, production",
-                file=path,
-                field=f"{field}.stage",
-            )
-        for name in environment.shards:
-            if name not in shard_names:
-                raise BadSettings(
-                    f"{path}: {field}.shards: unknown shard {name!r}; "
-                    f"allowed: {', '.join(shard_names)}",
-                    file=path,
-                    field=f"{field}.shards",
-                )
