Take the reasons of a waiting job as an Explanation again

Before: a list was expected and explain ended as an internal fault. After: the API reads Explanation.reasons, as the message declares it; the tests of the API pass.

--- a/flamingoway/admin.py
+++ b/flamingoway/admin.py
@@ -20,6 +20,7 @@
 from .environments import DEFAULT_HISTORY, Environments
 from .errors import BadRequest, FlamingowayError
 from .follower import Follower
+from .messages import Explanation
 from .settings import TraceSettings
 from .status import Code
 from .trace import Tracer
@@ -33,8 +34,8 @@
 class JobExplainer(Protocol):
     """What the API needs of the job router."""
 
-    async def explain(self, environment: str, job_id: str) -> list[str]:
-        """Return why a job waits, one reason an item."""
+    async def explain(self, environment: str, job_id: str) -> Explanation:
+        """Return why a job waits."""
 
 
 class PromoteBody(
@@ -236,8 +237,8 @@
     async def _explain(self, call: Call) -> dict[str, Any]:
         environment, job_id = call.arguments
         self._environments.environment(environment)
-        reasons = await self._jobs.explain(environment, job_id)
-        return {"job_id": job_id, "reasons": reasons}
+        explanation = await self._jobs.explain(environment, job_id)
+        return {"job_id": job_id, "reasons": explanation.reasons}
 
 
 class _Handler(web.RequestHandler):
--- a/tests/admin_server.py
+++ b/tests/admin_server.py
@@ -14,7 +14,7 @@
 from flamingoway.environments import Environments
 from flamingoway.errors import BadRequest, Refused
 from flamingoway.follower import Follower
-from flamingoway.messages import ProcessInfo, StatusReply
+from flamingoway.messages import Explanation, ProcessInfo, StatusReply
 from flamingoway.metrics import Metrics
 from flamingoway.status import Code
 from flamingoway.trace import Tracer
@@ -36,7 +36,7 @@
     async def explain(self, environment, job_id):
         if job_id != "job-1":
             raise BadRequest("no such job", Code.NOT_FOUND)
-        return ["the member's quota is used up"]
+        return Explanation(["the member's quota is used up"])
 
 
 def status_of(process_id, epoch, documents):
