Test documents that pass between real peers

Cause: the follower's tests answered GetDocuments from a table, so the encoding of documents between processes was not run. Before: no test of it. After: a follower without the store takes the very same bytes over a PeerServer.

--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from flamingoway.errors import OutcomeUnknown
 from flamingoway.follower import Follower
 from flamingoway.messages import Documents
+from flamingoway.peer import PeerClient, PeerServer
 from flamingoway.store import Put
 from flamingoway.versions import EnvironmentKeys
 from tests.document_fakes import ScriptedStore, make_document, make_settings
@@ -225,3 +227,25 @@
         assert set(reply.versions) == {"production"}
 
     run(scenario)
+
+
+def test_documents_pass_between_real_peers():
+    """Guards against documents that do not survive the calls between processes."""
+
+    async def scenario(store, start):
+        data = make_document() + b"# \xc3\xa9 stays"
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", data, 0, "ana")
+        follower, server, client = start(), PeerServer(), PeerClient()
+        await take(follower.subscribe(), 1)
+        follower.serve(server)
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{probe.getsockname()[1]}"
+        other = make_follower(ScriptedStore(), client, [address])
+        async with server.listen(address, grace_s=0.1):
+            await other.fetch_from_peers()
+            await client.close()
+        assert other.current("trial").version == follower.current("trial").version
+
+    run(scenario)
