--- a/flamingoway/httpserver.py
+++ b/flamingoway/httpserver.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import re
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -17,11 +16,11 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from .httphead import head_fault
 from .httpstream import CallerStream, discard
 from .status import Code
 
-MAX_HEAD_BYTES = 16 * 1024
-# Heads between the two limits get a coded refusal before the connection is closed.
+# Heads between MAX_HEAD_BYTES and this limit get a coded refusal before the connection is closed.
 MAX_READ_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1024 * 1024
 MAX_CONNECTIONS = 4096
@@ -32,8 +31,6 @@
 # While stopping, an idle connection stays open this long, so that a request that
 # is on its way is still answered.
 DRAIN_IDLE_S = 2.0
-_LENGTH = re.compile(r"[0-9]{1,15}")
-_SINGLE_HEADERS = ("Content-Length", "Host", "Transfer-Encoding")
 
 
 @dataclass(slots=True)
@@ -117,6 +114,11 @@
         """Port of the first listening socket."""
         return self._sockets[0].getsockname()[1]
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return bool(self._sockets)
+
     @property
     def in_flight(self) -> int:
         """Requests that are being read or answered."""
@@ -265,6 +267,7 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._refused = False
+        self._head_only = False
         # A body a little too long is read to its end and dropped: closing a
         # connection with unread bytes resets it, and the refusal could be lost.
         self._too_large = False
@@ -275,7 +278,8 @@
         """Check the head before any of the body is read."""
         self.started = True
         self._connection.limit_phase(REQUEST_TIMEOUT_S)
-        fault = _head_fault(start_line, headers)
+        self._head_only = start_line.method == "HEAD"
+        fault = head_fault(start_line, headers)
         if fault:
             return self._refuse(Code.BAD_REQUEST, fault)
         path, _, query = start_line.path.partition("?")
@@ -349,32 +353,11 @@
             return
         self._connection.limit_phase(WRITE_TIMEOUT_S)
         start, headers = _answer_head(answer)
-        self._http.write_headers(start, headers, answer.body)
+        body = b"" if self._head_only else answer.body
+        self._http.write_headers(start, headers, body)
         self._http.finish()
 
 
-def _head_fault(start_line, headers: httputil.HTTPHeaders) -> str:
-    """Return why a head is refused, or an empty string."""
-    size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-    if size + len(start_line.path) > MAX_HEAD_BYTES:
-        return f"the head is longer than {MAX_HEAD_BYTES} bytes"
-    for name in _SINGLE_HEADERS:
-        if len(headers.get_list(name)) > 1:
-            return f"{name} is repeated"
-    length = headers.get("Content-Length")
-    if length is not None and not _LENGTH.fullmatch(length):
-        return "Content-Length is not a number"
-    if "Transfer-Encoding" not in headers:
-        return ""
-    if length is not None:
-        return "both Content-Length and Transfer-Encoding are given"
-    if headers["Transfer-Encoding"].lower() != "chunked":
-        return "the Transfer-Encoding is not chunked"
-    if start_line.version != "HTTP/1.1":
-        return "Transfer-Encoding needs HTTP/1.1"
-    return ""
-
-
 def _answer_head(answer: HttpAnswer):
     reason = httputil.responses.get(answer.status, "Unknown")
     start = httputil.ResponseStartLine("HTTP/1.1", answer.status, reason)
--- a/flamingoway/ingress.py
+++ b/flamingoway/ingress.py
@@ -113,6 +113,11 @@
         """Port on which the server listens."""
         return self._server.port
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server.listening
+
     @property
     def in_flight(self) -> int:
         """Requests that are being read or answered."""
--- a/tests/request_path.py
+++ b/tests/request_path.py
@@ -184,7 +184,9 @@
     return f"{head}Authorization: Bearer {KEY}\r\n\r\n".encode()
 
 
-async def read_answer(reader: asyncio.StreamReader) -> tuple[int, dict, bytes]:
+async def read_answer(
+    reader: asyncio.StreamReader, head_only: bool = False
+) -> tuple[int, dict, bytes]:
     """Read one answer; return status, headers in lower case, and body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     lines = head.split("\r\n")
@@ -192,7 +194,8 @@
     for line in lines[1:-2]:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    length = 0 if head_only else int(headers.get("content-length", "0"))
+    body = await reader.readexactly(length)
     return int(lines[0].split()[1]), headers, body
 
 
@@ -204,3 +207,10 @@
         return await read_answer(reader)
     finally:
         writer.close()
+
+
+async def until(condition, timeout_s: float = 5.0) -> None:
+    """Wait until a condition of the code under test holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110 - the code has no event for it
+            await asyncio.sleep(0)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -167,9 +167,9 @@
 
 
 def test_retries_stay_a_share_of_the_traffic():
-    budget = RetryBudget(ratio=0.2, burst=10)
+    budget = RetryBudget(ratio=0.2, reserve=10, limit=10)
     allowed = 0
     for _ in range(1000):
-        budget.add_attempt()
-        allowed += budget.take()
+        budget.note_attempt()
+        allowed += budget.withdraw()
     assert 200 <= allowed <= 210
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -4,7 +4,17 @@
 import json
 
 import pytest
-from request_path import ENVIRONMENT, Vm, call, check_request, entry, get_request
+from request_path import (
+    ENVIRONMENT,
+    Vm,
+    call,
+    check_request,
+    entry,
+    get_request,
+    read_answer,
+    until,
+)
+from tornado import web
 
 from flamingoway.status import Code
 from standins.target import Target
@@ -62,3 +72,145 @@
     assert (answer["code"], status) == (code, code.http_status)
     assert answer["ran"] == "no"
     assert headers["x-code"] == str(int(code))
+
+
+def test_jobs_go_through_the_router_and_come_back_with_codes():
+    async def scenario():
+        jobs = f"/v1/{ENVIRONMENT}/jobs"
+        async with entry([]) as ingress:
+            body = {"kind": "fit", "params": {"rooms": 3}, "tasks": 2}
+            requests = [
+                check_request(body, path=jobs, Idempotency_Key="k1"),
+                get_request(jobs),
+                get_request(f"{jobs}/job-1"),
+                get_request(f"{jobs}/job-1", "DELETE"),
+            ]
+            answers = [await call(ingress.port, request) for request in requests]
+            return answers, ingress._jobs.submitted
+
+    answers, submitted = asyncio.run(scenario())
+    bodies = [json.loads(body) for _, _, body in answers]
+    assert [status for status, _, _ in answers] == [202, 200, 200, 200]
+    assert all(body.keys() >= {"code", "message", "ran", "trace_id"} for body in bodies)
+    assert bodies[1]["jobs"] == [bodies[2]["job"]]
+    assert bodies[2]["job"]["results"] == {"task-1": {"fits": True}}
+    arguments = (ENVIRONMENT, "agency", "fit", 2, False, b'{"rooms": 3}', "k1")
+    assert submitted[0][:7] == arguments
+
+
+def test_the_trace_of_the_caller_continues():
+    """Guards against a trace that is cut at the entry process."""
+    trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+    header = f"00-{trace}-00f067aa0ba902b7-01"
+
+    async def scenario():
+        async with entry([]) as ingress:
+            traced = check_request(traceparent=header)
+            untraced = check_request(traceparent=f"00-{'0' * 32}-00f067aa0ba902b7-01")
+            return [await call(ingress.port, r) for r in (traced, untraced)]
+
+    traced, untraced = asyncio.run(scenario())
+    assert json.loads(traced[2])["trace_id"] == trace
+    assert len(untraced[1]["x-trace-id"]) == 32
+    assert set(untraced[1]["x-trace-id"]) != {"0"}
+
+
+class Echo(web.RequestHandler):
+    """A route of another module."""
+
+    def post(self):
+        self.write({"echo": self.request.body.decode()})
+
+
+def test_further_routes_are_served_beside_the_api():
+    """Guards against an admin API that cannot be mounted."""
+
+    async def scenario():
+        async with entry([], routes=[(r"/admin/v1/echo", Echo)]) as ingress:
+            requests = [check_request(b"hello", path="/admin/v1/echo")]
+            requests += [get_request("/admin/v1/none"), get_request("/healthz")]
+            requests += [check_request(b"x" * 400_000, path="/admin/v1/echo")]
+            return [await call(ingress.port, request) for request in requests]
+
+    echo, missing, alive, large = asyncio.run(scenario())
+    assert json.loads(echo[2]) == {"echo": "hello"}
+    assert json.loads(missing[2])["code"] == Code.NOT_FOUND
+    assert json.loads(alive[2])["code"] == Code.OK
+    assert len(large[2]) > 400_000
+
+
+def test_a_planned_stop_cuts_no_request_off():
+    """Guards against requests lost in a rolling restart."""
+
+    async def scenario():
+        async with (
+            Target().serve() as target,
+            entry([Vm("t1", target.ip, target.port)]) as ingress,
+        ):
+            port = ingress.port
+            kept = await asyncio.open_connection("127.0.0.1", port)
+            kept[1].write(check_request({"echo": 1}))
+            first = await read_answer(kept[0])
+            target.started.clear()
+            slow = asyncio.create_task(
+                call(port, check_request({"service_ms": 300, "echo": 2}))
+            )
+            await target.started.wait()
+            stop = asyncio.create_task(ingress.drain(10.0))
+            await asyncio.sleep(0)
+            notice = await call(port, get_request("/readyz"))
+            # The notice period ends with the listener; the open connection stays.
+            await until(lambda: not ingress.listening)
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", port)
+            kept[1].write(check_request({"echo": 3}))
+            last = await read_answer(kept[0])
+            rest = await kept[0].read()
+            return first, notice, await slow, last, rest, await stop
+
+    first, notice, slow, last, rest, abandoned = asyncio.run(scenario())
+    assert "connection" not in first[1]
+    assert json.loads(notice[2])["code"] == Code.STOPPING
+    for answer, echo in ((slow, 2), (last, 3)):
+        assert json.loads(answer[2])["echo"] == echo
+        assert answer[1]["connection"] == "close"
+    assert (rest, abandoned) == (b"", 0)
+
+
+def test_a_stop_that_takes_too_long_reports_what_was_cut_off():
+    async def scenario():
+        async with (
+            Target().serve() as target,
+            entry([Vm("t1", target.ip, target.port)]) as ingress,
+        ):
+            request = check_request({"service_ms": 1500})
+            slow = asyncio.create_task(call(ingress.port, request))
+            await target.started.wait()
+            abandoned = await ingress.drain(0.05)
+            with pytest.raises(asyncio.IncompleteReadError):
+                await slow
+            return abandoned
+
+    assert asyncio.run(scenario()) == 1
+
+
+def test_a_check_of_a_caller_that_left_the_queue_is_not_started():
+    """Guards against slots spent on answers that nobody reads."""
+
+    async def scenario():
+        async with (
+            Target(slots=1).serve() as target,
+            entry([Vm("t1", target.ip, target.port, slots=1)]) as ingress,
+        ):
+            body = check_request({"service_ms": 100})
+            first = asyncio.create_task(call(ingress.port, body))
+            await target.started.wait()
+            _, writer = await asyncio.open_connection("127.0.0.1", ingress.port)
+            writer.write(check_request({"echo": "left"}))
+            await until(lambda: ingress.in_flight == 2)
+            writer.close()
+            await first
+            status, _, _ = await call(ingress.port, check_request())
+            return status, len(target.ran)
+
+    assert asyncio.run(scenario()) == (200, 2)
