Answer requests only when documents and targets are known

Cause: during a rolling restart a process that had just started answered 404 for an environment whose document it had not read, and 503 'no target is available' until its target list was refreshed 0.5 s later. Both are untrue answers. Ruled out: the drain of the stopping process; every refusal came from the started one.

--- a/flamingoway/checks.py
+++ b/flamingoway/checks.py
@@ -45,12 +45,18 @@
         self._vm_list = vm_list
         self._keyed = KeyedChecks(context, membership, peers, self._run_keyed)
         self._lanes: dict[str, Lane] = {}
+        self._loaded = False
         for environment in context.settings.environments:
             chosen = target_pickers.get(picker)(context.settings.zone, context.rng)
             targets = TargetSet(chosen, context.clock)
             self._lanes[environment.name] = Lane(context, targets)
         self.refresh()
 
+    @property
+    def loaded(self) -> bool:
+        """Whether the targets of the VM list have been taken over."""
+        return self._loaded
+
     @property
     def target_counts(self) -> dict[str, int]:
         """Targets known and available, over all environments."""
@@ -78,6 +84,7 @@
     def refresh(self) -> None:
         """Take over the targets and live processes as they are now."""
         self._keyed.observe()
+        self._loaded = bool(self._vm_list.vms)
         for environment in self._context.settings.environments:
             lane = self._lanes[environment.name]
             processes = self._keyed.processes(environment.name)
--- a/flamingoway/ingress.py
+++ b/flamingoway/ingress.py
@@ -169,6 +169,10 @@
             return _coded(Code.OK, "alive", tracing.trace_id(traceparent))
         if request.path == "/readyz":
             return self._readiness(tracing.trace_id(traceparent))
+        if not self._ready():
+            # Without documents and targets any other answer would be untrue, such
+            # as "no environment".
+            raise Refused("this process is starting", Code.STARTING, retry_after=1)
         match = _PATH.fullmatch(request.path)
         if match is None:
             raise BadRequest("no such path", Code.NOT_FOUND)
@@ -183,7 +187,7 @@
         if self._draining:
             return _coded(Code.STOPPING, "stopping", trace)
         if not self._ready():
-            return _coded(Code.OVERLOADED, "not ready", trace)
+            return _coded(Code.STARTING, "not ready", trace)
         return _coded(Code.OK, "ready", trace)
 
     def _authenticate(self, environment: str, request: HttpRequest) -> MemberModel:
--- a/flamingoway/node.py
+++ b/flamingoway/node.py
@@ -73,7 +73,7 @@
     @property
     def ready(self) -> bool:
         """Whether requests can be served."""
-        return bool(self._vm_list.vms) and self._follower.loaded
+        return self._checks.loaded and self._follower.loaded
 
     async def run(self) -> None:
         """Serve until cancelled or until a task fails."""
