Hand shards over to the process that should hold them

Weighed: handing over at once when a better process appears. Ruled out, since a process that restarts in a loop would take and lose shards; it must be live 15 s.

--- a/flamingoway/node.py
+++ b/flamingoway/node.py
@@ -119,7 +119,7 @@
             self._peers,
         )
         self._shards = ShardManager(
-            [shard.name for shard in self.settings.shards],
+            context,
             self._membership,
             self._owner_service.make_owner,
         )
--- a/flamingoway/shards.py
+++ b/flamingoway/shards.py
@@ -6,12 +6,20 @@
 
 from absl import logging
 
+from .context import Context
 from .errors import FlamingowayError, StoreOutcomeUnknown, StoreUnavailable
 from .membership import Membership, SessionLost
 from .messages import OwnerInfo
 from .ownership import Acquired
+from .store.follow import Sleep
+from .takeover import candidates
 
 RECLAIM_INTERVAL_S = 0.3
+# How often a process checks whether it holds a shard that another one should hold.
+BALANCE_INTERVAL_S = 5.0
+# A process must have been live this long before it is handed a shard, so that one
+# that restarts in a loop does not attract shards.
+SETTLED_S = 15.0
 
 
 class Owner(Protocol):
@@ -28,23 +36,26 @@
     """Owns the owner tasks of one process.
 
     Args:
-        shards: Names of the shards of the cell.
+        context: Settings, clocks and random numbers.
         membership: Claims shards and tells of lost sessions.
         make_owner: Creates the owner of a shard that was acquired.
+        sleep: Waits some seconds; tests pass that of a fake clock.
     """
 
     def __init__(
         self,
-        shards: list[str],
+        context: Context,
         membership: Membership,
         make_owner: Callable[[Acquired], Owner],
+        sleep: Sleep = asyncio.sleep,
     ):
-        self._shards = shards
+        self._context = context
         self._membership = membership
         self._make_owner = make_owner
+        self._sleep = sleep
         self._owners: dict[str, Owner] = {}
         self._claims: list[asyncio.Task] = []
-        self._stopping = False
+        self._stopping = True
 
     @property
     def owners(self) -> dict[str, Owner]:
@@ -55,9 +66,10 @@
         """Claim shards and keep them until cancelled."""
         events = self._membership.subscribe()
         self._claims = [
-            asyncio.create_task(self._hold(shard), name=f"shard-{shard}")
-            for shard in self._shards
+            asyncio.create_task(self._hold(shard.name))
+            for shard in self._context.settings.shards
         ]
+        self._claims.append(asyncio.create_task(self._balance()))
         try:
             while True:
                 event = await events.get()
@@ -70,7 +82,7 @@
     async def stop(self) -> None:
         """Stop all owners; each flushes and releases its shard."""
         # A shard that is released must not be claimed again by this process.
-        self._stopping = True
+        self._stopping = False
         await asyncio.gather(*(owner.stop() for owner in self._owners.values()))
         await self._cancel_claims()
 
@@ -86,6 +98,26 @@
             finally:
                 self._owners.pop(shard, None)
 
+    async def _balance(self) -> None:
+        """Hand over one shard at a time to the process that should hold it.
+
+        The first process of a cell takes every shard, also those of other regions.
+        """
+        while not self._stopping:
+            await self._sleep(BALANCE_INTERVAL_S)
+            shard = next(filter(self._should_hand_over, list(self._owners)), None)
+            if shard is not None and self._membership.store_up:
+                logging.info("shard %s: handed over to a better placed process", shard)
+                await self._owners[shard].stop()
+
+    def _should_hand_over(self, shard: str) -> bool:
+        region = self._context.settings.shard(shard).region
+        processes = self._membership.processes.values()
+        best = next(iter(candidates(shard, region, processes)), None)
+        if best is None or best.process_id == self._context.settings.process_id:
+            return False
+        return self._context.wall() - best.started_at > SETTLED_S
+
     async def _reclaim(self, held: list[OwnerInfo]) -> None:
         for owner in held:
             if not await self._reclaim_one(owner):
@@ -97,7 +129,7 @@
             try:
                 return await self._membership.reclaim(owner)
             except (StoreUnavailable, StoreOutcomeUnknown):
-                await asyncio.sleep(RECLAIM_INTERVAL_S)
+                await self._sleep(RECLAIM_INTERVAL_S)
         return False
 
     async def _cancel_claims(self) -> None:
