--- a/flamingoway/shards.py
+++ b/flamingoway/shards.py
@@ -55,7 +55,7 @@
         self._sleep = sleep
         self._owners: dict[str, Owner] = {}
         self._claims: list[asyncio.Task] = []
-        self._stopping = True
+        self._stopping = False
 
     @property
     def owners(self) -> dict[str, Owner]:
@@ -82,7 +82,7 @@
     async def stop(self) -> None:
         """Stop all owners; each flushes and releases its shard."""
         # A shard that is released must not be claimed again by this process.
-        self._stopping = False
+        self._stopping = True
         await asyncio.gather(*(owner.stop() for owner in self._owners.values()))
         await self._cancel_claims()
 
