--- a/standins/memory.py
+++ b/standins/memory.py
@@ -79,6 +79,12 @@
         """Let held calls continue."""
         self._open.set()
 
+    def heal(self) -> None:
+        """End all faults."""
+        self._failures = self._lost_answers = self._lost_requests = 0
+        self.down = False
+        self.resume()
+
     def break_watches(self) -> None:
         """End all open watches of this client with ``StoreUnavailable``."""
         for queue in self._watches:
