Test the core against random interleavings and correct what they found

Preemption counted reserved capacity twice: a second urgent task on one worker stopped two tasks where one was enough (3 stops instead of 2 in test_preemption_stays_within_the_quota_and_stops_no_more_than_needed). It now counts what stopping tasks are about to free. Tasks of gangs are not preempted any more, because that would stop the whole gang.

--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -11,7 +11,7 @@
 from ..model import Resources, Task, TaskState
 from .fairness import Lane
 from .ledger import MemberKey
-from .state import ShardState, member_of
+from .state import ShardState, member_of, preemptible
 
 # A checkpoint is usually written within seconds; after this time another try is made.
 CLAIM_S = 30.0
@@ -106,11 +106,16 @@
         """Return the tasks to stop so that ``need`` becomes free, or ``None``."""
         if worker_id not in self._state.index.open_workers:
             return None
-        # Reserved capacity belongs to other claims or to a gang.
+        placed = self._state.ledger.placed_on(worker_id)
+        # Reserved capacity belongs to other claims or to a gang; what stopping tasks
+        # still hold is free soon.
         missing = need - Resources(*self._state.index.free(worker_id))
-        tasks = [
-            t for t in self._state.ledger.placed_on(worker_id) if self._may_stop(t)
-        ]
+        for task in placed:
+            if task.state is TaskState.STOPPING:
+                missing = missing - self._shape(task)
+        tasks = [task for task in placed if self._may_stop(task)]
+        if missing.fits_in(Resources()):
+            return []
         enough = [t for t in tasks if missing.fits_in(self._shape(t))]
         if enough:
             return [min(enough, key=lambda t: self._shape(t).cores_milli)]
@@ -124,8 +129,7 @@
 
     def _may_stop(self, task: Task) -> bool:
         spec = self._state.ledger.jobs[task.job_id].spec
-        running = task.state is TaskState.ASSIGNED
-        return running and spec.resumable and not spec.urgent
+        return task.state is TaskState.ASSIGNED and preemptible(spec)
 
     def _shape(self, task: Task) -> Resources:
         return self._state.ledger.jobs[task.job_id].spec.resources
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -33,7 +33,7 @@
 from .reports import Attempt, Finished, RefusedStart, WorkerReport
 from .retention import Retention
 from .services import REPLACE_CHECK_S, ServiceKeeper
-from .state import ShardState, gang_is_whole, start_of
+from .state import ShardState, start_of
 from .strays import Strays
 
 # Shares are recomputed at this interval for ageing and changed capacity.
@@ -327,11 +327,17 @@
         self._end_unrun(task, "refused")
 
     def _requeue(self, job: Job, task: Task) -> None:
-        """Queue a task whose attempt ended; a gang first stops as a whole."""
-        if job.spec.policy is Policy.GANG and not gang_is_whole(job):
-            for other in job.tasks:
-                self._state.stop(other, checkpoint=job.spec.resumable)
-        self._state.enqueue(job, task)
+        """Queue what an ended attempt leaves to do; a gang first stops as a whole."""
+        state = self._state
+        if job.spec.policy is not Policy.GANG:
+            state.enqueue(job, task)
+            return
+        queued = [other for other in job.tasks if other.state is TaskState.QUEUED]
+        if not queued:
+            return
+        for other in job.tasks:
+            state.stop(other, checkpoint=job.spec.resumable)
+        state.enqueue(job, queued[0])
 
     def _lose_tasks(self, worker_id: str) -> None:
         for task in self._state.ledger.placed_on(worker_id):
--- a/flamingoway/core/state.py
+++ b/flamingoway/core/state.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from ..model import Job, JobState, Policy, Task, TaskState
+from ..model import Job, JobSpec, JobState, Policy, Task, TaskState
 from ..records import AnyRecord, JobEnded, TaskAssigned, TaskEnded, TaskStopping
 from ..status import Code
 from .effects import Batch, Effect, StartTask, StopTask
@@ -216,7 +216,7 @@
                 self._count_preemptible(self.ledger.jobs[task.job_id], worker_id, 1)
 
     def _count_preemptible(self, job: Job, worker_id: str, change: int) -> None:
-        if job.spec.urgent or not job.spec.resumable:
+        if not preemptible(job.spec):
             return
         before = self._preemptible[worker_id]
         self._preemptible[worker_id] = before + change
@@ -251,6 +251,14 @@
     return not any(task.state.placed for task in job.tasks)
 
 
+def preemptible(spec: JobSpec) -> bool:
+    """Tell whether tasks of a job may be stopped for urgent work.
+
+    A gang is not: stopping one of its tasks would stop all of them.
+    """
+    return spec.resumable and not spec.urgent and spec.policy is not Policy.GANG
+
+
 def start_of(job: Job, task: Task) -> StartTask:
     """Return the effect that starts the current attempt of a task."""
     return StartTask(
--- /dev/null
+++ b/tests/scheduling_world.py
@@ -0,0 +1,366 @@
+"""A shard's owner, log and workers on a fake clock, driven step by step."""
+
+import random
+from dataclasses import dataclass, field
+
+import invariants
+
+from flamingoway.core.effects import AckResult, Batch, Reply, StartTask, StopTask
+from flamingoway.core.ledger import Ledger
+from flamingoway.core.reports import Attempt, Finished, RefusedStart, WorkerReport
+from flamingoway.core.scheduler import Scheduler
+from flamingoway.document import (
+    Document,
+    JobKind,
+    MemberModel,
+    ResourceModel,
+    ServiceKind,
+)
+from flamingoway.model import JobSpec, Policy, Resources, WorkerInfo
+from flamingoway.status import Code
+
+SIZES = (Resources(4000, 8192), Resources(4000, 4096), Resources(8000, 16384, 1))
+SHAPES = (Resources(1000, 1024), Resources(3000, 2048), Resources(1000, 1024, 1))
+MEMBERS = ("m0", "m1", "m2")
+WORKERS = 4
+
+
+def document(replicas: int) -> Document:
+    """Return a document whose quotas allow any job of ``World.submit``."""
+    quota = ResourceModel(cores=15, memory_mb=20_000, accelerators=1)
+    members = [
+        MemberModel(name, [], weight, quota) for weight, name in enumerate(MEMBERS, 1)
+    ]
+    services = [ServiceKind("viewer", replicas)]
+    return Document("app", members, jobs=[JobKind("sort", "batch")], services=services)
+
+
+@dataclass
+class FakeWorker:
+    """A worker that obeys the protocol of docs/design.md, section 7."""
+
+    info: WorkerInfo
+    running: dict[str, int] = field(default_factory=dict)
+    resources: dict[str, Resources] = field(default_factory=dict)
+    finished: list[Finished] = field(default_factory=list)
+    refused: list[RefusedStart] = field(default_factory=list)
+    mailbox: list[object] = field(default_factory=list)
+    refuses: int = 0
+
+    def end(self, task_id: str, outcome: str) -> None:
+        attempt = self.running.pop(task_id)
+        result = b"state" if outcome == "checkpointed" else b"1"
+        self.finished.append(Finished(task_id, attempt, outcome, result))
+
+
+class World:
+    """One shard; every method is one step and ends with all invariants checked."""
+
+    def __init__(self, seed: int):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.steps = 0
+        self.log: list[Batch] = []
+        self.parts: list[bytes] | None = None
+        self.in_flight: Batch | None = None
+        self.history: dict[str, list] = {}
+        self.accepted: set[str] = set()
+        self.forgotten: set[str] = set()
+        self.old_reports: list[WorkerReport] = []
+        self.replicas = 2
+        self.jobs = 0
+        self.workers = {
+            f"w{n}": FakeWorker(
+                WorkerInfo(f"w{n}", "", "r", f"z{n % 2}", f"r{n}", SIZES[n % 3])
+            )
+            for n in range(WORKERS)
+        }
+        self._start_owner()
+
+    def check(self) -> None:
+        ledger = self.scheduler.ledger
+        capacities = {w: f.info.capacity for w, f in self.workers.items()}
+        running = {w: set(f.running.items()) for w, f in self.workers.items()}
+        invariants.check_capacity(ledger, capacities)
+        invariants.check_places(ledger, running)
+        invariants.check_jobs(ledger, self.accepted, self.forgotten)
+        invariants.check_gangs(ledger)
+        invariants.check_waiting(self.scheduler)
+        invariants.check_answers(self.history)
+        self.steps += 1
+
+    def submit(self, pick: int) -> None:
+        policy = Policy.GANG if pick % 4 == 0 else Policy.BATCH
+        spec = JobSpec(
+            f"j{self.jobs}",
+            "e",
+            MEMBERS[pick % 3],
+            "sort",
+            policy,
+            tasks=1 + pick % 5,
+            resources=SHAPES[pick // 3 % 3],
+            urgent=pick % 7 == 0,
+            resumable=pick % 2 == 0,
+        )
+        self.jobs += 1
+        self.scheduler.submit(spec, spec.job_id, self.now, self.now)
+
+    def submit_again(self, pick: int) -> None:
+        """Submit a job that was refused, accepted or lost before."""
+        if self.jobs:
+            jobs, self.jobs = self.jobs, pick % self.jobs
+            self.submit(pick)
+            self.jobs = jobs
+
+    def cancel(self, pick: int) -> None:
+        job_id = f"j{pick % (self.jobs + 1)}"
+        job = self.scheduler.view(job_id)
+        member = job.spec.member if job else "m0"
+        self.scheduler.cancel(job_id, "e", member, None, self.now, self.now)
+
+    def schedule(self, pick: int) -> None:
+        self.now += (0.0, 0.1, 1.0, 15.0)[pick % 4]
+        self.scheduler.schedule(self.now, self.now)
+
+    def commit(self, pick: int) -> None:
+        """Carry out the group in flight, then send the next one."""
+        if self.in_flight is not None:
+            self.log.append(self.in_flight)
+            batch, self.in_flight = self.in_flight, None
+            self._carry_out(batch)
+        else:
+            self.in_flight = self.scheduler.take_batch()
+
+    def deliver(self, pick: int) -> None:
+        worker = self._worker(pick)
+        messages, worker.mailbox = worker.mailbox, []
+        for message in messages:
+            self._receive(worker, message)
+
+    def report(self, pick: int) -> None:
+        """Report as the owner filters it: starts on their way count as running."""
+        worker = self._worker(pick)
+        running = set(worker.running.items()) | self._on_their_way(worker)
+        report = WorkerReport(
+            worker.info.worker_id,
+            0,
+            worker.info.capacity,
+            [Attempt(*attempt) for attempt in sorted(running)],
+            list(worker.finished),
+            worker.refused,
+            acked_starts=True,
+        )
+        worker.refused = []
+        stale = WorkerReport(
+            report.worker_id, 0, report.capacity, [], report.finished, report.refused
+        )
+        self.old_reports.append(stale)
+        self.scheduler.on_report(report, self.now, self.now)
+
+    def repeat_report(self, pick: int) -> None:
+        """Deliver results and refusals of an old report once more."""
+        if self.old_reports:
+            old = self.old_reports[pick % len(self.old_reports)]
+            running = [Attempt(*a) for a in self._worker_of(old).running.items()]
+            # A refusal is delivered once on each stream; results are repeated.
+            again = WorkerReport(
+                old.worker_id, 0, old.capacity, running, old.finished, old.refused
+            )
+            self.scheduler.on_report(again, self.now, self.now)
+
+    def finish(self, pick: int) -> None:
+        worker = self._worker(pick)
+        if worker.running:
+            task_id = sorted(worker.running)[pick % len(worker.running)]
+            worker.end(task_id, "failed" if pick % 5 == 0 else "succeeded")
+
+    def refuse_next(self, pick: int) -> None:
+        self._worker(pick).refuses += 1
+
+    def lose_worker(self, pick: int) -> None:
+        """Leases end: the tasks stop; results are kept or lost with the machine."""
+        worker = self._worker(pick)
+        for task_id in list(worker.running):
+            worker.end(task_id, "lost")
+        if pick % 2:
+            worker.finished.clear()
+        worker.mailbox.clear()
+        worker.refused.clear()
+        self.scheduler.on_task_lost(worker.info.worker_id, self.now, self.now)
+        self._drop_uncommitted_starts(worker)
+
+    def replace_worker(self, pick: int) -> None:
+        """The machine leaves and another with the same id comes."""
+        worker = self._worker(pick)
+        worker.running.clear()
+        worker.finished.clear()
+        self.lose_worker(pick)
+        self.scheduler.remove_worker(worker.info.worker_id)
+        self.scheduler.set_worker(worker.info, pick % 3 > 0)
+
+    def close_worker(self, pick: int) -> None:
+        self.scheduler.set_worker(self._worker(pick).info, pick % 3 == 0)
+
+    def change_document(self, pick: int) -> None:
+        self.replicas = pick % 4
+        self.scheduler.set_document("e", document(self.replicas), 1.0)
+
+    def snapshot(self, pick: int) -> None:
+        """Write a snapshot of what is committed and drop the log."""
+        self.parts = self._committed().snapshot()
+        self.log.clear()
+
+    def restart(self, pick: int) -> None:
+        """The owner dies; the group in flight is committed or lost."""
+        in_flight = self.in_flight or Batch()
+        if pick % 2:
+            self.log.append(in_flight)
+            self._answer_accepted(in_flight, Code.WRITE_UNRESOLVED)
+        else:
+            self._answer_accepted(in_flight, Code.OWNER_CHANGED)
+        self._answer_accepted(self.scheduler.take_batch(), Code.OWNER_CHANGED)
+        self.in_flight = None
+        self.old_reports.clear()
+        for worker in self.workers.values():
+            worker.mailbox.clear()
+        self._start_owner()
+
+    def settle(self, limit: int = 400) -> None:
+        """Let everything work again and end all jobs."""
+        for worker in self.workers.values():
+            worker.refuses = 0
+            self.scheduler.set_worker(worker.info, True)
+        for _ in range(limit):
+            self._round()
+            jobs = self.scheduler.ledger.jobs.values()
+            if all(j.state.final or j.spec.policy is Policy.SERVICE for j in jobs):
+                return
+        waiting = [j.spec.job_id for j in jobs if not j.state.final]
+        raise invariants.Violation(f"jobs never end: {waiting}")
+
+    def _round(self) -> None:
+        self.now += 20.0
+        self.scheduler.schedule(self.now, self.now)
+        self.commit(0)
+        self.commit(0)
+        for number, worker in enumerate(self.workers.values()):
+            self.deliver(number)
+            for task_id in list(worker.running):
+                worker.end(task_id, "succeeded")
+            self.report(number)
+        self.check()
+
+    def _start_owner(self) -> None:
+        self.scheduler = Scheduler("s", random.Random(1), self._committed())
+        for worker in self.workers.values():
+            self.scheduler.set_worker(worker.info, True)
+        self.scheduler.set_document("e", document(self.replicas), 1.0)
+
+    def _committed(self) -> Ledger:
+        ledger = Ledger.restore(self.parts) if self.parts else Ledger()
+        for batch in self.log:
+            ledger.apply_all(batch.records)
+        return ledger
+
+    def _worker(self, pick: int) -> FakeWorker:
+        return self.workers[f"w{pick % WORKERS}"]
+
+    def _worker_of(self, report: WorkerReport) -> FakeWorker:
+        return self.workers[report.worker_id]
+
+    def _on_their_way(self, worker: FakeWorker) -> set[tuple[str, int]]:
+        batches = [self.scheduler._state.batch, self.in_flight or Batch()]
+        effects = [e for batch in batches for e in batch.effects] + worker.mailbox
+        return {
+            (e.task_id, e.attempt)
+            for e in effects
+            if isinstance(e, StartTask) and e.worker_id == worker.info.worker_id
+        }
+
+    def _drop_uncommitted_starts(self, worker: FakeWorker) -> None:
+        for batch in (self.scheduler._state.batch, self.in_flight or Batch()):
+            batch.effects[:] = [
+                e
+                for e in batch.effects
+                if not isinstance(e, StartTask) or e.worker_id != worker.info.worker_id
+            ]
+
+    def _carry_out(self, batch: Batch) -> None:
+        for effect in batch.effects:
+            if isinstance(effect, Reply):
+                if effect.ticket:
+                    self._answer(effect.job_id, effect.code)
+            else:
+                self.workers[effect.worker_id].mailbox.append(effect)
+
+    def _answer_accepted(self, batch: Batch, code: Code) -> None:
+        """Answer first submissions; a repeated one may be of a job that runs."""
+        for effect in batch.effects:
+            if isinstance(effect, Reply) and effect.code == Code.ACCEPTED:
+                self._answer(effect.job_id, code)
+
+    def _answer(self, job_id: str, code: int) -> None:
+        self.history.setdefault(job_id, []).append(code)
+        if code == Code.ACCEPTED:
+            self.accepted.add(job_id)
+
+    def _receive(self, worker: FakeWorker, message: object) -> None:
+        if isinstance(message, StartTask):
+            self._receive_start(worker, message)
+        elif isinstance(message, StopTask):
+            if worker.running.get(message.task_id) == message.attempt:
+                outcome = "checkpointed" if message.checkpoint else "stopped"
+                worker.end(message.task_id, outcome)
+        elif isinstance(message, AckResult):
+            ended = (message.task_id, message.attempt)
+            worker.finished = [
+                f for f in worker.finished if (f.task_id, f.attempt) != ended
+            ]
+
+    def _receive_start(self, worker: FakeWorker, start: StartTask) -> None:
+        used = Resources()
+        for task_id in worker.running:
+            used += worker.resources[task_id]
+        reason = ""
+        if start.task_id in worker.running:
+            reason = "duplicate"
+        elif worker.refuses:
+            worker.refuses -= 1
+            reason = "draining"
+        elif not (used + start.spec.resources).fits_in(worker.info.capacity):
+            reason = "capacity"
+        if reason:
+            refused = RefusedStart(start.task_id, start.attempt, reason)
+            worker.refused.append(refused)
+            return
+        worker.running[start.task_id] = start.attempt
+        worker.resources[start.task_id] = start.spec.resources
+        if start.spec.policy is not Policy.SERVICE:
+            self.history.setdefault(start.spec.job_id, []).append("ran")
+
+
+STEPS = [
+    World.submit,
+    World.submit,
+    World.submit_again,
+    World.cancel,
+    World.schedule,
+    World.schedule,
+    World.commit,
+    World.commit,
+    World.commit,
+    World.deliver,
+    World.deliver,
+    World.report,
+    World.report,
+    World.repeat_report,
+    World.finish,
+    World.finish,
+    World.refuse_next,
+    World.lose_worker,
+    World.replace_worker,
+    World.close_worker,
+    World.change_document,
+    World.snapshot,
+    World.restart,
+]
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,91 @@
+"""Guards gangs against half placement, deadlock and starvation."""
+
+import pytest
+from scheduling import Rig, spec, worker
+
+from flamingoway.model import Policy, Resources
+
+
+def gang(job_id, tasks, **changes):
+    return spec(job_id, policy=Policy.GANG, tasks=tasks, **changes)
+
+
+def test_two_gangs_that_do_not_fit_together_run_one_after_the_other():
+    rig = Rig(["w1", "w2"])
+    rig.submit(gang("g1", 6), gang("g2", 6))
+    assert len(rig.schedule()) == 6
+    assert rig.states("g2") == ["queued"] * 6
+    for index in range(6):
+        rig.end(f"g1/{index}")
+    assert rig.schedule() == [f"g2/{index}" for index in range(6)]
+
+
+@pytest.mark.parametrize("outcome", ["failed", "lost", "stopped"])
+def test_gang_that_loses_a_task_stops_and_starts_again_as_a_whole(outcome):
+    rig = Rig(["w1", "w2"])
+    rig.submit(gang("g1", 3))
+    rig.schedule()
+    rig.end("g1/0", outcome)
+    assert rig.states("g1") == ["queued", "stopping", "stopping"]
+    assert rig.schedule(60.0) == []
+    rig.end("g1/1", "stopped")
+    assert rig.schedule(60.0) == []
+    rig.end("g1/2", "stopped")
+    assert len(rig.schedule(60.0)) == 3
+
+
+def test_task_that_succeeds_first_does_not_stop_its_gang():
+    rig = Rig()
+    rig.submit(gang("g1", 3))
+    rig.schedule()
+    rig.end("g1/0")
+    assert rig.states("g1") == ["succeeded", "assigned", "assigned"]
+
+
+def test_rest_of_a_gang_is_queued_when_its_last_stopping_task_succeeds():
+    rig = Rig()
+    rig.submit(gang("g1", 2))
+    rig.schedule()
+    rig.end("g1/0", "lost")
+    rig.end("g1/1", "succeeded")
+    assert rig.schedule() == ["g1/0"]
+
+
+def test_small_work_does_not_starve_a_gang():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"s{n}") for n in range(200)))
+    running = rig.schedule()
+    rig.submit(gang("g1", 8, member="other"))
+    for _ in range(100):
+        rig.end(running.pop(0))
+        placed = rig.schedule(after=1.0)
+        running += placed
+        if "g1/0" in placed:
+            break
+    assert rig.states("g1") == ["assigned"] * 8
+    assert rig.now < 30.0
+
+
+def test_small_work_passes_a_gang_that_has_just_arrived():
+    rig = Rig()
+    rig.submit(spec("s0"))
+    rig.schedule()
+    rig.submit(gang("g1", 4), spec("s1"))
+    assert rig.schedule(1.0) == ["s1/0"]
+
+
+def test_reservation_moves_when_its_worker_closes():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", resources=Resources(3000, 1024)) for n in range(3)))
+    rig.schedule()
+    rig.submit(gang("g1", 4, resources=Resources(2000, 1024)))
+    rig.schedule()
+    rig.schedule(20.0)
+    reserved = rig.scheduler._placer._gangs._held.tasks
+    closed = sorted(reserved)[0]
+    rig.scheduler.set_worker(worker(closed), False)
+    rig.schedule(20.0)
+    rig.schedule(20.0)
+    for job in ("s0", "s1", "s2"):
+        rig.end(f"{job}/0")
+    assert len(rig.schedule()) == 4
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,72 @@
+"""Guards urgent work against waiting behind resumable work."""
+
+import pytest
+from scheduling import Rig, document, spec, worker
+
+from flamingoway.core.effects import StartTask, StopTask
+from flamingoway.model import Policy, Resources
+
+FULL = Resources(4000, 8192)
+
+
+def full_rig(**changes):
+    """Return a rig with one worker filled by four tasks of another member."""
+    rig = Rig([worker("w1", FULL)])
+    quotas = {"other": 100, "m": 2}
+    rig.scheduler.set_document("e", document(quotas=quotas), 1.0)
+    rig.submit(*(spec(f"f{n}", **({"member": "other"} | changes)) for n in range(8)))
+    rig.schedule()
+    rig.submit(spec("u0", urgent=True))
+    rig.scheduler.schedule(rig.now, rig.now)
+    return rig
+
+
+def test_urgent_task_gets_the_place_of_a_checkpointed_one():
+    rig = full_rig(resumable=True)
+    stops = rig.effects(StopTask)
+    assert [stop.checkpoint for stop in stops] == [True]
+    assert rig.schedule(1.0) == []
+    rig.end(stops[0].task_id, "checkpointed", b"state")
+    assert rig.schedule() == ["u0/0"]
+    rig.end("u0/0")
+    rig.scheduler.schedule(rig.now, rig.now)
+    resumed = rig.effects(StartTask)
+    assert (resumed[0].task_id, resumed[0].checkpoint) == (stops[0].task_id, b"state")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"resumable": False},
+        {"resumable": True, "urgent": True},
+        {"resumable": True, "policy": Policy.GANG, "tasks": 2},
+    ],
+)
+def test_other_work_is_not_preempted(changes):
+    rig = full_rig(**changes)
+    assert rig.effects(StopTask) == []
+
+
+def test_preemption_stays_within_the_quota_and_stops_no_more_than_needed():
+    rig = full_rig(resumable=True)
+    rig.submit(*(spec(f"u{n}", urgent=True) for n in range(1, 6)))
+    for _ in range(5):
+        rig.scheduler.schedule(rig.now, rig.now)
+    assert len(rig.effects(StopTask)) == 2
+
+
+def test_freed_place_is_kept_for_the_urgent_task():
+    rig = full_rig(resumable=True)
+    victim = rig.effects(StopTask)[0].task_id
+    rig.scheduler.cancel("u0", "e", "m", None, rig.now, rig.now)
+    rig.submit(spec("u9", urgent=True))
+    rig.end(victim, "checkpointed")
+    assert rig.schedule() == ["u9/0"]
+
+
+def test_place_is_given_back_when_the_urgent_task_is_gone():
+    rig = full_rig(resumable=True)
+    victim = rig.effects(StopTask)[0].task_id
+    rig.scheduler.cancel("u0", "e", "m", None, rig.now, rig.now)
+    rig.end(victim, "checkpointed")
+    assert len(rig.schedule()) == 1
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,25 +3,15 @@
 import random
 
 import pytest
+from scheduling import CAPACITY, spec, worker
 
 from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.reports import Attempt, Finished, RefusedStart, WorkerReport
 from flamingoway.core.scheduler import Scheduler
-from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
+from flamingoway.model import Policy, Resources, TaskState
 from flamingoway.status import Code
 
-CAPACITY = Resources(4000, 8192)
-
-
-def worker(name="w1", capacity=CAPACITY, zone="z1", rack="r1"):
-    return WorkerInfo(name, "127.0.0.1:1", "brittany", zone, rack, capacity)
-
-
-def spec(job_id="j1", **changes):
-    values = {"policy": Policy.BATCH, "resources": Resources(1000, 1024)} | changes
-    return JobSpec(job_id, "e", "m", "sort", **values)
-
 
 def started(names=("w1",), **changes):
     """Return a scheduler with workers and one job that was placed."""
