Keep a vanished worker until its leases have ended, bound waiting orders

Cause: a worker that left the VM list while it ran an attempt that is placed nowhere was forgotten at once, and its task was started elsewhere. During an outage of the store each report also added one more acknowledgement behind the held commit. Ruled out: filtering finished attempts out of reports, which would hide them from the scheduler; only orders that already wait are left out. Conclusion: both cases are covered by tests/test_owner.py.

--- a/flamingoway/commit.py
+++ b/flamingoway/commit.py
@@ -142,6 +142,11 @@
         for item in itertools.chain(self._in_flight, self._pending):
             yield from item.records
 
+    def pending_effects(self) -> Iterator[Effect]:
+        """Yield the effects that wait for a commit."""
+        for item in itertools.chain(self._in_flight, self._pending):
+            yield from item.effects
+
     async def flush(self) -> None:
         """Wait until everything that was added is committed."""
         await self._drained.wait()
--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -11,7 +11,7 @@
 
 from .commit import GroupCommitter
 from .context import Context
-from .core.effects import Batch, Effect, Reply
+from .core.effects import AckResult, Batch, Effect, Reply, StopTask
 from .core.reports import Attempt
 from .core.scheduler import Scheduler
 from .errors import Fenced, Refused
@@ -24,6 +24,9 @@
 
 # Replies that speak of an earlier submission, whose commit may be the one in doubt.
 EARLIER = frozenset({Code.ALREADY_ACCEPTED})
+# Orders that each report of a worker calls for again; during an outage of the store
+# the repetitions would pile up behind the commit.
+REPEATED = (AckResult, StopTask)
 
 
 class ShardController:
@@ -54,6 +57,7 @@
         self._deposed_at = deposed_at
         self._store_up = store_up
         self._shown: dict[str, tuple[WorkerInfo, bool]] = {}
+        self._due: set[AckResult | StopTask] = set()
         self._dropped = False
         self.stopping = False
         self.wake = asyncio.Event()
@@ -156,8 +160,9 @@
     def collect(self) -> None:
         """Hand the scheduler's open batch to the group commit."""
         batch = self._scheduler.take_batch()
-        self._fleet.note_decided(batch.effects)
-        self._committer.add(batch)
+        effects = [effect for effect in batch.effects if self._is_new(effect)]
+        self._fleet.note_decided(effects)
+        self._committer.add(Batch(batch.records, effects))
 
     def check_workers(self) -> None:
         """Queue again the tasks of workers that are proved not to run them."""
@@ -167,7 +172,7 @@
         for worker_id in self._fleet.take_lost(deposed_at):
             self._lose(worker_id)
         for session in list(self._fleet.sessions.values()):
-            if session.gone and not session.connection:
+            if session.gone and session.lost:
                 self._forget(session)
 
     def carry_out(self, effects: list[Effect]) -> None:
@@ -177,7 +182,9 @@
         replies = [effect for effect in effects if isinstance(effect, Reply)]
         for reply in replies:
             _answer(reply)
-        self._fleet.carry_out(e for e in effects if not isinstance(e, Reply))
+        orders = [effect for effect in effects if not isinstance(effect, Reply)]
+        self._due.difference_update(e for e in orders if isinstance(e, REPEATED))
+        self._fleet.carry_out(orders)
 
     def drop(self) -> None:
         """Give up all state; callers learn what is known of their requests."""
@@ -193,6 +200,15 @@
             if isinstance(effect, Reply):
                 _answer(_discarded(effect))
 
+    def _is_new(self, effect: Effect) -> bool:
+        """Tell whether the same order does not wait for its commit already."""
+        if not isinstance(effect, REPEATED):
+            return True
+        if effect in self._due:
+            return False
+        self._due.add(effect)
+        return True
+
     def _on_report(self, event: ReportReceived) -> None:
         report = self._fleet.accept(event)
         if report is None or self.stopping:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from flamingoway import feeds, predecessor
@@ -241,6 +242,41 @@
     run(scenario())
 
 
+def test_a_vanished_worker_with_a_stray_attempt_holds_its_task_up_until_it_is_safe():
+    """Guards against a second run, or none, of a task that an unlisted worker runs."""
+
+    async def scenario():
+        cell = Cell(("w1", "w2"))
+        cell.network.cut.add(("p1", "w2"))
+        member = await (await cell.own()).ready()
+        await member.submit()
+        await until(lambda: cell.network.starts())
+        cell.feed.vms["w1"] = msgspec.structs.replace(
+            cell.feed.vms["w1"], state="leaving"
+        )
+        session = member.owner._fleet.sessions["w1"]
+        await until(lambda: not session.schedulable)
+        # The owner gives the attempt up although the worker still runs it.
+        scheduler = member.owner.scheduler
+        scheduler.on_task_lost("w1", cell.clock.now, 0.0)
+        member.owner._controller.collect()
+        cell.network.held.add("p1")
+        cell.clock.now += 5
+        await until(lambda: cell.network.delayed)
+        del cell.feed.vms["w1"]
+        cell.network.cut = {("p1", "w1")}
+        cell.network.held.clear()
+        cell.network.delayed.clear()
+        cell.clock.now += SAFE_S - 5.1
+        await rounds()
+        assert len(cell.network.starts()) == 1
+        cell.clock.now += 0.2
+        await until(lambda: cell.network.starts()[1:] == [("w2", 2)])
+        await member.end()
+
+    run(scenario())
+
+
 def test_the_store_is_down_for_an_hour():
     """Tasks go on, results wait on the worker, and new work is refused."""
 
@@ -259,6 +295,9 @@
         worker = cell.network.workers["w1"]
         assert worker.running == [("service/0", 1)]
         assert worker.finished == [("batch/0", 1)]
+        # Each of some 360 reports named the result; one acknowledgement waits.
+        pending = member.owner._controller.committer.pending_effects()
+        assert len(list(pending)) == 1
         member.store.down = False
         member.membership.store_up = True
         await until(lambda: worker.finished == [])
