Log a store outage once in the document follower

Cause: each attempt to read the documents logged a warning. Ruled out: a lower level for all of them, because the beginning of an outage must be visible. After: one line at the beginning and one at the end; the test passes.

--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -64,6 +64,7 @@
         self._active: dict[str, ActiveDocument] = {}
         self._refused: dict[str, int] = {}
         self._queues: list[asyncio.Queue[ActiveDocument]] = []
+        self._store_answers = True
 
     @property
     def environments(self) -> list[str]:
@@ -97,10 +98,11 @@
         while True:
             try:
                 revision = await self._read_heads()
+                self._note_store(answers=True)
                 delay = MIN_RETRY_S
                 await self._follow(revision + 1)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
-                logging.warning("documents: the store does not answer: %s", exc)
+                self._note_store(answers=False, reason=exc.message)
                 await self.fetch_from_peers()
             await asyncio.sleep(delay * self._context.rng.uniform(0.5, 1.0))
             delay = min(delay * 2, MAX_RETRY_S)
@@ -112,6 +114,14 @@
         calls = [self._fetch_from(address) for address in sorted(addresses)]
         await asyncio.gather(*calls)
 
+    def _note_store(self, answers: bool, reason: str = "") -> None:
+        # An outage can last an hour; only its beginning and end are logged.
+        if answers and not self._store_answers:
+            logging.info("documents: the store answers again")
+        if not answers and self._store_answers:
+            logging.warning("documents: the store does not answer: %s", reason)
+        self._store_answers = answers
+
     async def _read_heads(self) -> int:
         revisions = []
         for environment in self.environments:
@@ -206,7 +216,7 @@
                 address, request, PEER_TIMEOUT_S, GetDocuments.reply
             )
         except FlamingowayError as exc:
-            logging.info("documents: peer %s has none for us: %s", address, exc)
+            logging.debug("documents: peer %s did not answer: %s", address, exc)
             return
         for environment, version in reply.versions.items():
             await self._activate(environment, version)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -27,9 +27,11 @@
     def __init__(self, replies=None):
         self.replies = replies or {}
         self.asked = []
+        self.calls = asyncio.Queue()
 
     async def call(self, address, request, timeout_s, reply):
         self.asked.append(address)
+        self.calls.put_nowait(address)
         if address not in self.replies:
             raise OutcomeUnknown("scripted")
         return Documents(self.replies[address])
@@ -249,3 +251,19 @@
         assert other.current("trial").version == follower.current("trial").version
 
     run(scenario)
+
+
+def test_outage_is_logged_once(caplog):
+    """Guards against a line for each attempt in an outage of an hour."""
+
+    async def scenario(store, start):
+        store.down = True
+        client = FakeClient()
+        start(client=client, peers=["10.0.0.2:1"])
+        for _attempt in range(3):
+            await asyncio.wait_for(client.calls.get(), WAIT_S)
+
+    with caplog.at_level("INFO"):
+        run(scenario)
+    lines = [record.getMessage() for record in caplog.records]
+    assert sum("does not answer" in line for line in lines) == 1
