--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -61,10 +61,10 @@
         self._client = client
         self._live_peers = live_peers
         self._keys = EnvironmentKeys(context.settings.cell)
+        self._store_answers = True
         self._active: dict[str, ActiveDocument] = {}
         self._refused: dict[str, int] = {}
         self._queues: list[asyncio.Queue[ActiveDocument]] = []
-        self._store_answers = True
 
     @property
     def environments(self) -> list[str]:
@@ -98,7 +98,6 @@
         while True:
             try:
                 revision = await self._read_heads()
-                self._note_store(answers=True)
                 delay = MIN_RETRY_S
                 await self._follow(revision + 1)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
@@ -130,6 +129,7 @@
             revisions.append(result.revision)
             item = next((i for i in result.items if i.key == key), None)
             await self._read_version(environment, item)
+        self._note_store(answers=True)
         # Watching from the earliest read leaves no gap between the reads.
         return min(revisions, default=0)
 
