--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,186 @@
+"""Job requests from any process to the owner of the shard."""
+
+import asyncio
+import socket
+from collections import Counter
+
+import pytest
+
+from flamingoway.document import Document, DocumentVersion, JobKind, MemberModel
+from flamingoway.errors import FlamingowayError, OutcomeUnknown
+from flamingoway.follower import ActiveDocument
+from flamingoway.jobs import JobRouter, job_id_of, rendezvous, request_digest
+from flamingoway.messages import OwnerInfo
+from flamingoway.peer import PeerClient, PeerServer
+from flamingoway.status import Code
+from tests.owner_bench import Cell, make_context, until
+
+DOCUMENT = Document(
+    application="app",
+    members=[MemberModel(name="m", key_sha256=[])],
+    jobs=[JobKind(name="k", policy="batch", max_tasks=2)],
+)
+ACTIVE = ActiveDocument("e", DocumentVersion(1, "", b""), DOCUMENT)
+
+
+class Remote:
+    """An owner behind a peer server, and a router in another process."""
+
+    async def open(self):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{probe.getsockname()[1]}"
+        self.cell = Cell(documents={"e": ACTIVE})
+        self.member = await (await self.cell.own("p2")).ready()
+        self.server = PeerServer()
+        self.member.service.register(self.server)
+        self.owners = {"s": OwnerInfo("s", 1, "p2", "i", self.address)}
+        self.peers = PeerClient()
+        other = Cell(documents={"e": ACTIVE})
+        stranger = await (await other.own("p1")).ready()
+        await stranger.end()
+        self.router = JobRouter(
+            make_context(), lambda: self.owners, stranger.service, self.peers
+        )
+        return self
+
+    async def submit(self, kind="k", tasks=1, params=b'{"run_ms": 1}', key="key"):
+        return await self.router.submit("e", "m", kind, tasks, False, params, key)
+
+
+def run(scenario):
+    async def whole():
+        remote = await Remote().open()
+        async with remote.server.listen(remote.address, 0):
+            await scenario(remote)
+        await remote.member.end()
+        await remote.peers.close()
+
+    asyncio.run(asyncio.wait_for(whole(), 20))
+
+
+def test_a_job_goes_to_the_remote_owner_and_its_result_comes_back():
+    async def scenario(remote):
+        params = b'{"run_ms": 1, "result": {"n": 7}}'
+        reply = await remote.submit(params=params, tasks=2)
+        assert reply.code == Code.ACCEPTED
+        await until(lambda: len(remote.cell.network.starts()) == 2)
+        remote.cell.clock.now += 1
+        await until(lambda: remote.member.state(reply.job_id) == "succeeded")
+        view = await remote.router.get("e", "m", reply.job_id)
+        assert set(view.results.values()) == {b'{"n": 7}'}
+        listed = await remote.router.list("e", "m")
+        assert [job.job_id for job in listed.jobs] == [reply.job_id]
+        cancelled = await remote.router.cancel("e", "m", reply.job_id)
+        assert cancelled.code == Code.OK
+
+    run(scenario)
+
+
+def test_a_repeated_key_is_recognised():
+    """Guards against a job that is run twice because its answer was lost."""
+
+    async def scenario(remote):
+        first = await remote.submit()
+        again = await remote.submit()
+        other = await remote.submit(tasks=2)
+        assert first.job_id == again.job_id
+        assert again.code == Code.ALREADY_ACCEPTED
+        assert other.code == Code.KEY_REUSED
+        assert (await remote.submit(key="")).job_id != (
+            await remote.submit(key="")
+        ).job_id
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"kind": "unknown"}, Code.UNKNOWN_KIND),
+        ({"tasks": 3}, Code.BAD_REQUEST),
+        ({"tasks": 0}, Code.BAD_REQUEST),
+        ({"params": b"{"}, Code.BAD_REQUEST),
+    ],
+)
+def test_invalid_submissions_are_refused_with_their_code(fields, code):
+    async def scenario(remote):
+        with pytest.raises(FlamingowayError) as refused:
+            await remote.submit(**fields)
+        assert refused.value.code == code
+
+    run(scenario)
+
+
+def test_only_the_member_that_owns_a_job_finds_it():
+    async def scenario(remote):
+        job_id = (await remote.submit()).job_id
+        for call in (remote.router.get, remote.router.cancel):
+            with pytest.raises(FlamingowayError) as refused:
+                await call("e", "stranger", job_id)
+            assert refused.value.code == Code.NOT_FOUND
+
+    run(scenario)
+
+
+async def no_owner(remote):
+    remote.owners.clear()
+
+
+async def not_the_owner_any_more(remote):
+    await remote.member.end()
+
+
+async def store_down(remote):
+    remote.member.membership.store_up = False
+
+
+@pytest.mark.parametrize(
+    ("fault", "code"),
+    [
+        (no_owner, Code.OWNER_UNAVAILABLE),
+        (not_the_owner_any_more, Code.OWNER_UNAVAILABLE),
+        (store_down, Code.STORE_UNAVAILABLE),
+    ],
+)
+def test_refusals_say_when_to_try_again(fault, code):
+    async def scenario(remote):
+        await fault(remote)
+        with pytest.raises(FlamingowayError) as refused:
+            await remote.submit()
+        assert refused.value.code == code
+        assert refused.value.code.ran == "no"
+        assert refused.value.details["retry_after"] > 0
+
+    run(scenario)
+
+
+def test_no_answer_from_the_owner_leaves_the_submission_unresolved(monkeypatch):
+    """Guards against "not run" for a job that the owner may have accepted."""
+
+    async def scenario(remote):
+        async def lost(*_args):
+            raise OutcomeUnknown("no answer")
+
+        monkeypatch.setattr(remote.peers, "call", lost)
+        reply = await remote.submit()
+        assert reply.code == Code.WRITE_UNRESOLVED
+        assert reply.job_id == job_id_of("e", "m", "key")
+
+    run(scenario)
+
+
+def test_equal_parameters_in_another_order_are_the_same_request():
+    first = request_digest("k", 1, False, b'{"a": 1, "b": 2}')
+    assert first == request_digest("k", 1, False, b'{"b":2,"a":1}')
+    assert first != request_digest("k", 1, False, b'{"a": 1, "b": 3}')
+
+
+def test_rendezvous_follows_the_weights_and_moves_few_jobs():
+    ids = [f"job-{n}" for n in range(4000)]
+    weights = {"a": 1, "b": 3}
+    counts = Counter(rendezvous(item, weights) for item in ids)
+    assert 0.70 < counts["b"] / len(ids) < 0.80
+    grown = {**weights, "c": 4}
+    moved = [i for i in ids if rendezvous(i, grown) != rendezvous(i, weights)]
+    assert {rendezvous(item, grown) for item in moved} == {"c"}
