--- /dev/null
+++ b/flamingoway/epochguard.py
@@ -0,0 +1,94 @@
+"""Knowledge of one owner whether the shard's epoch is still its own."""
+
+import asyncio
+
+from .context import Context
+from .errors import Fenced, StoreOutcomeUnknown, StoreUnavailable
+from .membership import Membership, OwnersChanged
+from .ownership import Acquired
+from .store import Store
+from .store.keys import Keys
+
+# How often the epoch is read; the lease horizon counts from the last time.
+CONFIRM_INTERVAL_S = 10.0
+
+
+class EpochGuard:
+    """Watches for a newer owner and limits renewals to the lease horizon.
+
+    Args:
+        context: Settings and clocks.
+        store: Holds the epoch.
+        membership: Tells of other owners.
+        acquired: Result of the acquisition.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: Store,
+        membership: Membership,
+        acquired: Acquired,
+    ):
+        self._context = context
+        self._store = store
+        self._membership = membership
+        self._acquired = acquired
+        self._key = Keys(context.settings.cell).epoch(acquired.owner.shard)
+        self._confirmed_at = context.clock()
+
+    def may_renew(self) -> bool:
+        """Tell whether starts and renewals of leases may be sent."""
+        # Counted from the last proof that the epoch is this owner's own. A session
+        # that was renewed proves less: it may be a new one after a takeover.
+        age_s = self._context.clock() - self._confirmed_at
+        return age_s < self._context.settings.limits.lease_horizon_s
+
+    async def confirm(self) -> None:
+        """Read the epoch once.
+
+        Raises:
+            Fenced: If another process has raised it.
+            StoreUnavailable: If the store cannot be reached.
+        """
+        asked_at = self._context.clock()
+        entry = await self._store.get(self._key)
+        if entry is None or entry.mod_revision != self._acquired.epoch_revision:
+            raise self._fenced()
+        self._confirmed_at = asked_at
+
+    async def run(self) -> None:
+        """Confirm the epoch at intervals, also while nothing is committed.
+
+        Raises:
+            Fenced: If another process has raised it.
+        """
+        while True:
+            await asyncio.sleep(CONFIRM_INTERVAL_S)
+            try:
+                await self.confirm()
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                continue
+
+    async def follow_owners(self) -> None:
+        """Watch for a newer owner.
+
+        Raises:
+            Fenced: When there is one.
+        """
+        own = self._acquired.owner
+        events = self._membership.subscribe()
+        try:
+            while True:
+                event = await events.get()
+                owner = self._membership.owners.get(own.shard)
+                if not isinstance(event, OwnersChanged) or owner is None:
+                    continue
+                if owner.epoch > own.epoch:
+                    raise self._fenced()
+        finally:
+            self._membership.unsubscribe(events)
+
+    def _fenced(self) -> Fenced:
+        own = self._acquired.owner
+        return Fenced(f"shard {own.shard}: epoch {own.epoch} has been replaced")
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -11,6 +11,7 @@
 from .core.effects import Reply
 from .core.ledger import Ledger
 from .core.scheduler import Scheduler
+from .epochguard import EpochGuard
 from .errors import (
     Fenced,
     FlamingowayError,
@@ -21,7 +22,7 @@
 from .feeds import Feeds
 from .fleet import Fleet
 from .follower import Follower
-from .membership import Membership, OwnersChanged
+from .membership import Membership
 from .model import JobSpec
 from .ownership import Acquired
 from .peer import PeerClient
@@ -36,8 +37,6 @@
 
 # Waits between decisions without an event.
 MAX_IDLE_S = 1.0
-# How often an idle owner confirms its epoch; the horizon counts from the last time.
-CONFIRM_INTERVAL_S = 10.0
 LOAD_RETRY_S = 0.3
 # Longest wait for a commit before the caller is told that it is unresolved.
 WRITE_DEADLINE_S = 3.0
@@ -87,7 +86,7 @@
         self._make_link = make_link or WORKER_CLIENTS.get("grpc")
         self._keys = Keys(context.settings.cell)
         self._taken_over_at = context.clock()
-        self._confirmed_at = self._taken_over_at
+        self._guard = EpochGuard(context, store, membership, acquired)
         self._former = FormerOwners(context, peers, acquired.owner, self._taken_over_at)
         self._events: asyncio.Queue[LinkEvent] = asyncio.Queue()
         self._position: LogPosition | None = None
@@ -270,7 +269,7 @@
     async def _load(self):
         while True:
             try:
-                await self._confirm()
+                await self._guard.confirm()
                 return await load(self._store, self._keys, self.shard)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
                 logging.warning("shard %s: not loaded: %s", self.shard, exc.message)
@@ -285,7 +284,7 @@
             self.epoch,
             self._events,
             self._make_link,
-            self._may_renew,
+            self._guard.may_renew,
             self._taken_over_at,
         )
         self._controller = ShardController(
@@ -312,8 +311,8 @@
             feeds.follow_documents,
             # After workers and documents, which begin their first round before it.
             self._decide,
-            self._follow_owners,
-            self._confirm_epoch,
+            self._guard.follow_owners,
+            self._guard.run,
             self._former.run,
             self._snapshotter.run,
             self._wait_for_stop,
@@ -342,40 +341,6 @@
                 wait_s = MAX_IDLE_S
             await _wait(controller.wake, wait_s)
 
-    async def _follow_owners(self) -> None:
-        events = self._membership.subscribe()
-        try:
-            while True:
-                event = await events.get()
-                owner = self._membership.owners.get(self.shard)
-                if not isinstance(event, OwnersChanged) or owner is None:
-                    continue
-                if owner.epoch > self.epoch:
-                    raise Fenced(f"shard {self.shard} has owner {owner.process_id}")
-        finally:
-            self._membership.unsubscribe(events)
-
-    async def _confirm_epoch(self) -> None:
-        while True:
-            await asyncio.sleep(CONFIRM_INTERVAL_S)
-            try:
-                await self._confirm()
-            except (StoreUnavailable, StoreOutcomeUnknown):
-                continue
-
-    async def _confirm(self) -> None:
-        asked_at = self._context.clock()
-        entry = await self._store.get(self._keys.epoch(self.shard))
-        if entry is None or entry.mod_revision != self._acquired.epoch_revision:
-            raise Fenced(f"shard {self.shard}: epoch {self.epoch} has been replaced")
-        self._confirmed_at = asked_at
-
-    def _may_renew(self) -> bool:
-        # Counted from the last proof that the epoch is this owner's own. A session
-        # that was renewed proves less: it may be a new one after a takeover.
-        age_s = self._context.clock() - self._confirmed_at
-        return age_s < self._context.settings.limits.lease_horizon_s
-
     async def _wait_for_stop(self) -> None:
         await self._stop_requested.wait()
         raise _StopRequested
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from flamingoway import feeds, predecessor
+from flamingoway import epochguard, feeds, predecessor
 from flamingoway import owner as owner_module
 from flamingoway.errors import Fenced, Refused
 from flamingoway.messages import Depose
@@ -146,7 +146,7 @@
 
     async def scenario():
         # The new owner's own horizon must not pass while the clock jumps.
-        monkeypatch.setattr(owner_module, "CONFIRM_INTERVAL_S", 0.01)
+        monkeypatch.setattr(epochguard, "CONFIRM_INTERVAL_S", 0.01)
         proof["gone"] = gone
         cell = Cell(("w1", "w2"))
         cell.network.cut.add(("p1", "w2"))
