--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -23,6 +23,7 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
+LOG_TAIL_CHARS = 4000
 OPERATOR_KEY = "key-operator"
 
 
@@ -263,7 +264,7 @@
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
         process = self.spawn(name, "flamingoway", "serve", f"--settings={path}")
-        self._wait_port(port)
+        self._wait_port(port, process)
         entry = Entry(process, path, port, deployment.region)
         self.entries.append(entry)
         return entry
@@ -302,6 +303,13 @@
             request("POST", f"{url}faults", faults)
         return request("GET", f"{url}counts").body
 
+    def print_logs(self) -> None:
+        """Print the end of each entry process's log to standard error."""
+        for entry in self.entries:
+            state = "runs" if entry.process.alive else "ended"
+            print(f"--- {entry.process.name} ({state})", file=sys.stderr)
+            print(entry.process.log.read_text()[-LOG_TAIL_CHARS:], file=sys.stderr)
+
     def stop(self) -> dict[str, int]:
         """Stop all processes, entry processes first; return their exit codes."""
         codes = {}
@@ -309,8 +317,10 @@
             codes[process.name] = process.stop()
         return codes
 
-    def _wait_port(self, port: int) -> None:
+    def _wait_port(self, port: int, process: Process | None = None) -> None:
         def listening() -> bool:
+            if process is not None and not process.alive:
+                raise RuntimeError(f"{process.name}: {process.log.read_text()}")
             with socket.socket() as probe:
                 return probe.connect_ex((HOST, port)) == 0
 
@@ -326,6 +336,9 @@
         try:
             cluster.start_platform(vm_lag_s)
             yield cluster
+        except BaseException:
+            cluster.print_logs()
+            raise
         finally:
             cluster.stop()
 
