Trace and measure checks, and bound the job calls of a member

Checks had trace ids but no spans, no metrics, and the header was parsed in two modules. Submissions of one member in flight are bounded, so that a flood of jobs cannot fill a process. The test of the spans first failed: the refusal of unreadable heads was built for each connection in advance and left a span with code 4000; it is built only when needed now.

--- a/flamingoway/checks.py
+++ b/flamingoway/checks.py
@@ -49,7 +49,7 @@
         for environment in context.settings.environments:
             chosen = target_pickers.get(picker)(context.settings.zone, context.rng)
             targets = TargetSet(chosen, context.clock)
-            self._lanes[environment.name] = Lane(context, targets)
+            self._lanes[environment.name] = Lane(context, environment.name, targets)
         self.refresh()
 
     @property
--- a/flamingoway/httpserver.py
+++ b/flamingoway/httpserver.py
@@ -188,14 +188,17 @@
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = CallerStream(sock)
-        answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
-        stream.refusal = _encode(answer)
+        stream.refusal = self._unreadable
         stream.linger = self._linger
         connection = _Connection(self, stream, self._parameters)
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection))
 
+    def _unreadable(self) -> bytes:
+        answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
+        return _encode(answer)
+
     def _linger(self, sock: socket.socket) -> None:
         task = asyncio.create_task(discard(sock))
         self._lingering.add(task)
--- a/flamingoway/httpstream.py
+++ b/flamingoway/httpstream.py
@@ -16,20 +16,20 @@
     """Replaces tornado's bare refusal by a coded one.
 
     Attributes:
-        refusal: Whole coded answer to a head that cannot be read.
+        refusal: Builds the whole coded answer to a head that cannot be read.
         refused: Whether a refusal was written; the connection closes after it.
         linger: Takes over the socket of a refused request. Closing a socket with
             unread bytes resets the connection, and the refusal could be lost.
     """
 
-    refusal: bytes = _TORNADO_REFUSAL
+    refusal: Callable[[], bytes] = staticmethod(lambda: _TORNADO_REFUSAL)
     refused = False
     linger: Callable[[socket.socket], None] = staticmethod(socket.socket.close)
 
     def write(self, data: bytes | memoryview):
         """Write ``data``, or the coded refusal in place of tornado's."""
         if data == _TORNADO_REFUSAL:
-            data = b"" if self.refused else self.refusal
+            data = b"" if self.refused else self.refusal()
             self.refused = True
         return super().write(data)
 
@@ -46,7 +46,7 @@
             return
         self.refused = True
         try:
-            self.socket.send(self.refusal)
+            self.socket.send(self.refusal())
         except OSError:
             pass
 
--- a/flamingoway/ingress.py
+++ b/flamingoway/ingress.py
@@ -14,13 +14,14 @@
 from absl import logging
 from tornado import web
 
-from . import traceparent as tracing
 from .context import Context
+from .core.gate import MemberGate
 from .document import MemberModel
 from .errors import BadRequest, FlamingowayError, Refused
 from .httpserver import HttpAnswer, HttpRequest, HttpServer
 from .messages import CheckReply
 from .status import Code
+from .trace import Span, Tracer
 
 MAX_TIMEOUT_MS = 600_000
 MAX_KEY_LENGTH = 128
@@ -47,7 +48,17 @@
     environment: str
     member: MemberModel
     name: str
-    traceparent: str
+    span: Span
+
+    @property
+    def traceparent(self) -> str:
+        """Trace header for the next hop."""
+        return self.span.traceparent
+
+    @property
+    def trace_id(self) -> str:
+        """Trace id for the answer."""
+        return self.span.trace_id
 
     @property
     def key(self) -> str:
@@ -89,6 +100,8 @@
         self._follower = follower
         self._ready = ready
         self._draining = False
+        self._tracer = context.tracer or Tracer(context.settings.trace, context.rng)
+        self._job_gate = MemberGate(context.settings.limits.max_queue)
         self._keys: dict[str, tuple[object, dict[str, MemberModel]]] = {}
         application = web.Application(
             list(routes or []), default_handler_class=_NotFound, log_function=_no_log
@@ -153,26 +166,25 @@
 
     async def _handle(self, request: HttpRequest) -> HttpAnswer:
         header = request.headers.get("traceparent", "")
-        traceparent = tracing.next_hop(header, self._context.rng)
-        try:
-            return await self._route(request, traceparent)
-        except FlamingowayError as exc:
-            return _error(exc, tracing.trace_id(traceparent))
-        except Exception:
-            # A fault in one request must not leave its caller without an answer.
-            logging.exception("fault while a request was answered")
-            error = FlamingowayError("internal fault", Code.INTERNAL)
-            return _error(error, tracing.trace_id(traceparent))
-
-    async def _route(self, request: HttpRequest, traceparent: str) -> HttpAnswer:
+        with self._tracer.span("ingress", header) as span:
+            try:
+                return await self._route(request, span)
+            except FlamingowayError as exc:
+                error = exc
+            except Exception:
+                # A fault in one request must not leave its caller without an answer.
+                logging.exception("fault while a request was answered")
+                error = FlamingowayError("internal fault", Code.INTERNAL)
+            span.set(code=int(error.code))
+        if self._context.metrics is not None:
+            self._context.metrics.count_refusal(error.code)
+        return _error(error, span.trace_id)
+
+    async def _route(self, request: HttpRequest, span: Span) -> HttpAnswer:
         if request.path == "/healthz":
-            return _coded(Code.OK, "alive", tracing.trace_id(traceparent))
+            return _coded(Code.OK, "alive", span.trace_id)
         if request.path == "/readyz":
-            return self._readiness(tracing.trace_id(traceparent))
-        if not self._ready():
-            # Without documents and targets any other answer would be untrue, such
-            # as "no environment".
-            raise Refused("this process is starting", Code.STARTING, retry_after=1)
+            return self._readiness(span.trace_id)
         match = _PATH.fullmatch(request.path)
         if match is None:
             raise BadRequest("no such path", Code.NOT_FOUND)
@@ -181,7 +193,7 @@
         if method is None:
             raise BadRequest("no such method on this path", Code.NOT_FOUND)
         member = self._authenticate(environment, request)
-        return await method(_Call(request, environment, member, name, traceparent))
+        return await method(_Call(request, environment, member, name, span))
 
     def _readiness(self, trace: str) -> HttpAnswer:
         if self._draining:
@@ -225,10 +237,9 @@
             call.traceparent,
             call.request.caller_left,
         )
-        trace = tracing.trace_id(call.traceparent)
         if reply.code != Code.OK:
             raise _reply_error(reply)
-        headers = _headers(Code.OK, trace)
+        headers = _headers(Code.OK, call.trace_id)
         headers["Content-Type"] = reply.content_type or "application/octet-stream"
         return HttpAnswer(reply.status, reply.body, headers)
 
@@ -252,38 +263,40 @@
             body = msgspec.json.decode(call.request.body, type=JobBody)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
             raise BadRequest(f"the body is not valid: {exc}") from None
-        reply = await self._jobs.submit(
-            call.environment,
-            call.member.name,
-            body.kind,
-            body.tasks,
-            body.urgent,
-            bytes(body.params),
-            call.key,
-            call.traceparent,
+        with self._job_gate.enter(call.member.name):
+            reply = await self._jobs.submit(
+                call.environment,
+                call.member.name,
+                body.kind,
+                body.tasks,
+                body.urgent,
+                bytes(body.params),
+                call.key,
+                call.traceparent,
+            )
+        return _coded(
+            Code(reply.code), reply.message, call.trace_id, job_id=reply.job_id
         )
-        trace = tracing.trace_id(call.traceparent)
-        return _coded(Code(reply.code), reply.message, trace, job_id=reply.job_id)
 
     async def _get(self, call: _Call) -> HttpAnswer:
         view = await self._jobs.get(call.environment, call.member.name, call.name)
-        trace = tracing.trace_id(call.traceparent)
-        return _coded(Code.OK, "", trace, job=_job_fields(view))
+        return _coded(Code.OK, "", call.trace_id, job=_job_fields(view))
 
     async def _list(self, call: _Call) -> HttpAnswer:
         listed = await self._jobs.list(call.environment, call.member.name)
         jobs = [_job_fields(view) for view in listed.jobs]
-        return _coded(Code.OK, "", tracing.trace_id(call.traceparent), jobs=jobs)
+        return _coded(Code.OK, "", call.trace_id, jobs=jobs)
 
     async def _cancel(self, call: _Call) -> HttpAnswer:
         reply = await self._jobs.cancel(call.environment, call.member.name, call.name)
-        trace = tracing.trace_id(call.traceparent)
-        return _coded(Code(reply.code), reply.message, trace, job_id=reply.job_id)
+        return _coded(
+            Code(reply.code), reply.message, call.trace_id, job_id=reply.job_id
+        )
 
     def _refuse(self, code: Code, message: str) -> HttpAnswer:
         """Build the answer to a request that could not be read."""
-        trace = tracing.trace_id(tracing.next_hop("", self._context.rng))
-        return _coded(code, message, trace)
+        with self._tracer.span("ingress", code=int(code)) as span:
+            return _coded(code, message, span.trace_id)
 
 
 class _NotFound(web.RequestHandler):
--- a/flamingoway/lane.py
+++ b/flamingoway/lane.py
@@ -14,6 +14,7 @@
 from .status import Code
 from .target import Answer, TargetRequest
 from .targetset import Target, TargetSet
+from .trace import Tracer
 
 NO_TARGET_RETRY_AFTER_S = 1.0
 REFUSED_RETRY_AFTER_S = 0.1
@@ -56,10 +57,13 @@
 
     Args:
         context: Settings and clocks of the process.
+        environment: Name of the environment.
         targets: The targets of the environment.
     """
 
-    def __init__(self, context: Context, targets: TargetSet):
+    def __init__(self, context: Context, environment: str, targets: TargetSet):
+        self._environment = environment
+        self._tracer = context.tracer or Tracer(context.settings.trace, context.rng)
         self.targets = targets
         self.process_count = 1
         self._context = context
@@ -90,6 +94,7 @@
             Refused: It did not run.
             OutcomeUnknown: It may have run.
         """
+        arrived = self._clock()
         ticket = self._offer(call)
         try:
             target = await self._wait(ticket, call.caller_left)
@@ -104,8 +109,15 @@
         finally:
             self._admission.release(ticket, self._clock(), latency)
             self._dispatch()
+        self._observe(started - arrived, latency)
         return CheckReply(int(Code.OK), answer.status, answer.content_type, answer.body)
 
+    def _observe(self, wait_s: float, latency_s: float) -> None:
+        metrics = self._context.metrics
+        if metrics is not None:
+            metrics.observe_wait(self._environment, "check", wait_s)
+            metrics.observe_check(self._environment, wait_s + latency_s, wait_s)
+
     def _offer(self, call: CheckCall) -> Ticket:
         if not self.targets.slots:
             raise Refused(
@@ -182,12 +194,11 @@
         request_id = uuid.UUID(int=self._context.rng.getrandbits(128)).hex
         tried: list[str] = []
         while True:
-            request = self._request(call, request_id)
-            if request.timeout_s <= 0:
+            if call.deadline <= self._clock():
                 self.targets.unreserve(target)
                 raise Refused("the deadline passed", Code.DEADLINE_PASSED)
             try:
-                return await self.targets.send(target, request)
+                return await self._send(call, target, request_id)
             except FlamingowayError as exc:
                 tried.append(target.load.target_id)
                 target = self._next_target(call, exc, tried)
@@ -195,6 +206,12 @@
                     exc.details.setdefault("retry_after", REFUSED_RETRY_AFTER_S)
                     raise
 
+    async def _send(self, call: CheckCall, target: Target, request_id: str) -> Answer:
+        name = target.load.target_id
+        with self._tracer.span("target", call.traceparent, target=name) as span:
+            request = self._request(call, request_id, span.traceparent)
+            return await self.targets.send(target, request)
+
     def _next_target(
         self, call: CheckCall, exc: FlamingowayError, tried: list[str]
     ) -> Target | None:
@@ -207,13 +224,15 @@
             return None
         return self.targets.reserve(tried)
 
-    def _request(self, call: CheckCall, request_id: str) -> TargetRequest:
+    def _request(
+        self, call: CheckCall, request_id: str, traceparent: str
+    ) -> TargetRequest:
         return TargetRequest(
             path=call.kind.path,
             body=call.body,
             request_id=request_id,
             timeout_s=call.deadline - self._clock(),
-            traceparent=call.traceparent,
+            traceparent=traceparent,
             idempotent=call.kind.idempotent,
             max_answer_bytes=self._context.settings.limits.answer_bytes,
         )
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from contextlib import ExitStack
 
 import pytest
 from request_path import (
@@ -11,12 +12,18 @@
     check_request,
     entry,
     get_request,
+    make_context,
     read_answer,
     until,
 )
 from tornado import web
 
+from flamingoway.core.gate import MemberGate
+from flamingoway.errors import Refused
+from flamingoway.metrics import Metrics
+from flamingoway.settings import TraceSettings
 from flamingoway.status import Code
+from flamingoway.trace import Tracer
 from standins.target import Target
 
 CHECK_PATH = f"/v1/{ENVIRONMENT}/checks/slot"
@@ -217,3 +224,48 @@
             return status, len(target.ran)
 
     assert asyncio.run(scenario()) == (200, 3)
+
+
+def test_the_calls_of_one_member_in_flight_are_bounded():
+    """Guards against a flood of jobs that fills the process."""
+    gate = MemberGate(2)
+    with ExitStack() as stack:
+        for member in ("a", "a", "b", "b", "c", "c", "d", "d"):
+            stack.enter_context(gate.enter(member))
+        for member, code in (("a", Code.MEMBER_LIMIT), ("e", Code.OVERLOADED)):
+            with pytest.raises(Refused) as caught:
+                stack.enter_context(gate.enter(member))
+            assert caught.value.code == code
+            assert caught.value.details["retry_after"] > 0
+    with gate.enter("a"), gate.enter("a"):
+        assert gate._total == 2
+    assert gate._counts == {}
+
+
+def test_checks_are_measured_and_traced():
+    """Guards against an operator who cannot see waits, refusals or hops."""
+    spans = []
+
+    class Sink:
+        def export(self, span):
+            spans.append(span)
+
+    async def scenario():
+        context = make_context()
+        context.metrics = Metrics([ENVIRONMENT], ["brittany"])
+        context.tracer = Tracer(TraceSettings(), context.rng, sink=Sink())
+        async with (
+            Target().serve() as target,
+            entry([Vm("t1", target.ip, target.port)], context=context) as ingress,
+        ):
+            await call(ingress.port, check_request())
+            await call(ingress.port, get_request("/elsewhere/v1"))
+            await call(ingress.port, get_request(f"/v1/{ENVIRONMENT}/jobs/job-2"))
+        return context.metrics.render().decode()
+
+    text = asyncio.run(scenario())
+    assert [span.name for span in spans][:2] == ["target", "ingress"]
+    assert spans[0].parent_id == spans[1].context.span_id
+    assert f'check_seconds_count{{environment="{ENVIRONMENT}"}} 1.0' in text
+    assert f'wait_seconds_count{{environment="{ENVIRONMENT}",work="check"}} 1.0' in text
+    assert 'refusals_total{code="NOT_FOUND"} 1.0' in text
