--- a/flamingoway/checks.py
+++ b/flamingoway/checks.py
@@ -16,7 +16,7 @@
 # A leaving target must get no new work 3 s after the first sign; the VM list is
 # read each second.
 REFRESH_INTERVAL_S = 0.5
-DEFAULT_PICKER = "two_choices"
+DEFAULT_PICKER = "borrowing"
 
 
 class Checks:
@@ -49,7 +49,7 @@
         for environment in context.settings.environments:
             chosen = target_pickers.get(picker)(context.settings.zone, context.rng)
             targets = TargetSet(chosen, context.clock)
-            self._lanes[environment.name] = Lane(context, targets)
+            self._lanes[environment.name] = Lane(context, environment.name, targets)
         self.refresh()
 
     @property
--- a/flamingoway/httpserver.py
+++ b/flamingoway/httpserver.py
@@ -20,8 +20,8 @@
 from .httpstream import CallerStream, discard
 from .status import Code
 
-# Heads between MAX_HEAD_BYTES and this limit get a coded refusal before the
-# connection is closed.
+# Heads between MAX_HEAD_BYTES and this limit are read, so that they get a refusal
+# in the ordinary way.
 MAX_READ_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1024 * 1024
 MAX_CONNECTIONS = 4096
@@ -188,14 +188,17 @@
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = CallerStream(sock)
-        answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
-        stream.refusal = _encode(answer)
+        stream.refusal = self._unreadable
         stream.linger = self._linger
         connection = _Connection(self, stream, self._parameters)
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection))
 
+    def _unreadable(self) -> bytes:
+        answer = self.refuse(Code.BAD_REQUEST, "the request is not valid HTTP")
+        return _encode(answer)
+
     def _linger(self, sock: socket.socket) -> None:
         task = asyncio.create_task(discard(sock))
         self._lingering.add(task)
