--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,9 @@
 demo: install ## Run the whole path with real requests for both deployments
 	$(BIN)/python -m standins.demo
 
+up: install ## Keep a local cell with stand-ins running until interrupted
+	$(BIN)/python -m standins.up
+
 test: install ## Run the tests
 	$(BIN)/python -m pytest
 
@@ -36,4 +39,4 @@
 	  proto/etcd.proto proto/worker.proto
 	sed -i -E 's/^import (etcd|worker)_pb2/from . import \1_pb2/' flamingoway/proto/*_pb2_grpc.py
 
-.PHONY: help install demo test lint format proto
+.PHONY: help install demo up test lint format proto
