Explain why a job waits and measure room for large tasks

Operators get the reasons: quota, no room, a reservation, a retry or a former attempt that still stops. A gang's reservation avoids workers on which its tasks failed, if others suffice.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -32,6 +32,7 @@
 from flamingoway.records import JobAccepted, TaskAssigned
 
 CAPACITY = Resources(16_000, 65_536)
+LARGE = Resources(8_000, 32_768)
 RACK_SIZE = 8
 ZONES = 4
 MEMBERS = 290
@@ -219,14 +220,24 @@
 
 
 def packing(workers: int, seed: int) -> dict:
-    """Place work worth the whole capacity; return the placed part by method."""
-    chosen = {"best_fit": _best_fit, "first_fit": _first_fit, "random": _random_fit}
-    parts = {name: _pack(workers, seed, choose) for name, choose in chosen.items()}
-    return {"workers": workers, "mode": "packing"} | parts
-
+    """Place work worth the whole capacity; return the placed part by method.
 
-def _pack(workers: int, seed: int, choose: Callable) -> float:
-    """Return placed over possible amount of the scarcest resource."""
+    ``large`` is the part of the free capacity that tasks of half a worker could use
+    when the workers are filled to 70%.
+    """
+    chosen = {"best_fit": _best_fit, "first_fit": _first_fit, "random": _random_fit}
+    row = {"workers": workers, "mode": "packing"}
+    for name, choose in chosen.items():
+        row[name] = round(_pack(workers, seed, choose, 1.0)[0], 4)
+    for name, choose in chosen.items():
+        row[f"large_{name}"] = round(_pack(workers, seed, choose, 0.7)[1], 4)
+    return row
+
+
+def _pack(
+    workers: int, seed: int, choose: Callable, load_part: float
+) -> tuple[float, float]:
+    """Return placed over possible work, and usable over free capacity."""
     rng = random.Random(seed)
     load = Load(rng)
     ledger = Ledger()
@@ -240,7 +251,7 @@
     wanted = Resources()
     placed = Resources()
     batch = [kind[:4] for kind in KINDS if kind[1] is Policy.BATCH]
-    while wanted.dominant_share(total) < 1.0:
+    while wanted.dominant_share(total) < load_part:
         spec = load.make((*rng.choice(batch)[:2], 1, rng.choice(batch)[3]), "m")
         wanted = wanted + spec.resources
         ledger.apply(JobAccepted(spec, 0.0))
@@ -250,8 +261,11 @@
             ledger.apply(TaskAssigned(job.tasks[0].task_id, 1, worker_id))
             index.touch(worker_id)
             placed = placed + spec.resources
-    scarce_placed = placed.dominant_share(total)
-    return round(scarce_placed / min(1.0, wanted.dominant_share(total)), 4)
+    fits = index.fits(LARGE)
+    slots = sum(fits.slots(worker_id) for worker_id in fits.tightest())
+    usable = LARGE.times(slots).dominant_share(total - placed)
+    possible = min(1.0, wanted.dominant_share(total))
+    return placed.dominant_share(total) / possible, usable
 
 
 def _best_fit(job: Job, task: Task, index: WorkerIndex, rng) -> str | None:
--- a/flamingoway/core/fairness.py
+++ b/flamingoway/core/fairness.py
@@ -241,16 +241,16 @@
                 self._offer(lane)
         self._aside.clear()
 
-    def within_quota(self, lane: Lane, need: Resources) -> bool:
+    def member_may_hold(self, member: MemberKey, need: Resources) -> bool:
         """Tell whether a member may hold ``need`` more.
 
         What exceeds this shard's part of the quota by itself, but not the whole
         quota, may run alone; else it could run in no shard.
         """
-        share = self._shares.get(lane.member)
+        share = self._shares.get(member)
         if share is None:
             return True
-        used = self._ledger.member_used(*lane.member)
+        used = self._ledger.member_used(*member)
         if (used + need).fits_in(share.quota):
             return True
         return used == ZERO and need.fits_in(share.whole_quota)
--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -60,9 +60,11 @@
             return
         self._plan_at = now + REPLAN_S
         self._forget_placed()
-        tasks = self._plan(job.spec.resources, count)
+        avoid = {worker for task in job.tasks for worker in task.failed_on}
+        shape = job.spec.resources
+        tasks = self._plan(shape, count, avoid) or self._plan(shape, count, set())
         if tasks is not None:
-            self._held = Reservation(job_id, job.spec.resources, tasks)
+            self._held = Reservation(job_id, shape, tasks)
             self._withhold(self._held)
 
     def release(self, job_id: str) -> None:
@@ -95,14 +97,14 @@
         for job_id in gone:
             del self._blocked_since[job_id]
 
-    def _plan(self, shape: Resources, count: int) -> Counter | None:
+    def _plan(self, shape: Resources, count: int, avoid: set[str]) -> Counter | None:
         """Choose workers, those with the most free slots first.
 
         Services do not end on their own, so what they hold is left out.
         """
         index, ledger = self._state.index, self._state.ledger
         slots = []
-        for worker_id in index.open_workers:
+        for worker_id in index.open_workers - avoid:
             capacity = index.infos[worker_id].capacity
             usable = capacity - ledger.service_used_on(worker_id)
             most = slots_in(usable, shape, count)
--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -71,7 +71,7 @@
         job, tasks = self._gang(job_id)
         lane = self._state.queue.lane_of(job_id)
         need = lane.group.shape.times(len(tasks))
-        if not self._state.queue.within_quota(lane, need):
+        if not self._state.queue.member_may_hold(lane.member, need):
             self._gangs.release(job_id)
             return 0
         workers = self._gangs.ready_workers()
@@ -130,7 +130,7 @@
         need = lane.group.shape
         if len(tasks) != 1:
             need = need.times(len(tasks))
-        if not state.queue.within_quota(lane, need):
+        if not state.queue.member_may_hold(lane.member, need):
             return Outcome.OVER_QUOTA
         workers = self._choose(lane, job, tasks)
         if workers is None:
--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -63,7 +63,9 @@
         for task_id in list(islice(lane.entries, MAX_CLAIMS_PER_PASS)):
             if task_id in self._claims:
                 continue
-            if not self._state.queue.within_quota(lane, need.times(pending + 1)):
+            if not self._state.queue.member_may_hold(
+                lane.member, need.times(pending + 1)
+            ):
                 return
             if not self._claim(task_id, need):
                 return
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -24,6 +24,7 @@
 from ..records import CancelRequested, JobAccepted
 from ..status import Code
 from .effects import AckResult, Batch, Reply, StartTask
+from .explain import reasons
 from .fairness import MemberShare
 from .feasibility import refusal
 from .health import MIN_FAILED_WORKERS
@@ -242,10 +243,8 @@
         job = self._state.ledger.jobs.get(job_id)
         if job is None:
             return ["no such job"]
-        waiting = sum(task.state is TaskState.QUEUED for task in job.tasks)
-        if job.state.final or not waiting:
-            return [f"the job is {job.state.value}"]
-        return [f"{waiting} of {job.spec.tasks} tasks are queued"]
+        self._state.now = max(now, self._state.now)
+        return reasons(self._state, job, self._placer.reserved_for)
 
     def _enqueue_restored(self) -> None:
         self._state.count_restored()
--- a/flamingoway/core/state.py
+++ b/flamingoway/core/state.py
@@ -171,6 +171,14 @@
         if self._held_until.get(entry, 0.0) <= self.now:
             self._held_until.pop(entry, None)
 
+    def held_until(self, entry: str) -> float | None:
+        """Return when the delay of an entry ends, or ``None`` without a delay."""
+        return self._held_until.get(entry)
+
+    def is_blocked(self, entry: str) -> bool:
+        """Tell whether ``block`` keeps an entry out of the queue."""
+        return self._blocked[entry] > 0
+
     def next_delayed(self) -> float | None:
         """Return the monotonic time of the next delayed task, or ``None``."""
         return self._delayed[0][0] if self._delayed else None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from scheduling import CAPACITY, spec, worker
+from scheduling import CAPACITY, Rig, document, spec, worker
 
 from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
 from flamingoway.core.ledger import Ledger
@@ -167,3 +167,31 @@
     starts = restored.unstarted("w1", [Attempt("j1/0", 1), Attempt("j1/1", 1)])
     assert [(s.task_id, s.attempt) for s in starts] == [("j1/2", 1), ("j1/3", 1)]
     assert restored.queued == 2
+
+
+def test_explanation_names_the_reason():
+    rig = Rig(["w1", "w2"])
+    rig.scheduler.set_document("e", document(quotas={"m": 5}), 1.0)
+    rig.submit(spec("running", tasks=4), spec("retry", member="p"))
+    rig.schedule()
+    rig.end("retry/0", "failed")
+    rig.submit(spec("over", tasks=2))
+    rig.submit(spec("gang", member="n", policy=Policy.GANG, tasks=5))
+    rig.schedule()
+    gang = " ".join(rig.scheduler.explain("gang", rig.now))
+    assert "too few workers have room" in gang
+    rig.submit(spec("full", member="o", tasks=9))
+    rig.schedule()
+    explained = {
+        job_id: " ".join(rig.scheduler.explain(job_id, rig.now))
+        for job_id in ("running", "over", "full", "retry", "none")
+    }
+    expected = {
+        "running": "the job is running",
+        "over": "of its quota of 5 cores",
+        "full": "no worker has 1 cores",
+        "retry": "wait for a retry",
+        "none": "no such job",
+    }
+    for job_id, text in expected.items():
+        assert text in explained[job_id], job_id
