Stop the owner of a shard without workers from spinning

Cause: a measurement of the running cell showed an idle owner at 99.6% of a core. Ruled out: the worker links and the membership task; a shard with workers decided 3 times in 3 s. Before: the new test counted 4350 decisions in its 100 ms. After: fewer than 50, and tests/test_owner.py passes (21 tests). Conclusion: the owner waits for events whenever it may not place.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -77,6 +77,12 @@
         """Whether the store seems to take writes."""
         return self._store_up() and not self._committer.stalled
 
+    @property
+    def may_place(self) -> bool:
+        """Whether queued tasks may be placed now."""
+        # Without a VM list nothing is known of what could run where.
+        return bool(self._shown) and self.writable and not self.stopping
+
     def submit(self, spec: JobSpec) -> asyncio.Future[Reply]:
         """Decide on a submission; the future gets the reply after the commit.
 
@@ -151,8 +157,7 @@
         """Place queued tasks and hand all decisions to the group commit."""
         if self._dropped:
             return
-        # Without a VM list nothing is known of what could run where.
-        if self.writable and not self.stopping and self._shown:
+        if self.may_place:
             now = self._context.clock()
             self._scheduler.schedule(now, self._context.wall())
         self.collect()
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -334,12 +334,16 @@
             controller.wake.clear()
             controller.decide()
             self._snapshotter.take_if_due(controller.scheduler.ledger.snapshot)
-            now = self._context.clock()
-            wakeup = controller.scheduler.next_wakeup(now)
-            wait_s = MAX_IDLE_S if wakeup is None else min(wakeup - now, MAX_IDLE_S)
-            if not controller.writable:
-                wait_s = MAX_IDLE_S
-            await _wait(controller.wake, wait_s)
+            await _wait(controller.wake, self._idle_s())
+
+    def _idle_s(self) -> float:
+        """Return how long to wait for an event before the next decision."""
+        now = self._context.clock()
+        wakeup = self._controller.scheduler.next_wakeup(now)
+        # The scheduler asks to be called at once as long as it is not called at all.
+        if wakeup is None or not self._controller.may_place:
+            return MAX_IDLE_S
+        return min(wakeup - now, MAX_IDLE_S)
 
     async def _wait_for_stop(self) -> None:
         await self._stop_requested.wait()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -277,6 +277,40 @@
     run(scenario())
 
 
+def no_workers(member):
+    member.cell.feed.vms.clear()
+
+
+def store_down(member):
+    member.membership.store_up = False
+
+
+def stopping(member):
+    member.owner._controller.stopping = True
+
+
+@pytest.mark.parametrize("state", [no_workers, store_down, stopping])
+def test_an_owner_that_cannot_place_does_not_spin(state):
+    """Guards against a loop without waiting, which used a whole core."""
+
+    async def scenario():
+        member = await Cell().own()
+        if state is no_workers:
+            state(member)
+        await until(lambda: member.owner.ready)
+        state(member)
+        controller = member.owner._controller
+        calls = []
+        decide = controller.decide
+        controller.decide = lambda: calls.append(decide())
+        await rounds()
+        # Checks of the workers wake the owner every 10 ms of these 100 ms.
+        assert len(calls) < 50
+        await member.end()
+
+    run(scenario())
+
+
 def test_the_store_is_down_for_an_hour():
     """Tasks go on, results wait on the worker, and new work is refused."""
 
