--- a/flamingoway/lane.py
+++ b/flamingoway/lane.py
@@ -13,7 +13,7 @@
 from .messages import CheckReply
 from .status import Code
 from .target import Answer, TargetRequest
-from .targetset import Target, TargetSet
+from .targetset import LATE_COUNTS_S, Target, TargetSet
 from .trace import Tracer
 
 NO_TARGET_RETRY_AFTER_S = 1.0
@@ -106,6 +106,12 @@
         try:
             answer = await self._attempt(call, target)
             latency = self._clock() - started
+        except FlamingowayError as exc:
+            # Otherwise targets that answer nothing in time would not count as slow.
+            elapsed = self._clock() - started
+            if exc.code == Code.ANSWER_LATE and elapsed >= LATE_COUNTS_S:
+                latency = elapsed
+            raise
         finally:
             self._admission.release(ticket, self._clock(), latency)
             self._dispatch()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Guards against unfair queues, useless work and refusals without a hint."""
 
+import heapq
 import random
 
 import pytest
@@ -173,3 +174,72 @@
         budget.note_attempt()
         allowed += budget.withdraw()
     assert 200 <= allowed <= 210
+
+
+class Overload:
+    """Offers checks of several members in virtual time.
+
+    Args:
+        rates: Checks a second of each member.
+        slots: Slots at the targets; each check takes about ``SERVICE_S``.
+    """
+
+    def __init__(self, rates: dict[str, float], slots: int = 8):
+        self.admission = make_admission(slots)
+        self.rng = random.Random(3)
+        self.ending: list[tuple[float, int, Ticket, float]] = []
+        self.offered = dict.fromkeys(rates, 0)
+        self.useful = dict.fromkeys(rates, 0)
+        self.late = 0
+        self._rates = rates
+
+    def run(self, seconds: float) -> None:
+        """Offer checks for some seconds."""
+        now = 0.0
+        names = list(self._rates)
+        total = sum(self._rates.values())
+        while now < seconds:
+            now += self.rng.expovariate(total)
+            self._end(now)
+            name = self.rng.choices(names, list(self._rates.values()))[0]
+            self.offered[name] += 1
+            try:
+                self.admission.offer(make_ticket(name, now + 1.0), now)
+            except Refused:
+                continue
+            self._start(now)
+
+    def _end(self, until: float) -> None:
+        while self.ending and self.ending[0][0] <= until:
+            now, _, ticket, latency = heapq.heappop(self.ending)
+            self.admission.release(ticket, now, latency)
+            if now <= ticket.deadline:
+                self.useful[ticket.member] += 1
+            else:
+                self.late += 1
+            self._start(now)
+
+    def _start(self, now: float) -> None:
+        while self.admission.has_room:
+            ticket, _ = self.admission.take(now)
+            if ticket is None:
+                return
+            latency = self.rng.expovariate(1 / SERVICE_S)
+            item = (now + latency, self.rng.getrandbits(40), ticket, latency)
+            heapq.heappush(self.ending, item)
+
+
+def test_at_three_times_the_capacity_the_answers_stay_useful():
+    """Guards against slots spent on checks that end after their deadline."""
+    overload = Overload({"a": 600.0, "b": 600.0})
+    overload.run(20.0)
+    capacity = 8 / SERVICE_S * 20
+    assert sum(overload.useful.values()) >= 0.9 * capacity
+    assert overload.late <= 0.01 * sum(overload.useful.values())
+
+
+def test_a_member_keeps_its_service_during_the_flood_of_another():
+    """Guards against a tenfold flood that takes the slots of others."""
+    overload = Overload({"flood": 1000.0, "other": 100.0})
+    overload.run(20.0)
+    assert overload.useful["other"] >= 0.95 * overload.offered["other"]
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -269,3 +269,39 @@
     assert f'check_seconds_count{{environment="{ENVIRONMENT}"}} 1.0' in text
     assert f'wait_seconds_count{{environment="{ENVIRONMENT}",work="check"}} 1.0' in text
     assert 'refusals_total{code="NOT_FOUND"} 1.0' in text
+
+
+@pytest.mark.parametrize(
+    ("sent", "patience_s", "closed"),
+    [
+        (b"", 70, False),
+        (b"", 80, True),
+        (b"POST /v1/x HTTP/1.1\r\nHost:", 80, True),
+        (b"POST /v1/x HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", 5, False),
+        (b"POST /v1/x HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", 11, True),
+        (check_request({"service_ms": 500}), 3600, False),
+    ],
+)
+def test_a_caller_that_stalls_is_disconnected(sent, patience_s, closed):
+    """Guards against connections held by callers that send nothing, or too little."""
+
+    async def scenario():
+        async with (
+            Target().serve() as target,
+            entry([Vm("t1", target.ip, target.port)]) as ingress,
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", ingress.port)
+            writer.write(sent)
+            connections = ingress._server._connections
+            whole = b"\r\n\r\n" in sent
+            await until(lambda: connections and ingress.in_flight == whole)
+            now = asyncio.get_running_loop().time()
+            for connection in list(connections):
+                connection.close_if_slow(now + patience_s)
+            await asyncio.sleep(0)
+            await until(lambda: not closed or not connections)
+            open_now = len(connections)
+            writer.close()
+            return open_now
+
+    assert asyncio.run(scenario()) == (not closed)
