--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,14 @@
 test: install ## Run the tests
 	$(BIN)/python -m pytest
 
+build: install ## Build the single file dist/flamingoway
+	mkdir -p dist
+	PIP_CONSTRAINT=requirements.txt $(BIN)/shiv --quiet --reproducible \
+	  --console-script flamingoway --output-file dist/flamingoway .
+
+smoke: build ## Run the single file: --version and one request
+	$(BIN)/python -m standins.smoke dist/flamingoway
+
 lint: install ## Check format and lint rules
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -39,4 +47,4 @@
 	  proto/etcd.proto proto/worker.proto
 	sed -i -E 's/^import (etcd|worker)_pb2/from . import \1_pb2/' flamingoway/proto/*_pb2_grpc.py
 
-.PHONY: help install demo up test lint format proto
+.PHONY: help install demo up test build smoke lint format proto
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -155,6 +155,7 @@
     store_port: int = 0
     control_port: int = 0
     vmlist_port: int = 0
+    program: tuple[str, ...] = (sys.executable, "-m", "flamingoway")
     processes: list[Process] = field(default_factory=list)
     entries: list[Entry] = field(default_factory=list)
 
@@ -165,10 +166,13 @@
 
     def spawn(self, name: str, *args: str) -> Process:
         """Start ``python -m ...`` with its output in a log file."""
+        return self._start(name, (sys.executable, "-m", *args))
+
+    def _start(self, name: str, command: tuple[str, ...]) -> Process:
         log = self.directory / f"{name}.log"
         with log.open("ab") as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *args],
+                command,
                 stdout=output,
                 stderr=output,
                 cwd=Path(__file__).parent.parent,
@@ -263,7 +267,7 @@
         name = settings["process_id"]
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
-        process = self.spawn(name, "flamingoway", "serve", f"--settings={path}")
+        process = self._serve(name, path)
         self._wait_port(port, process)
         entry = Entry(process, path, port, deployment.region)
         self.entries.append(entry)
@@ -272,9 +276,10 @@
     def restart_entry(self, entry: Entry) -> None:
         """Start an entry process again at the same addresses."""
         name = entry.process.name
-        entry.process = self.spawn(
-            name, "flamingoway", "serve", f"--settings={entry.settings}"
-        )
+        entry.process = self._serve(name, entry.settings)
+
+    def _serve(self, name: str, settings: Path) -> Process:
+        return self._start(name, (*self.program, "serve", f"--settings={settings}"))
 
     def _settings(self, deployment: Deployment, index: int, port: int) -> dict:
         settings = yaml.safe_load((EXAMPLES / "settings" / "node.yaml").read_text())
