Bound the wait for a silent worker and for the release of a shard

Cause: the first write on a stream waited for the connection without a limit, and stepping down waited for the store as long as its retries took. Ruled out: gRPC keepalive pings; the reports already show whether a worker lives. Before: the new test for a machine that accepts connections and stays silent failed with one attempt in 10 s. After: it passes, with the owner's tests (37 tests).

--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -41,6 +41,8 @@
 # Longest wait for a commit before the caller is told that it is unresolved.
 WRITE_DEADLINE_S = 3.0
 STOP_FLUSH_S = 10.0
+# The lease of the owner key lapses soon after by itself.
+RELEASE_S = 2.0
 FAULT_PAUSE_S = 1.0
 
 
@@ -360,9 +362,10 @@
             if self._fleet is not None:
                 await self._fleet.close()
             if release:
-                await self._membership.release(self._acquired.owner)
-        except (StoreUnavailable, StoreOutcomeUnknown) as exc:
-            logging.warning("shard %s: not released: %s", self.shard, exc.message)
+                async with asyncio.timeout(RELEASE_S):
+                    await self._membership.release(self._acquired.owner)
+        except (StoreUnavailable, StoreOutcomeUnknown, TimeoutError) as exc:
+            logging.warning("shard %s: not released: %r", self.shard, exc)
         finally:
             self._ended.set()
 
--- a/flamingoway/worker.py
+++ b/flamingoway/worker.py
@@ -143,6 +143,11 @@
         self._outgoing: asyncio.Queue[pb.Command] | None = None
         self._failing = False
 
+    @property
+    def _silence_s(self) -> float:
+        interval_s = self._context.settings.limits.report_interval_s
+        return interval_s * SILENT_INTERVALS
+
     def send(self, command: WorkerCommand, connection: int) -> int:
         """Queue a command on stream ``connection``; return its number there."""
         if self._outgoing is None or connection != self._connection:
@@ -179,8 +184,10 @@
             call = worker_pb2_grpc.WorkerStub(channel).Attach()
             writer = None
             try:
-                await call.write(pb.Command(epoch=self._epoch, shard=self._shard))
-                first = await self._read(call)
+                # A machine that answers nothing must not hold the attempt for long.
+                async with asyncio.timeout(self._silence_s):
+                    await call.write(pb.Command(epoch=self._epoch, shard=self._shard))
+                    first = await self._read(call)
                 self._open()
                 writer = asyncio.create_task(self._write(call, self._outgoing))
                 await self._receive(call, first)
@@ -217,8 +224,7 @@
         )
 
     async def _read(self, call):
-        interval_s = self._context.settings.limits.report_interval_s
-        async with asyncio.timeout(interval_s * SILENT_INTERVALS):
+        async with asyncio.timeout(self._silence_s):
             message = await call.read()
         if message is grpc.aio.EOF:
             # Ends the stream with the status that the worker gave, as an error.
--- a/tests/test_worker_protocol.py
+++ b/tests/test_worker_protocol.py
@@ -4,6 +4,7 @@
 import json
 from itertools import count
 
+import msgspec
 import pytest
 
 from flamingoway.model import Resources
@@ -233,3 +234,34 @@
 
 def _ref(task_id, attempt):
     return pb.TaskRef(task_id=task_id, attempt=attempt)
+
+
+def test_a_silent_machine_is_given_up_and_tried_again():
+    """Guards against a link that waits for ever for a machine that vanished."""
+    asyncio.run(_silent())
+
+
+async def _silent():
+    from flamingoway.model import WorkerInfo
+    from flamingoway.worker import GrpcWorkerClient
+    from tests.owner_bench import make_context, until
+
+    connections = []
+
+    async def accept(_reader, writer):
+        connections.append(writer)
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    context = make_context()
+    limits = msgspec.structs.replace(context.settings.limits, report_interval_s=0.05)
+    context.settings = msgspec.structs.replace(context.settings, limits=limits)
+    info = WorkerInfo("w1", f"127.0.0.1:{port}", "r", "z", "k", Resources())
+    client = GrpcWorkerClient(context, info, "s", 1, asyncio.Queue(), count(1))
+    task = asyncio.create_task(client.run())
+    await until(lambda: len(connections) >= 2)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    for writer in connections:
+        writer.close()
+    server.close()
