Check results and acknowledgements in the interleaving tests

Seven faults were put into the core on purpose to see whether the checks notice them: results not acknowledged, reports of any attempt accepted, workers filled over capacity, lost tasks not queued, gangs half placed, resources released too early, an acceptance without a record.

--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -86,6 +86,17 @@
             _require(waits, f"{task.task_id} is forgotten")
 
 
+def check_results(ledger: Ledger) -> None:
+    """A result is that of the attempt that succeeded, not of an older one.
+
+    Workers of the test answer with task id and attempt number.
+    """
+    for task in ledger.tasks.values():
+        if task.state is TaskState.SUCCEEDED:
+            expected = f"{task.task_id}#{task.attempt}".encode()
+            _require(task.result == expected, f"result of {task.task_id}")
+
+
 def check_answers(history: dict[str, list[int | str]]) -> None:
     """I4: whoever is told "not run" finds that the work did not run.
 
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -49,7 +49,7 @@
 
     def end(self, task_id: str, outcome: str) -> None:
         attempt = self.running.pop(task_id)
-        result = b"state" if outcome == "checkpointed" else b"1"
+        result = f"{task_id}#{attempt}".encode()
         self.finished.append(Finished(task_id, attempt, outcome, result))
 
 
@@ -87,6 +87,7 @@
         invariants.check_gangs(ledger)
         invariants.check_waiting(self.scheduler)
         invariants.check_answers(self.history)
+        invariants.check_results(ledger)
         self.steps += 1
 
     def submit(self, pick: int) -> None:
@@ -234,10 +235,32 @@
             self._round()
             jobs = self.scheduler.ledger.jobs.values()
             if all(j.state.final or j.spec.policy is Policy.SERVICE for j in jobs):
+                self._check_settled()
                 return
         waiting = [j.spec.job_id for j in jobs if not j.state.final]
         raise invariants.Violation(f"jobs never end: {waiting}")
 
+    def _check_settled(self) -> None:
+        """Nothing but services runs, and every result was acknowledged."""
+        self._round()
+        self._round()
+        self.commit(0)
+        self.commit(0)
+        for number in range(WORKERS):
+            self.deliver(number)
+        services = {
+            j.spec.job_id
+            for j in self.scheduler.ledger.jobs.values()
+            if j.spec.policy is Policy.SERVICE
+        }
+        for name, worker in self.workers.items():
+            kept = [f for f in worker.finished if f.task_id[:-2] not in services]
+            if kept:
+                raise invariants.Violation(f"{name} still keeps {kept}")
+            for task_id in worker.running:
+                if task_id.rpartition("/")[0] not in services:
+                    raise invariants.Violation(f"{task_id} still runs")
+
     def _round(self) -> None:
         self.now += 20.0
         self.scheduler.schedule(self.now, self.now)
