--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -24,6 +24,7 @@
 from ..records import CancelRequested, JobAccepted
 from ..status import Code
 from .effects import AckResult, Batch, Reply, StartTask
+from .explain import reasons
 from .fairness import MemberShare
 from .feasibility import refusal
 from .health import MIN_FAILED_WORKERS
@@ -33,7 +34,7 @@
 from .reports import Attempt, Finished, RefusedStart, WorkerReport
 from .retention import Retention
 from .services import REPLACE_CHECK_S, ServiceKeeper
-from .state import ShardState, gang_is_whole, start_of
+from .state import ShardState, start_of
 from .strays import Strays
 
 # Shares are recomputed at this interval for ageing and changed capacity.
@@ -242,10 +243,8 @@
         job = self._state.ledger.jobs.get(job_id)
         if job is None:
             return ["no such job"]
-        waiting = sum(task.state is TaskState.QUEUED for task in job.tasks)
-        if job.state.final or not waiting:
-            return [f"the job is {job.state.value}"]
-        return [f"{waiting} of {job.spec.tasks} tasks are queued"]
+        self._state.now = max(now, self._state.now)
+        return reasons(self._state, job, self._placer.reserved_for)
 
     def _enqueue_restored(self) -> None:
         self._state.count_restored()
@@ -327,11 +326,17 @@
         self._end_unrun(task, "refused")
 
     def _requeue(self, job: Job, task: Task) -> None:
-        """Queue a task whose attempt ended; a gang first stops as a whole."""
-        if job.spec.policy is Policy.GANG and not gang_is_whole(job):
-            for other in job.tasks:
-                self._state.stop(other, checkpoint=job.spec.resumable)
-        self._state.enqueue(job, task)
+        """Queue what an ended attempt leaves to do; a gang first stops as a whole."""
+        state = self._state
+        if job.spec.policy is not Policy.GANG:
+            state.enqueue(job, task)
+            return
+        queued = [other for other in job.tasks if other.state is TaskState.QUEUED]
+        if not queued:
+            return
+        for other in job.tasks:
+            state.stop(other, checkpoint=job.spec.resumable)
+        state.enqueue(job, queued[0])
 
     def _lose_tasks(self, worker_id: str) -> None:
         for task in self._state.ledger.placed_on(worker_id):
