Trace and measure each hop of a job

Cause: spans ended at the ingress, and the gauges and histograms of waiting time and packing and the counts of store calls were defined but never fed. Weighed: a span for each commit. Ruled out for now, since a group has many traces. Before: one span per submission.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -17,6 +17,7 @@
 from .errors import Fenced, Refused
 from .fleet import Fleet, WorkerSession
 from .model import JobSpec, WorkerInfo
+from .observation import StartObserver
 from .records import AnyRecord, JobAccepted
 from .status import Code
 from .vmlist import Vm
@@ -56,6 +57,7 @@
         self._committer = make_committer(self.carry_out)
         self._deposed_at = deposed_at
         self._store_up = store_up
+        self._observer = StartObserver(context, fleet.shard, scheduler.ledger)
         self._shown: dict[str, tuple[WorkerInfo, bool]] = {}
         self._due: set[AckResult | StopTask] = set()
         self._dropped = False
@@ -179,6 +181,7 @@
         for session in list(self._fleet.sessions.values()):
             if session.gone and session.lost:
                 self._forget(session)
+        self._observer.note_packing()
 
     def carry_out(self, effects: list[Effect]) -> None:
         """Carry out committed effects."""
@@ -189,6 +192,7 @@
             _answer(reply)
         orders = [effect for effect in effects if not isinstance(effect, Reply)]
         self._due.difference_update(e for e in orders if isinstance(e, REPEATED))
+        self._observer.note_starts(orders)
         self._fleet.carry_out(orders)
 
     def drop(self) -> None:
@@ -197,6 +201,7 @@
             return
         self.collect()
         self._dropped = True
+        self._observer.close()
         abandoned = self._committer.abandon()
         for effect in abandoned.unresolved:
             if isinstance(effect, Reply):
--- a/flamingoway/core/ledger.py
+++ b/flamingoway/core/ledger.py
@@ -75,6 +75,11 @@
         """Tasks by id; not to be changed by the reader."""
         return self._tasks
 
+    @property
+    def workers(self) -> list[str]:
+        """Ids of the workers whose capacity is known."""
+        return list(self._capacity)
+
     def job_of(self, task_id: str) -> Job | None:
         """Return the job of a task, or ``None`` if it is not known."""
         task = self._tasks.get(task_id)
--- a/flamingoway/fleet.py
+++ b/flamingoway/fleet.py
@@ -94,6 +94,11 @@
         self._numbers = itertools.count(1)
         self._closed = False
 
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self._shard
+
     @property
     def sessions(self) -> dict[str, WorkerSession]:
         """Sessions by worker id."""
--- a/flamingoway/node.py
+++ b/flamingoway/node.py
@@ -23,6 +23,7 @@
 from .shards import ShardManager
 from .store import STORES
 from .store import etcd as _etcd  # noqa: F401 (registers the adapter)
+from .store.counted import CountedStore
 from .trace import Tracer
 from .vmlist import VmList
 
@@ -51,8 +52,9 @@
         self._context = context
         self._peers = PeerClient()
         self._server = PeerServer()
-        self._store = STORES.get(settings.store.adapter)(
-            settings.store.endpoint, settings.store.timeout_s
+        adapter = STORES.get(settings.store.adapter)
+        self._store = CountedStore(
+            adapter(settings.store.endpoint, settings.store.timeout_s), context.metrics
         )
         self._membership = Membership(context, self._store)
         self._follower = Follower(
--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from .context import Context
 from .document import Document, JobKind
 from .errors import BadRequest, FlamingowayError, Refused
@@ -133,6 +135,15 @@
         return DeposeReply(self._context.incarnation, True)
 
     async def _submit(self, owner: ShardOwner, request: SubmitJob) -> SubmitReply:
+        tracer = self._context.tracer
+        if tracer is None:
+            return await self._submit_one(owner, request)
+        attributes = {"job_id": request.job_id, "member": request.member}
+        with tracer.span("owner", request.traceparent, **attributes) as span:
+            traced = msgspec.structs.replace(request, traceparent=span.traceparent)
+            return await self._submit_one(owner, traced)
+
+    async def _submit_one(self, owner: ShardOwner, request: SubmitJob) -> SubmitReply:
         known = owner.scheduler.view(request.job_id)
         if known is not None:
             spec = dataclasses.replace(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,6 +4,7 @@
 leases, so that a takeover fits into seconds.
 """
 
+import json
 import signal
 import threading
 import time
@@ -19,6 +20,7 @@
 ENVIRONMENT = "kerbihan-production"
 MEMBER = "agency-quimper"
 LIMITS = {"task_lease_s": 4.0, "report_interval_s": 1.0, "drain_notice_s": 0.5}
+TRACE = {"exporter": "log"}
 TAKEOVER_S = 10.0
 PROBE_INTERVAL_S = 0.1
 
@@ -28,7 +30,9 @@
     """Run the stand-ins and two entry processes with a document in effect."""
     with running_cluster("kerbihan") as running:
         for index in range(2):
-            running.start_entry(running.deployments[0], index, limits=LIMITS)
+            running.start_entry(
+                running.deployments[0], index, limits=LIMITS, trace=TRACE
+            )
         running.wait_ready()
         promote(running)
         yield running
@@ -48,6 +52,17 @@
     return Member(entry.url, ENVIRONMENT, MEMBER)
 
 
+def spans_of(cluster: Cluster, trace_id: str) -> dict[str, str]:
+    """Return the process that logged each span of a trace, by span name."""
+    found = {}
+    for entry in cluster.entries:
+        for line in entry.process.log.read_text().splitlines():
+            record = json.loads(line) if line.startswith("{") else {}
+            if record.get("trace_id") == trace_id and "span" in record:
+                found[record["span"]["name"]] = record["process"]
+    return found
+
+
 def owner_and_other(cluster: Cluster) -> tuple[Entry, Entry]:
     """Return the entry process that owns the shard and the other one."""
     found: list[Entry] = []
@@ -140,6 +155,19 @@
     assert_jobs_ran_once(cluster, ids)
 
 
+def test_one_trace_spans_every_hop_of_a_job(cluster):
+    """Guards against a hop that breaks the trace of a request."""
+    owner, other = owner_and_other(cluster)
+    answer = member_at(other).submit("fit-plan", {"run_ms": 10})
+    member_at(other).wait(answer.body["job_id"])
+    spans = spans_of(cluster, answer.body["trace_id"])
+    assert spans == {
+        "ingress": other.process.name,
+        "owner": owner.process.name,
+        "start": owner.process.name,
+    }
+
+
 def test_store_down_keeps_checks_and_running_work(cluster):
     """Guards against work that stops, or is accepted in memory, without the store."""
     _owner, other = owner_and_other(cluster)
