Find a dead network path to the store within seconds

Cause: with a proxy that stays silent instead of refusing, one silent connection attempt kept the adapter from the store for 20 s (gRPC's default time for an attempt), and a watch over a connection that no longer forwards stayed open for more than 49 s, because a bandwidth probe that was in flight suppresses keep-alive pings for its own default time-out of 60 s. Closing the adapter during a connection attempt raised an error of the library. Ruled out: keep-alive settings alone; they were set and had no effect. Before: the tests of both watches and of closing failed, and the connection test failed before its own fix.

--- a/flamingoway/store/etcd.py
+++ b/flamingoway/store/etcd.py
@@ -45,9 +45,14 @@
     ("grpc.max_send_message_length", MAX_ANSWER_BYTES),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # Time for one connection attempt; the default of 20 s outlasts a takeover.
+    ("grpc.min_reconnect_backoff_ms", 1000),
     ("grpc.keepalive_time_ms", PING_INTERVAL_MS),
     ("grpc.keepalive_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.http2.max_pings_without_data", 0),
+    # Without it a bandwidth probe that is in flight when the network fails hides
+    # the failure for its default of 60 s.
+    ("grpc.http2.ping_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.enable_http_proxy", 0),
 ]
 
@@ -218,10 +223,12 @@
         limit = min(CONNECT_TIMEOUT_S, self._timeout_s)
         try:
             await asyncio.wait_for(self._channel.channel_ready(), limit)
-        except TimeoutError:
+        except (TimeoutError, grpc.aio.UsageError):
             raise StoreUnavailable(
                 f"the store at {self._endpoint} cannot be reached"
             ) from None
+        if self._closed:
+            raise StoreUnavailable("the connection is closed")
 
     async def _read(self, request: pb.RangeRequest) -> pb.RangeResponse:
         await self._connect()
