Bound a connection attempt to a peer to 1 s

Cause: gRPC lets one connection attempt take 20 s; a peer that accepted a connection without answering stayed unreachable that long after it was back, beyond the 10 s of a takeover. Before: the new test in tests/test_peer.py failed (no reply in five attempts of 1 s). After: the attempt is bounded and all 10 tests pass.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -25,6 +25,8 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.initial_reconnect_backoff_ms", 100),
+    # Time for one connection attempt; the default of 20 s outlasts a takeover.
+    ("grpc.min_reconnect_backoff_ms", 1000),
     ("grpc.enable_http_proxy", 0),
     # A process must not share its port with a second one on the same machine.
     ("grpc.so_reuseport", 0),
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -117,3 +117,35 @@
     answer = asyncio.run(call())
     error = msgspec.msgpack.decode(answer)["error"]
     assert error["code"] == Code.BAD_REQUEST
+
+
+def test_a_peer_that_answered_nothing_is_found_again():
+    """Guards against a connection attempt that hides a restarted peer for 20 s."""
+
+    async def attempt(client: PeerClient, address: str) -> str:
+        try:
+            reply = await client.call(address, DEPOSE, 1.0, DeposeReply)
+        except Refused:
+            return ""
+        return reply.incarnation
+
+    async def run() -> str:
+        async def handler(_request: Depose) -> DeposeReply:
+            return DeposeReply("back", True)
+
+        client, server, address = PeerClient(), PeerServer(), free_address()
+        server.handle(Depose, handler)
+        host, port = address.split(":")
+        with socket.socket() as silent:
+            silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            silent.bind((host, int(port)))
+            silent.listen()
+            assert await attempt(client, address) == ""
+            accepted, _ = silent.accept()
+        async with server.listen(address, grace_s=0.1):
+            answers = [await attempt(client, address) for _ in range(5)]
+        accepted.close()
+        await client.close()
+        return answers[-1]
+
+    assert asyncio.run(run()) == "back"
