Take an entry VM's departure from the VM list as proof of its end

Cause: after the loss of a zone that held a shard's owner and workers, the new owner gets no answer from the former one and would wait the horizon of 4,200 s before it places their tasks again; the design names the VM list as proof, but the code did not use it. Ruled out: taking the departure of a worker alone as proof, since its former owner may still renew leases if only the list is wrong. Before: the new row 'silent and off the VM list' and two tests of the list failed. After: tests/test_vmlist.py, test_predecessor.py and test_owner.py pass (31).

--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -89,7 +89,9 @@
         self._keys = Keys(context.settings.cell)
         self._taken_over_at = context.clock()
         self._guard = EpochGuard(context, store, membership, acquired)
-        self._former = FormerOwners(context, peers, acquired.owner, self._taken_over_at)
+        self._former = FormerOwners(
+            context, peers, acquired.owner, self._taken_over_at, lambda: vms.departed
+        )
         self._events: asyncio.Queue[LinkEvent] = asyncio.Queue()
         self._position: LogPosition | None = None
         self._snapshotter: Snapshotter | None = None
--- a/flamingoway/predecessor.py
+++ b/flamingoway/predecessor.py
@@ -1,6 +1,7 @@
 """Proof that the former owners of a shard send nothing more to workers."""
 
 import asyncio
+from collections.abc import Callable, Collection
 
 from absl import logging
 
@@ -21,6 +22,8 @@
         peers: Calls other entry processes.
         owner: This owner, with the former ones.
         taken_over_at: Monotonic time of the takeover, in seconds.
+        departed: Returns the peer addresses of entry VMs that the platform's list
+            does not name any more.
     """
 
     def __init__(
@@ -29,12 +32,14 @@
         peers: PeerClient,
         owner: OwnerInfo,
         taken_over_at: float,
+        departed: Callable[[], Collection[str]],
     ):
         self._context = context
         self._peers = peers
         self._owner = owner
         self._left = list(owner.former)
         self._proved_at = taken_over_at
+        self._departed = departed
 
     @property
     def deposed_at(self) -> float | None:
@@ -60,6 +65,8 @@
         )
 
     async def _is_gone(self, former: FormerOwner) -> bool:
+        if former.peer_address in self._departed():
+            return True
         if await refuses_connections(former.peer_address):
             return True
         request = Depose(self._owner.shard, self._owner.epoch)
--- a/flamingoway/vmlist.py
+++ b/flamingoway/vmlist.py
@@ -18,7 +18,7 @@
     """One VM of the platform.
 
     Attributes:
-        role: ``worker`` or ``target``.
+        role: ``worker``, ``target`` or ``entry``.
         state: ``live`` or ``leaving``.
         slots: Requests that a target runs at once.
         connections: Connections that a target accepts.
@@ -79,6 +79,7 @@
         self._settings = context.settings.vm_list
         self._client = AsyncHTTPClient(force_instance=True)
         self._vms: dict[str, Vm] = {}
+        self._departed: set[str] = set()
         self._etag = ""
         self._failing = False
         self._subscribers: list[asyncio.Queue[VmsChanged]] = []
@@ -88,6 +89,11 @@
         """Last known VMs by id."""
         return self._vms
 
+    @property
+    def departed(self) -> set[str]:
+        """Addresses of entry VMs that were listed once and are listed no more."""
+        return self._departed
+
     def subscribe(self) -> asyncio.Queue[VmsChanged]:
         """Return a queue that receives a message after each change."""
         queue: asyncio.Queue[VmsChanged] = asyncio.Queue()
@@ -112,7 +118,7 @@
             return
         self._failing = False
         if listing is not None:
-            self._accept(listing)
+            self.accept(listing)
 
     async def _fetch(self) -> VmListing | None:
         headers = {"If-None-Match": self._etag} if self._etag else {}
@@ -134,15 +140,29 @@
         self._etag = response.headers.get("ETag", "")
         return listing
 
-    def _accept(self, listing: VmListing) -> None:
+    def accept(self, listing: VmListing) -> None:
+        """Take over a list and tell subscribers of a change."""
         vms = {vm.id: vm for vm in listing.vms}
         if vms == self._vms:
             return
+        self._note_departures(vms)
         self._vms = vms
         for queue in self._subscribers:
             queue.put_nowait(VmsChanged(listing.version))
 
+    def _note_departures(self, vms: dict[str, Vm]) -> None:
+        # An empty list is taken for a fault of the list, not as proof.
+        if not vms:
+            return
+        listed = _entry_addresses(vms)
+        self._departed |= _entry_addresses(self._vms) - listed
+        self._departed -= listed
+
     def _note_failure(self, exc: Exception) -> None:
         if not self._failing:
             logging.warning("the VM list cannot be read: %s", exc)
         self._failing = True
+
+
+def _entry_addresses(vms: dict[str, Vm]) -> set[str]:
+    return {vm.address for vm in vms.values() if vm.role == "entry"}
--- a/tests/test_predecessor.py
+++ b/tests/test_predecessor.py
@@ -49,16 +49,18 @@
 
 
 CASES = {
-    "deposed": (lambda a: answering(a, INCARNATION, True), True),
-    "still owner": (lambda a: answering(a, INCARNATION, False), False),
-    "another start at the address": (lambda a: answering(a, "second", False), True),
-    "paused": (silent, False),
-    "nothing listens": (closed, True),
+    "deposed": (lambda a: answering(a, INCARNATION, True), False, True),
+    "still owner": (lambda a: answering(a, INCARNATION, False), False, False),
+    "another start": (lambda a: answering(a, "second", False), False, True),
+    "paused": (silent, False, False),
+    "nothing listens": (closed, False, True),
+    # As after the loss of a zone: no answer, but the platform says it is gone.
+    "silent and off the VM list": (silent, True, True),
 }
 
 
-@pytest.mark.parametrize(("serve", "gone"), CASES.values(), ids=list(CASES))
-def test_proof_of_a_former_owners_end(monkeypatch, serve, gone):
+@pytest.mark.parametrize(("serve", "departed", "gone"), CASES.values(), ids=list(CASES))
+def test_proof_of_a_former_owners_end(monkeypatch, serve, departed, gone):
     monkeypatch.setattr(predecessor, "ASK_TIMEOUT_S", 0.3)
     monkeypatch.setattr(predecessor, "ASK_INTERVAL_S", 0.01)
 
@@ -67,7 +69,8 @@
         former = FormerOwner(1, "p1", INCARNATION, address, 0.0)
         owner = OwnerInfo("s", 2, "p2", "x", "127.0.0.1:1", [former])
         peers = PeerClient()
-        former_owners = FormerOwners(make_context(), peers, owner, 0.0)
+        listed = {address} if departed else set()
+        former_owners = FormerOwners(make_context(), peers, owner, 0.0, lambda: listed)
         asked = []
         is_gone = former_owners._is_gone
 
@@ -92,6 +95,6 @@
 def test_without_former_owners_the_takeover_time_counts():
     async def scenario():
         owner = OwnerInfo("s", 1, "p1", "x", "127.0.0.1:1")
-        assert FormerOwners(make_context(), None, owner, 7.0).deposed_at == 7.0
+        assert FormerOwners(make_context(), None, owner, 7.0, set).deposed_at == 7.0
 
     asyncio.run(scenario())
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -6,7 +6,7 @@
 import tornado.httpserver
 import tornado.netutil
 
-from flamingoway.vmlist import VmList
+from flamingoway.vmlist import Vm, VmList, VmListing
 from standins.vmlist import VmState, make_application
 from tests.owner_bench import make_context
 
@@ -60,3 +60,25 @@
 
 def test_changes_are_told_and_failures_keep_the_last_known_list():
     asyncio.run(follow())
+
+
+def test_an_entry_process_that_left_the_list_is_told_apart_from_a_new_one():
+    """Guards against the proof that a former owner is gone being missed or made up."""
+    vms = VmList(context_for(1))
+    entry = Vm("e1", "entry", "10.0.0.1", 8081, "r", "z1")
+    worker = Vm("w1", "worker", "10.0.0.2", 7000, "r", "z1")
+    vms.accept(VmListing(1, [entry, worker]))
+    assert vms.departed == set()
+    vms.accept(VmListing(2, [worker]))
+    assert vms.departed == {"10.0.0.1:8081"}
+    vms.accept(VmListing(3, [entry, worker]))
+    assert vms.departed == set()
+
+
+def test_an_empty_list_proves_nothing():
+    """Guards against a faulty list that would free the tasks of every shard."""
+    vms = VmList(context_for(1))
+    entry = Vm("e1", "entry", "10.0.0.1", 8081, "r", "z1")
+    vms.accept(VmListing(1, [entry]))
+    vms.accept(VmListing(2, []))
+    assert vms.departed == set()
