Test the loss of all entry processes, operator races and starts without the store

Cause: these cases were covered only with fakes. All processes killed at once: 20 jobs end, none in two places. Two operators at two processes: one 200, one 409. Restart without the store: documents come from a peer and a check is answered. A killed process: no check runs twice.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,6 +11,7 @@
 import uuid
 
 import pytest
+import yaml
 from ledgers import overlapping_attempts, repeated_requests, started_tasks
 
 from standins.client import Member, Operator, wait_for_version
@@ -208,6 +209,62 @@
     assert_jobs_ran_once(cluster, accepted)
 
 
+def test_all_entry_processes_killed_and_started_again(cluster):
+    """Guards against state that only the entry processes held."""
+    member = member_at(cluster.entries[0])
+    ids = submit_all(member, 20, run_ms=3000)
+    for entry in cluster.entries:
+        entry.process.send(signal.SIGKILL)
+    for entry in cluster.entries:
+        entry.process.popen.wait()
+        cluster.restart_entry(entry)
+    cluster.wait_ready()
+    wait_until(lambda: member.jobs().status == 200, TAKEOVER_S, "an owner")
+    assert {member.wait(job_id)["state"] for job_id in ids} == {"succeeded"}
+    assert_jobs_ran_once(cluster, ids)
+
+
+def test_two_operators_race_at_two_processes(cluster):
+    """Guards against an accepted document that another operator overwrites unseen."""
+    document = (EXAMPLES / "documents" / "kerbihan-planner.yaml").read_bytes()
+    answers = []
+
+    def accept(entry: Entry, comment: bytes) -> None:
+        headers = {"If-Match": "1"}
+        path = "environments/kerbihan-trial/try"
+        operator = Operator(entry.url)
+        answers.append(operator.call("POST", path, document + comment, headers))
+
+    threads = [
+        threading.Thread(target=accept, args=(entry, b"# change %d\n" % index))
+        for index, entry in enumerate(cluster.entries)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(answer.status for answer in answers) == [200, 409]
+    urls = [entry.url for entry in cluster.entries]
+    wait_for_version(urls, "kerbihan-trial", 2)
+
+
+def test_process_restarted_without_the_store_serves_checks(cluster):
+    """Guards against documents that only the store can give."""
+    first, second = cluster.entries
+    settings = yaml.safe_load(first.settings.read_text())
+    peer_port = yaml.safe_load(second.settings.read_text())["peer_port"]
+    settings["peers"] = [f"127.0.0.1:{peer_port}"]
+    first.settings.write_text(yaml.safe_dump(settings))
+    cluster.store_control(down=True)
+    first.process.send(signal.SIGKILL)
+    first.process.popen.wait()
+    cluster.restart_entry(first)
+    wait_until(lambda: first.ready, 20, "ready without the store")
+    answer = member_at(first).check("slot-check", {"service_ms": 1})
+    cluster.store_control(down=False)
+    assert answer.status == 200
+
+
 class Balancer:
     """Sends checks to processes that are ready, as the platform's balancer does.
 
@@ -272,3 +329,21 @@
     ledger = read_ledger(cluster.target_ledger(cluster.deployments[0]))
     assert repeated_requests(ledger) == []
     assert len(ledger) == len(balancer.answers)
+
+
+def test_killed_entry_process_doubles_no_check(cluster):
+    """Guards against a check that runs again because its process died."""
+    with Balancer(cluster) as balancer:
+        wait_until(lambda: len(balancer.answers) > 100, 20, "some answers")
+        killed = cluster.entries[0]
+        killed.process.send(signal.SIGKILL)
+        killed.process.popen.wait()
+        cluster.restart_entry(killed)
+        wait_until(lambda: killed.ready, 20, "restarted process ready")
+    answered = [status for status, _ in balancer.answers if status == 200]
+    refused = [text for status, text in balancer.answers if status != 200]
+    assert refused == []
+    ledger = read_ledger(cluster.target_ledger(cluster.deployments[0]))
+    # A caller whose connection broke does not know whether its check ran.
+    unknown = len(balancer.failures)
+    assert len(answered) <= len(ledger) <= len(answered) + unknown
