Skip unchanged workers in set_worker

Cause: the owner repeats set_worker with every report, and each call asked for all shares to be computed again in the next pass. An unchanged worker now costs nothing; this was found by reading, no run with the owner was measured before or after.

--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -99,10 +99,12 @@
     def set_worker(self, info: WorkerInfo, schedulable: bool) -> None:
         """Add a worker, or change its capacity or whether it takes new tasks."""
         state = self._state
-        state.ledger.set_capacity(info.worker_id, info.capacity)
-        state.index.set_worker(info)
+        # Owners repeat this with every report, so an unchanged worker costs nothing.
+        if state.index.infos.get(info.worker_id) != info:
+            state.ledger.set_capacity(info.worker_id, info.capacity)
+            state.index.set_worker(info)
+            self._refresh_needed = True
         state.set_schedulable(info.worker_id, schedulable)
-        self._refresh_needed = True
 
     def remove_worker(self, worker_id: str) -> None:
         """Forget a worker; its tasks are proved not to run and are queued again."""
