--- a/flamingoway/fleet.py
+++ b/flamingoway/fleet.py
@@ -13,8 +13,8 @@
 
 from .context import Context
 from .core.effects import AckResult, Effect, StartTask, StopTask
+from .core.fencing import LeaseTerms, WorkerLease
 from .core.reports import Attempt, WorkerReport
-from .leases import LeaseTerms, WorkerLease
 from .model import WorkerInfo
 from .worker import LinkDown, LinkEvent, ReportReceived, WorkerClient, WorkerCommand
 
@@ -89,7 +89,10 @@
         self._make_link = make_link
         self._may_renew = may_renew
         self._taken_over_at = taken_over_at
-        self._terms = LeaseTerms.of(context.settings.limits)
+        limits = context.settings.limits
+        self._terms = LeaseTerms(
+            limits.task_lease_s, limits.clock_drift, limits.lease_horizon_s
+        )
         self._sessions: dict[str, WorkerSession] = {}
         self._numbers = itertools.count(1)
         self._closed = False
