--- /dev/null
+++ b/benchmarks/design_size.py
@@ -0,0 +1,176 @@
+"""Load and cost of one entry process at the design size, from the fits."""
+
+from dataclasses import dataclass
+
+from .streams import framed
+
+WORKERS = 790
+RUNNING_TASKS = 5800
+STARTS_PER_S = 55.0
+JOBS_PER_DAY = 7100
+MEMBERS = 290
+PROCESSES = 7
+SHARDS = 8
+ZONES = 8
+WORKERS_PER_RACK = 8
+CHANGES_PER_DAY = 1800
+RESTARTS_PER_DAY = 84
+# A member stands in the trial and in the production document of its application.
+STAGES = 2
+DAY_S = 86_400.0
+REPORT_INTERVAL_S = 5.0
+SESSION_RENEWAL_S = 1.3
+LOG_WRITES_PER_S = 80.0
+STORE_WRITES_PER_S = 100.0
+MAX_GROUP_BYTES = 512 * 1024
+# Watches of a process: processes, documents, and the owner of each shard.
+WATCHES = 2 + SHARDS
+
+CPU_BUDGET_MS = 14.0
+MEMORY_BUDGET_KB = 64_000.0
+BYTES_BUDGET = 29_000.0
+KB_PER_KIB = 1.024
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of one entry process.
+
+    Attributes:
+        jobs_kept: Finished jobs that are kept for a day.
+    """
+
+    name: str
+    workers: float
+    running: float
+    starts: float
+    jobs_kept: float
+
+
+def share(name: str, part: float, starts: float = STARTS_PER_S) -> Load:
+    """Return the load of a process that owns ``part`` of the cell."""
+    return Load(
+        name,
+        WORKERS * part,
+        RUNNING_TASKS * part,
+        starts * part,
+        JOBS_PER_DAY * part,
+    )
+
+
+AVERAGE = share("1/7 of the cell", 1 / PROCESSES)
+TWO_SHARDS = share("2 of 8 shards", 2 / SHARDS)
+QUIET = share("2 of 8 shards, mean day", 2 / SHARDS, JOBS_PER_DAY / DAY_S)
+
+
+class Model:
+    """Costs computed from the fits and message sizes of one run."""
+
+    def __init__(self, results: dict):
+        self._fits = results["fits"]
+        self._sizes = results["streams"]
+
+    def slope(self, name: str) -> float:
+        """Return the slope of a fit."""
+        return self._fits[name]["slope"]
+
+    def intercept(self, name: str) -> float:
+        """Return the intercept of a fit."""
+        return self._fits[name]["intercept"]
+
+    def change_ms(self, role: str, members: float = MEMBERS) -> float:
+        """Return the processor time of one document change."""
+        name = f"cpu_ms_per_change_{role}"
+        return self.intercept(name) + self.slope(name) * members
+
+    def cpu(self, load: Load) -> dict[str, float]:
+        """Return processor milliseconds a second by part."""
+        changes = CHANGES_PER_DAY / DAY_S
+        return {
+            "base": self.intercept("cpu_ms_per_worker"),
+            "workers": self.slope("cpu_ms_per_worker") * load.workers,
+            "running tasks": self.slope("cpu_ms_per_running_task") * load.running,
+            "jobs": self.slope("cpu_ms_per_job") * load.starts,
+            "documents": self.change_ms("follower") * changes,
+            "administration": self.change_ms("administration") * changes / PROCESSES,
+        }
+
+    def memory_kb(self, load: Load) -> dict[str, float]:
+        """Return resident kilobytes (1,000 bytes) by part."""
+        parts = {
+            "base": self.intercept("kib_per_worker"),
+            "workers": self.slope("kib_per_worker") * load.workers,
+            "running tasks": self.slope("kib_per_running_task") * load.running,
+            "finished jobs of a day": self.slope("kib_per_finished_job")
+            * load.jobs_kept,
+            "documents": self.slope("kib_per_member") * MEMBERS * STAGES,
+        }
+        return {name: value * KB_PER_KIB for name, value in parts.items()}
+
+    def stream_bytes(self, load: Load) -> dict[str, float]:
+        """Return bytes a second of the worker streams and of log writes by part."""
+        sizes = self._sizes
+        tasks = load.running / load.workers if load.workers else 0.0
+        renewal = sizes["command_one_renewal"] - sizes["command_per_renewal"]
+        report = framed(round(sizes["report_idle"] + tasks * sizes["report_per_task"]))
+        command = framed(round(renewal + tasks * sizes["command_per_renewal"]))
+        per_job = 2 * (report + command) + sizes["report_finished_extra"]
+        per_job += framed(sizes["command_start"]) + framed(sizes["command_ack"])
+        return {
+            "periodic reports and renewals": load.workers
+            / REPORT_INTERVAL_S
+            * (report + (command if tasks else 0)),
+            "starts and ends of tasks": load.starts * per_job,
+            "log writes": load.starts * sizes["records_per_job"],
+        }
+
+    def log_writes(self, starts: float = STARTS_PER_S) -> float:
+        """Return log writes a second of all shards."""
+        return min(self.slope("writes_per_job") * starts, LOG_WRITES_PER_S)
+
+    def session_writes(self) -> float:
+        """Return session renewals a second of all processes."""
+        return PROCESSES / SESSION_RENEWAL_S
+
+    def limits(self) -> list[tuple[str, float, str]]:
+        """Return what reaches a budget when it grows alone: name, size, unit."""
+        cpu_room = CPU_BUDGET_MS - self.intercept("cpu_ms_per_worker")
+        memory_room = MEMORY_BUDGET_KB / KB_PER_KIB - self.intercept("kib_per_worker")
+        one = self.stream_bytes(Load("", 1, RUNNING_TASKS / WORKERS, 0, 0))
+        per_worker = one["periodic reports and renewals"]
+        return [
+            ("job starts, processor", cpu_room / self.slope("cpu_ms_per_job"), "/s"),
+            ("checks, processor", cpu_room / self.slope("cpu_ms_per_check"), "/s"),
+            (
+                "running tasks, processor",
+                cpu_room / self.slope("cpu_ms_per_running_task"),
+                "tasks",
+            ),
+            (
+                "idle workers, processor",
+                cpu_room / self.slope("cpu_ms_per_worker"),
+                "workers",
+            ),
+            (
+                "idle workers, memory",
+                memory_room / self.slope("kib_per_worker"),
+                "workers",
+            ),
+            (
+                "queued jobs, memory",
+                memory_room / self.slope("kib_per_queued_job"),
+                "jobs",
+            ),
+            ("busy workers, bytes", BYTES_BUDGET / per_worker, "workers"),
+        ]
+
+    def lost_tasks(self, workers: float) -> dict[str, float]:
+        """Return tasks to place again and log groups when workers are gone."""
+        tasks = RUNNING_TASKS * workers / WORKERS
+        size = tasks * self._sizes["records_per_lost_task"]
+        return {
+            "workers": workers,
+            "tasks": tasks,
+            "kilobytes": size / 1000,
+            "groups": -(-size // MAX_GROUP_BYTES),
+        }
