--- a/benchmarks/page.py
+++ b/benchmarks/page.py
@@ -4,7 +4,9 @@
 from pathlib import Path
 
 from . import design_size as size
+from .cell import make_document
 from .design_size import Load, Model
+from .roles import HEADER, role_rows
 
 BEGIN = "<!-- begin: python -m benchmarks.capacity --write-page -->"
 END = "<!-- end -->"
@@ -36,6 +38,8 @@
         slope_table(results),
         "### Encoded sizes (computed)",
         _table(["message", "bytes"], results["streams"].items()),
+        "### Roles at the design size, 1/7 of the cell at the peak (computed)",
+        _table(HEADER, role_rows(model, len(make_document(size.MEMBERS)))),
         "### One entry process at the design size (computed from the fits)",
         *_parts_tables(model),
         "### Against the budget per node (computed)",
