Wait out a planned handover of a shard before refusing a job request

Cause: since shards are handed over to better placed processes, each handover refused job requests with OWNER_UNAVAILABLE for some tenths of a second. Ruled out: leaving the retry to callers; the refusal proves that nothing ran, so the router may send the request again itself, at most 10 times in 1.5 s.

--- a/flamingoway/jobs.py
+++ b/flamingoway/jobs.py
@@ -7,7 +7,7 @@
 import hashlib
 import math
 import uuid
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -33,6 +33,11 @@
 # Longer than the owner's own deadline for the commit, so that its answer arrives.
 CALL_TIMEOUT_S = 5.0
 RETRY_AFTER_S = 1.0
+# A planned handover of a shard takes some tenths of a second. A request that was
+# refused meanwhile did not run and is sent again before its caller is told.
+HANDOVER_ATTEMPTS = 10
+HANDOVER_INTERVAL_S = 0.15
+HANDOVER_CODES = (Code.OWNER_UNAVAILABLE, Code.OWNER_CHANGED)
 LIST_LIMIT = 100
 
 R = TypeVar("R", bound=Message)
@@ -56,6 +61,7 @@
         owners: Returns the current owner of each shard.
         local: Owners in this process.
         peers: Calls other entry processes.
+        sleep: Waits some seconds.
     """
 
     def __init__(
@@ -64,8 +70,10 @@
         owners: Callable[[], Mapping[str, OwnerInfo]],
         local: LocalOwners,
         peers: PeerClient,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ):
         self._context = context
+        self._sleep = sleep
         self._owners = owners
         self._local = local
         self._peers = peers
@@ -176,6 +184,17 @@
             ) from None
 
     async def _call(self, request: Request) -> Message:
+        """Send a request to the owner; wait out a handover of the shard."""
+        for _ in range(HANDOVER_ATTEMPTS):
+            try:
+                return await self._call_once(request)
+            except Refused as exc:
+                if exc.code not in HANDOVER_CODES:
+                    raise
+            await self._sleep(HANDOVER_INTERVAL_S)
+        return await self._call_once(request)
+
+    async def _call_once(self, request: Request) -> Message:
         if self._local.owns(request.shard):
             return await self._local.handle(request)
         owner = self._owners().get(request.shard)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,9 +7,15 @@
 import pytest
 
 from flamingoway.document import Document, DocumentVersion, JobKind, MemberModel
-from flamingoway.errors import FlamingowayError, OutcomeUnknown
+from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.follower import ActiveDocument
-from flamingoway.jobs import JobRouter, job_id_of, rendezvous, request_digest
+from flamingoway.jobs import (
+    HANDOVER_ATTEMPTS,
+    JobRouter,
+    job_id_of,
+    rendezvous,
+    request_digest,
+)
 from flamingoway.messages import OwnerInfo
 from flamingoway.peer import PeerClient, PeerServer
 from flamingoway.status import Code
@@ -184,3 +190,28 @@
     grown = {**weights, "c": 4}
     moved = [i for i in ids if rendezvous(i, grown) != rendezvous(i, weights)]
     assert {rendezvous(item, grown) for item in moved} == {"c"}
+
+
+@pytest.mark.parametrize("returns_after, code", [(3, Code.ACCEPTED), (99, None)])
+def test_a_handover_of_the_shard_is_waited_out(returns_after, code):
+    """Guards against refusals during each planned handover of a shard."""
+
+    async def scenario(remote):
+        waits = []
+        owners, remote.owners = remote.owners, {}
+
+        async def sleep(seconds):
+            waits.append(seconds)
+            if len(waits) == returns_after:
+                remote.owners = owners
+
+        remote.router._sleep = sleep
+        if code is not None:
+            assert (await remote.submit()).code == code
+            return
+        with pytest.raises(Refused) as caught:
+            await remote.submit()
+        assert caught.value.code == Code.OWNER_UNAVAILABLE
+        assert len(waits) == HANDOVER_ATTEMPTS
+
+    run(scenario)
