Bound waits for connections and renewals without losing cancellations

Cause: wait_for of Python 3.11 can swallow a cancellation that arrives together with the result, which leaves a task running during a planned stop; found in the shard owner, the same call stood in the peer client and the store adapter. Ruled out: a change of the bounds; only the construct differs. The peer client also skips the wait for a connection that is ready.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -172,15 +172,7 @@
         if channel is None:
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
             self._channels[address] = channel
-        # Waiting for the connection first tells "not sent" from "no answer".
-        try:
-            await asyncio.wait_for(
-                channel.channel_ready(), min(CONNECT_TIMEOUT_S, timeout_s)
-            )
-        except TimeoutError:
-            raise Refused(
-                f"peer {address} cannot be reached", Code.OWNER_UNAVAILABLE
-            ) from None
+        await _connect(channel, address, min(CONNECT_TIMEOUT_S, timeout_s))
         method = f"/{SERVICE}/{type(request).__name__}"
         call = channel.unary_unary(method)(_ENCODER.encode(request), timeout=timeout_s)
         try:
@@ -202,6 +194,20 @@
         self._channels.clear()
 
 
+async def _connect(channel: grpc.aio.Channel, address: str, limit_s: float) -> None:
+    # Waiting for the connection first tells "not sent" from "no answer".
+    if channel.get_state(try_to_connect=True) == grpc.ChannelConnectivity.READY:
+        return
+    try:
+        # Unlike wait_for of Python 3.11, timeout loses no cancellation.
+        async with asyncio.timeout(limit_s):
+            await channel.channel_ready()
+    except TimeoutError:
+        raise Refused(
+            f"peer {address} cannot be reached", Code.OWNER_UNAVAILABLE
+        ) from None
+
+
 def _to_exception(error: PeerError) -> FlamingowayError:
     code = Code(error.code)
     kinds = {2: Refused, 3: OutcomeUnknown}
--- a/flamingoway/store/etcd.py
+++ b/flamingoway/store/etcd.py
@@ -136,8 +136,9 @@
             await self._connect()
             try:
                 with self._closing(StoreOutcomeUnknown):
-                    renewal = self._renew(lease_id)
-                    return await asyncio.wait_for(renewal, self._timeout_s)
+                    # Unlike wait_for of Python 3.11, timeout loses no cancellation.
+                    async with asyncio.timeout(self._timeout_s):
+                        return await self._renew(lease_id)
             except TimeoutError:
                 self._end_renewal()
                 raise StoreOutcomeUnknown("no answer to a lease renewal") from None
@@ -222,7 +223,8 @@
             return
         limit = min(CONNECT_TIMEOUT_S, self._timeout_s)
         try:
-            await asyncio.wait_for(self._channel.channel_ready(), limit)
+            async with asyncio.timeout(limit):
+                await self._channel.channel_ready()
         except (TimeoutError, grpc.aio.UsageError):
             raise StoreUnavailable(
                 f"the store at {self._endpoint} cannot be reached"
