Write the capacity page from a complete run

The model therefore takes idle workers and job starts between measured points; with the line it gave negative room in the processor budget.

--- a/benchmarks/design_size.py
+++ b/benchmarks/design_size.py
@@ -90,6 +90,15 @@
         first, second = self._series[series][:2]
         return (second[field] - first[field]) / (second["x"] - first["x"])
 
+    def idle_cpu(self, workers: float) -> float:
+        """Return the processor time of an idle owner, between measured points.
+
+        Below the smallest measured size it is that of the smallest size.
+        """
+        points = self._series["idle"]
+        values = [point["cpu_ms_per_s"] for point in points]
+        return float(np.interp(workers, [point["x"] for point in points], values))
+
     def jobs_cpu(self, starts: float) -> float:
         """Return the processor time of job starts, between measured points."""
         points = self._series["starts"]
@@ -105,8 +114,8 @@
         """Return processor milliseconds a second by part."""
         changes = CHANGES_PER_DAY / DAY_S
         return {
-            "base": self.intercept("cpu_ms_per_worker"),
-            "workers": self.slope("cpu_ms_per_worker") * load.workers,
+            "base": self.idle_cpu(0),
+            "workers": self.idle_cpu(load.workers) - self.idle_cpu(0),
             "running tasks": self.slope("cpu_ms_per_running_task") * load.running,
             "jobs": self.jobs_cpu(load.starts),
             "documents": self.change_ms("follower") * changes,
@@ -157,7 +166,7 @@
 
     def limits(self) -> list[tuple[str, float, str]]:
         """Return what reaches a budget when it grows alone: name, size, unit."""
-        cpu_room = CPU_BUDGET_MS - self.intercept("cpu_ms_per_worker")
+        cpu_room = CPU_BUDGET_MS - self.idle_cpu(0)
         memory_room = MEMORY_BUDGET_KB / KB_PER_KIB - self.intercept("kib_per_worker")
         one = self.stream_bytes(Load("", 1, RUNNING_TASKS / WORKERS, 0, 0))
         per_worker = one["periodic reports and renewals"]
@@ -171,7 +180,7 @@
             ),
             (
                 "idle workers, processor",
-                cpu_room / self.slope("cpu_ms_per_worker"),
+                self._idle_workers_at(CPU_BUDGET_MS),
                 "workers",
             ),
             (
@@ -187,6 +196,11 @@
             ("busy workers, bytes", BYTES_BUDGET / per_worker, "workers"),
         ]
 
+    def _idle_workers_at(self, budget_ms: float) -> float:
+        points = self._series["idle"]
+        values = [point["cpu_ms_per_s"] for point in points]
+        return float(np.interp(budget_ms, values, [point["x"] for point in points]))
+
     def lost_tasks(self, workers: float) -> dict[str, float]:
         """Return tasks to place again and log groups when workers are gone."""
         tasks = RUNNING_TASKS * workers / WORKERS
--- a/benchmarks/page.py
+++ b/benchmarks/page.py
@@ -40,13 +40,13 @@
         _table(["message", "bytes"], results["streams"].items()),
         "### Roles at the design size, 1/7 of the cell at the peak (computed)",
         _table(HEADER, role_rows(model, len(make_document(size.MEMBERS)))),
-        "### One entry process at the design size (computed from the fits)",
+        "### One entry process at the design size (computed)",
         *_parts_tables(model),
         "### Against the budget per node (computed)",
         _budget_table(model),
-        "### Store calls of the cell (computed from the fits)",
+        "### Store calls of the cell (computed)",
         _store_table(model),
-        "### What reaches a budget when it grows alone (computed from the fits)",
+        "### What reaches a budget when it grows alone (computed)",
         _table(
             ["what, budget", "size at one process"],
             [(name, f"{_short(at)} {unit}") for name, at, unit in model.limits()],
@@ -76,7 +76,7 @@
     load = ", ".join(str(value) for value in run["load_average"])
     return (
         f"Run: `{run['command']} --seed {run['seed']}` at {run['at']}, "
-        f"{run['seconds']} s, commit {run['commit']} (with the benchmark's changes), "
+        f"{run['seconds']} s, commit {run['commit']}, "
         f"Python {run['python']}, {run['cores']} cores shared with other test runs, "
         f"load average at the end {load}."
     )
