Test a rolling restart of the targets between processes

Cause: leaving targets and their planned stops were proved with fakes only. Weighed: one process per target, which adds 24 processes to each test; two groups of 12 are enough to stop a part while the rest serves.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -25,6 +25,8 @@
 POLL_S = 0.05
 LOG_TAIL_CHARS = 4000
 OPERATOR_KEY = "key-operator"
+# A part of the targets can be stopped while the others serve.
+TARGET_GROUPS = 2
 
 
 @dataclass(slots=True)
@@ -146,6 +148,21 @@
             return False
 
 
+@dataclass(slots=True)
+class TargetGroup:
+    """Targets on consecutive ports that one process serves."""
+
+    deployment: Deployment
+    port: int
+    count: int
+    process: Process | None = None
+
+    @property
+    def ports(self) -> range:
+        """Ports of the targets."""
+        return range(self.port, self.port + self.count)
+
+
 @dataclass(slots=True)
 class Cluster:
     """Stand-ins and entry processes of one cell on this machine."""
@@ -158,6 +175,7 @@
     program: tuple[str, ...] = (sys.executable, "-m", "flamingoway")
     processes: list[Process] = field(default_factory=list)
     entries: list[Entry] = field(default_factory=list)
+    target_groups: list[TargetGroup] = field(default_factory=list)
 
     @property
     def vms_url(self) -> str:
@@ -220,17 +238,34 @@
     def _start_targets(self, deployment: Deployment) -> list[dict]:
         fleet = deployment.targets
         port = free_ports(fleet.count)
-        self.spawn(
-            f"{deployment.name}-targets",
+        part = fleet.count // TARGET_GROUPS
+        for index in range(TARGET_GROUPS):
+            group = TargetGroup(deployment, port + index * part, part)
+            self.target_groups.append(group)
+            self.start_targets(group)
+        return target_vms(deployment, port)
+
+    def start_targets(self, group: "TargetGroup") -> None:
+        """Start the targets of a group, or start them again after a stop."""
+        fleet = group.deployment.targets
+        group.process = self.spawn(
+            f"{group.deployment.name}-targets-{group.port}",
             "standins.target",
-            f"--port={port}",
-            f"--count={fleet.count}",
+            f"--port={group.port}",
+            f"--count={group.count}",
             f"--slots={fleet.slots}",
             f"--connections={fleet.connections}",
-            f"--ledger={self.target_ledger(deployment)}",
+            f"--ledger={self.target_ledger(group.deployment)}",
         )
-        self._wait_port(port + fleet.count - 1)
-        return target_vms(deployment, port)
+        self._wait_port(group.port + group.count - 1)
+
+    def set_state(self, group: "TargetGroup", state: str) -> None:
+        """Set the state of a group's targets in the VM list, visible after its lag."""
+        vms = request("GET", self.vms_url).body["vms"]
+        for vm in vms:
+            if vm["port"] in group.ports and vm["role"] == "target":
+                vm["state"] = state
+        request("PUT", self.vms_url, {"vms": vms})
 
     def _start_vmlist(self, vms: list[dict], lag_s: float) -> None:
         path = self.directory / "vms.json"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,6 +24,9 @@
 TRACE = {"exporter": "log"}
 TAKEOVER_S = 10.0
 PROBE_INTERVAL_S = 0.1
+# Lag of the VM list's stand-in, and the time after which no new work may arrive.
+VM_LAG_S = 0.5
+LEAVING_S = 3.0
 
 
 @pytest.fixture
@@ -347,3 +350,35 @@
     # A caller whose connection broke does not know whether its check ran.
     unknown = len(balancer.failures)
     assert len(answered) <= len(ledger) <= len(answered) + unknown
+
+
+def test_rolling_restart_of_targets_loses_no_check(cluster):
+    """Guards against new work at a leaving target and checks lost by its stop."""
+    deployment = cluster.deployments[0]
+    with Balancer(cluster) as balancer:
+        wait_until(lambda: len(balancer.answers) > 50, 20, "some answers")
+        for group in cluster.target_groups:
+            cluster.set_state(group, "leaving")
+            time.sleep(VM_LAG_S + LEAVING_S)
+            last_new = group_entries(cluster, group)
+            time.sleep(1.0)
+            assert group_entries(cluster, group) == last_new
+            group.process.stop()
+            cluster.start_targets(group)
+            cluster.set_state(group, "live")
+            wait_until(
+                lambda g=group, n=last_new: group_entries(cluster, g) > n,
+                20,
+                "new work after the return",
+            )
+    assert balancer.failures == []
+    assert {status for status, _ in balancer.answers} == {200}, set(balancer.answers)
+    ledger = read_ledger(cluster.target_ledger(deployment))
+    assert repeated_requests(ledger) == []
+    assert len(ledger) == len(balancer.answers)
+
+
+def group_entries(cluster: Cluster, group) -> int:
+    """Return how many checks the targets of a group have run."""
+    ledger = read_ledger(cluster.target_ledger(group.deployment))
+    return sum(entry["port"] in group.ports for entry in ledger)
