Pass on a changed VM list even if no message told of the change

After: the list is compared with the one passed on last (identical entries compare by identity), and tests/test_owner.py and tests/test_feeds.py pass. The row of test_feeds for linked workers now passes the list on once first, as the owner does; its counts are unchanged.

--- a/flamingoway/feeds.py
+++ b/flamingoway/feeds.py
@@ -34,6 +34,7 @@
         self._controller = controller
         self._vms = vms
         self._follower = follower
+        self._passed_on: list[Vm] = []
 
     async def check_workers(self) -> None:
         """Look for workers whose tasks are proved lost, at intervals."""
@@ -43,21 +44,21 @@
             await asyncio.sleep(WORKER_CHECK_S)
 
     def attach_workers(self) -> None:
-        """Attach to workers without a link.
+        """Pass on a changed list, and attach to workers without a link.
 
         Machines that took over the id of a lost one are attached to again. Passing
         on an unchanged list each second would cost time for every worker.
         """
         workers = self._workers()
-        if self._controller.lacks_link(workers):
-            self._controller.on_vms(workers)
+        if workers != self._passed_on or self._controller.lacks_link(workers):
+            self._pass_on(workers)
 
     async def follow_vms(self) -> None:
         """Pass on changes of the VM list."""
         changes = self._vms.subscribe()
         while True:
             await changes.get()
-            self._controller.on_vms(self._workers())
+            self._pass_on(self._workers())
 
     async def follow_documents(self) -> None:
         """Pass on the documents in effect and their successors."""
@@ -69,6 +70,10 @@
         while True:
             self._set_document(await changes.get())
 
+    def _pass_on(self, workers: list[Vm]) -> None:
+        self._passed_on = workers
+        self._controller.on_vms(workers)
+
     def _workers(self) -> list[Vm]:
         shard = self._settings.shard(self._shard)
         return [
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -45,9 +45,23 @@
 def test_list_is_passed_on_only_while_a_link_is_missing(sessions, passed):
     """Guards against a cost for every worker each second, and against lost links."""
     controller = RecordingController()
-    controller.sessions = sessions
     feeds = Feeds(make_context(), "s", controller, FakeFeed([worker("w1")]), FakeFeed())
     feeds.attach_workers()
+    controller.lists = 0
+    controller.sessions = sessions
+    feeds.attach_workers()
     feeds.attach_workers()
     expected = 2 if "unlisted" in sessions else int(passed)
     assert controller.lists == expected
+
+
+def test_a_changed_list_is_passed_on_without_a_message():
+    """Guards against a worker that stays in use because a change was not told."""
+    controller = RecordingController()
+    feed = FakeFeed([worker("w1"), worker("w2")])
+    feeds = Feeds(make_context(), "s", controller, feed, FakeFeed())
+    feeds.attach_workers()
+    del feed.vms["w2"]
+    feeds.attach_workers()
+    feeds.attach_workers()
+    assert controller.lists == 2
