Exempt imported modules from garbage collections

Cause: a full collection stops the process. With only the modules of an entry process imported (44,342 objects) five collections took 57, 45, 42, 37 and 35 ms, longer than the 5 ms that a process may add to a check. Weighed: raising the thresholds, which makes pauses rarer and longer. After gc.freeze() the same five collections took 0.0 ms each. Objects made later are collected as before. Two process tests pass.

--- a/flamingoway/serve.py
+++ b/flamingoway/serve.py
@@ -1,6 +1,7 @@
 """One entry process: starts its tasks and stops them in order."""
 
 import asyncio
+import gc
 import os
 import signal
 
@@ -25,6 +26,10 @@
         the result code that describes what was abandoned.
     """
     configure_logging(settings)
+    # The imported modules live as long as the process. Scanning them took 35 ms to
+    # 57 ms of each full collection, in which no request is answered.
+    gc.collect()
+    gc.freeze()
     return asyncio.run(_serve(settings))
 
 
