Build job lists from the jobs that are shown

Cause: a list built the full view of every job of a member, with all results, then copied the shown ones field by field without results. The same fields stood twice. After: the jobs are filtered, sorted and cut first, and a summary is the view with its tasks and results replaced. Order, limit and content of the answer are the same.

--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -163,13 +163,13 @@
 
     async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
         jobs = [
-            view_of(job)
+            job
             for job in owner.scheduler.ledger.jobs.values()
             if job.spec.environment == request.environment
             and job.spec.member == request.member
         ]
         jobs.sort(key=lambda job: job.accepted_at, reverse=True)
-        return JobList([_without_results(job) for job in jobs[: request.limit]])
+        return JobList([_summary_of(job) for job in jobs[: request.limit]])
 
     async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
         _find(owner, request)
@@ -228,19 +228,9 @@
     )
 
 
-def _without_results(job: JobView) -> JobView:
+def _summary_of(job: Job) -> JobView:
     # Results of many jobs would exceed the size of one peer message.
-    return JobView(
-        job_id=job.job_id,
-        environment=job.environment,
-        member=job.member,
-        kind=job.kind,
-        state=job.state,
-        code=job.code,
-        reason=job.reason,
-        accepted_at=job.accepted_at,
-        ended_at=job.ended_at,
-    )
+    return msgspec.structs.replace(view_of(job), tasks={}, results={})
 
 
 def _find(owner: ShardOwner, request: GetJob | CancelJob) -> Job:
