--- a/flamingoway/output/views.py
+++ b/flamingoway/output/views.py
@@ -8,7 +8,6 @@
 
 from .table import render_fields, render_table
 
-
 Answer = dict[str, Any]
 View = Callable[[Answer], str]
 
