--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -187,6 +187,12 @@
                 f"no answer from peer {address}: {exc.code().name}"
             ) from None
 
+    async def forget(self, address: str) -> None:
+        """Close the channel to a peer; the next call opens a new one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
     async def close(self) -> None:
         """Close all channels."""
         for channel in self._channels.values():
--- /dev/null
+++ b/flamingoway/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls; decides nothing."""
--- /dev/null
+++ b/flamingoway/platform/ingress.py
@@ -0,0 +1,88 @@
+"""Requests of callers: paths, bodies and statuses of the platform's job interface."""
+
+import time
+
+from ..errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
+from ..httpserver import HttpAnswer, HttpRequest
+from ..queues.intake import Intake
+from ..queues.metrics import QueueMetrics
+from ..status import Code
+from . import wire
+
+DEFAULT_TIMEOUT_S = 3.0
+MAX_ID_CHARS = 64
+# A caller that gets no answer asks again elsewhere with the same id.
+UNRESOLVED_STATUS = 504
+STATUSES = {Code.NOT_FOUND: 410, Code.BODY_TOO_LARGE: 413, Code.MEMBER_LIMIT: 429}
+
+
+class JobIngress:
+    """Answers callers.
+
+    Args:
+        intake: The product's interface for callers.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(self, intake: Intake, metrics: QueueMetrics):
+        self._intake = intake
+        self._metrics = metrics
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answer one request; see ``HttpServer``."""
+        began = time.monotonic()
+        try:
+            answer = await self._route(request)
+        except FlamingowayError as exc:
+            answer = refuse(exc.code, exc.message, exc.details.get("retry_after"))
+        self._metrics.requests.labels(request.method, str(answer.status)).inc()
+        self._metrics.request_seconds.observe(time.monotonic() - began)
+        return answer
+
+    async def _route(self, request: HttpRequest) -> HttpAnswer:
+        host = request.headers.get("Host", "").partition(":")[0]
+        try:
+            queue = self._intake.queue_for(host, request.path)
+        except BadRequest:
+            return _json(404, {"error": "no such queue"})
+        job_id = request.path[len(queue.prefix) :]
+        timeout_s = _timeout(request)
+        if not job_id and request.method == "GET":
+            return _json(200, {"numWaiting": self._intake.waiting(queue)})
+        if not job_id or len(job_id) > MAX_ID_CHARS or not job_id.isalnum():
+            return _json(404, {"error": "no such job"})
+        if request.method == "GET":
+            state = await self._intake.state(job_id)
+            return _json(200, {"state": state.value})
+        if request.method == "DELETE":
+            await self._intake.cancel(job_id, timeout_s)
+            return _json(200, {})
+        if request.method != "POST":
+            return _json(405, {"error": "method not allowed"})
+        spec = wire.to_job(request.body, job_id, queue.name)
+        await self._intake.submit(spec, timeout_s)
+        return _json(200, {})
+
+
+def refuse(code: Code, message: str, retry_after: int | None = None) -> HttpAnswer:
+    """Return the answer for a result code."""
+    status = STATUSES.get(code, 503)
+    if code // 1000 == OutcomeUnknown.code // 1000:
+        status = UNRESOLVED_STATUS
+    elif code // 1000 == BadRequest.code // 1000:
+        status = STATUSES.get(code, 400)
+    answer = _json(status, {"error": message})
+    if code // 1000 == Refused.code // 1000:
+        answer.headers["Retry-After"] = str(retry_after or 1)
+    return answer
+
+
+def _timeout(request: HttpRequest) -> float:
+    """Return how long the caller waits, in seconds."""
+    text = request.headers.get("Deadline-Ms", "")
+    return int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+
+
+def _json(status: int, body: dict) -> HttpAnswer:
+    data = wire.ENCODER.encode(body)
+    return HttpAnswer(status, data, {"Content-Type": "application/json"})
--- /dev/null
+++ b/flamingoway/platform/serve.py
@@ -0,0 +1,172 @@
+"""One entry process on the users' platform: its servers and signals."""
+
+import asyncio
+import gc
+import os
+import signal
+
+from ..context import boot_time
+from ..errors import BadSettings
+from ..httpserver import HttpAnswer, HttpRequest, HttpServer
+from ..queues.decisions import DecisionLog
+from ..queues.node import Platform, QueueNode
+from ..queues.records import MemberRecord
+from ..status import Code
+from . import wire
+from .client import HttpClient
+from .ingress import JobIngress, refuse
+from .settings import NodeSettings, load
+from .store import PlatformStore
+from .workers import PlatformAdvice, PlatformWorkers
+
+SETTINGS_VARIABLE = "FLAMINGOWAY_SETTINGS"
+MAX_BODY_BYTES = 1024 * 1024
+# The platform sends new connections elsewhere after two failed checks, one a second.
+DRAIN_NOTICE_S = 2.2
+# Kept back from the grace time for ending the session and the process.
+STOP_RESERVE_S = 1.0
+# The settings file may change without a signal.
+SETTINGS_CHECK_S = 1.0
+CONFIG_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+WORKER_PREFIX = "servers/"
+# Leases end a little before the longest that a worker accepts, so that clock
+# estimates that are ahead do not exceed it.
+LEASE_SHARE = 0.95
+
+
+def main() -> int:
+    """Run the entry process that the settings file describes."""
+    path = os.environ.get(SETTINGS_VARIABLE, "/etc/flamingoway/node.yaml")
+    try:
+        settings = load(path)
+    except BadSettings as exc:
+        DecisionLog("unknown").write("settings refused", path=path, why=exc.message)
+        return exc.code.exit_code
+    gc.collect()
+    gc.freeze()
+    return asyncio.run(Entry(settings, path).run())
+
+
+class Entry:
+    """An entry process.
+
+    Args:
+        settings: Its settings.
+        path: Path of the settings file, which may change.
+    """
+
+    def __init__(self, settings: NodeSettings, path: str):
+        self._settings = settings
+        self._path = path
+        self._log = DecisionLog(settings.node_name)
+        self._client = HttpClient(boot_time)
+        self._store = PlatformStore(settings.platform.address, self._client)
+        self._advice = PlatformAdvice(settings.advice or "", self._client)
+        member = MemberRecord(settings.node_name, settings.peer_address, settings.zone)
+        platform = Platform(
+            store=self._store,
+            workers=PlatformWorkers(self._client),
+            advice=self._advice,
+            config_prefix=CONFIG_PREFIX,
+            config_key=CONFIG_KEY,
+            decode_config=wire.to_desired_state,
+            worker_prefix=WORKER_PREFIX,
+            decode_worker=wire.to_worker,
+            lease_s=settings.bounds.hold_max_ms / 1000 * LEASE_SHARE,
+        )
+        self._node = QueueNode(member, platform, boot_time, self._log)
+        self._changed = asyncio.Event()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM; return the exit code."""
+        self._log.write("started", zone=self._settings.zone, pid=os.getpid())
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._changed.set)
+        ingress = JobIngress(self._node.intake, self._node.metrics)
+        front = HttpServer(ingress.handle, refuse, MAX_BODY_BYTES)
+        ready = HttpServer(self._answer_ready, refuse, MAX_BODY_BYTES)
+        metrics = HttpServer(self._answer_metrics, refuse, MAX_BODY_BYTES)
+        front.listen(*_address(self._settings.listen.front))
+        ready.listen(*_address(self._settings.listen.ready))
+        metrics.listen(self._settings.ip, self._settings.metrics_port)
+        node = asyncio.create_task(self._node.run())
+        background = [
+            asyncio.create_task(front.sweep()),
+            asyncio.create_task(self._watch_settings()),
+        ]
+        stopped = asyncio.create_task(stop.wait())
+        await asyncio.wait({node, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if node.done():
+            self._log.write("stopped", why=repr(node.exception()))
+            return Code.INTERNAL.exit_code
+        await self._drain(front)
+        for task in background:
+            task.cancel()
+        node.cancel()
+        await asyncio.wait({node}, timeout=STOP_RESERVE_S / 2)
+        await ready.close()
+        await metrics.close()
+        self._client.close()
+        self._log.write("stopped", why="signal")
+        return 0
+
+    async def _drain(self, front: HttpServer) -> None:
+        began = asyncio.get_running_loop().time()
+        self._log.write("stopping", in_flight=front.in_flight)
+        await self._node.stop()
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        front.stop_listening()
+        spent = asyncio.get_running_loop().time() - began
+        left = self._settings.bounds.grace_s - STOP_RESERVE_S - spent
+        abandoned = await front.drain(max(0.1, left))
+        if abandoned:
+            self._log.write("requests abandoned", requests=abandoned)
+        await self._node.close()
+
+    async def _watch_settings(self) -> None:
+        modified = _modified(self._path)
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_CHECK_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                if _modified(self._path) == modified:
+                    continue
+            self._changed.clear()
+            modified = _modified(self._path)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = load(self._path)
+        except BadSettings as exc:
+            self._log.write("reload refused", why=exc.message)
+            return
+        self._store.address = settings.platform.address
+        self._advice.address = settings.advice or ""
+        self._log.write("reloaded", store=settings.platform.address)
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200 if self._node.ready else 503, b"")
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpAnswer:
+        metrics = self._node.metrics
+        metrics.dropped_lines.set(self._log.dropped)
+        return HttpAnswer(200, metrics.render(), {"Content-Type": metrics.content_type})
+
+
+def _address(text: str) -> tuple[str, int]:
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
+def _modified(path: str) -> float:
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        # The platform replaces the file; the next check sees the new one.
+        return 0.0
--- /dev/null
+++ b/flamingoway/platform/store.py
@@ -0,0 +1,174 @@
+"""The ``Store`` port over the platform's key-value calls."""
+
+from collections.abc import AsyncIterator
+from urllib.parse import urlencode
+
+from ..errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
+from ..store import (
+    STORES,
+    Changes,
+    Compare,
+    Delete,
+    HistoryLost,
+    KeyValue,
+    LeaseLapsed,
+    Put,
+    RangeResult,
+    TxnResult,
+    WatchBatch,
+)
+from . import wire
+from .client import HttpClient, NoAnswer, NotSent
+
+# A waiting watch is repeated after this time, so that a connection that went
+# silent is noticed within a fraction of the bound for new configuration (2 s).
+WATCH_WAIT_S = 1.0
+WATCH_SLACK_S = 0.5
+# Pages of a range read can be large (1 MB).
+RANGE_TIMEOUT_S = 3.0
+
+
+@STORES.register("platform")
+class PlatformStore:
+    """Calls of the platform's key-value service.
+
+    Args:
+        address: ``IP:port``.
+        client: HTTP client.
+        timeout_s: Longest wait for one answer.
+    """
+
+    def __init__(self, address: str, client: HttpClient, timeout_s: float = 1.0):
+        self.address = address
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return one key, or ``None``."""
+        query = urlencode({"key": key})
+        status, data = await self._read(f"/kv-key?{query}", self._timeout_s)
+        if status == 404:
+            return None
+        return wire.to_item(wire.parse(wire.ItemBody, data))
+
+    async def range(self, prefix: str, start: str = "", limit: int = 0) -> RangeResult:
+        """Return the keys that begin with ``prefix``; see the port."""
+        items: list[KeyValue] = []
+        after, revision, more = "", 0, True
+        while more and not (limit and len(items) >= limit):
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            path = f"/kv-range?{urlencode(query)}"
+            _, data = await self._read(path, RANGE_TIMEOUT_S)
+            page = wire.parse(wire.ItemsBody, data)
+            # Pages are not a snapshot: changes since the first one are still to be
+            # followed.
+            revision = revision or page.store_revision
+            more = page.has_more and bool(page.items)
+            after = page.items[-1].key if page.items else after
+            items += [wire.to_item(i) for i in page.items if i.key >= start]
+        return RangeResult(items[:limit] if limit else items, revision)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes under ``prefix`` that followed a revision."""
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
+        path = f"/kv-watch?{urlencode(query)}"
+        status, data = await self._read(path, wait_s + WATCH_SLACK_S)
+        if status == 410:
+            raise HistoryLost(f"changes after revision {after} are no longer known")
+        body = wire.parse(wire.ItemsBody, data)
+        events = [wire.to_event(event) for event in body.events]
+        return Changes(body.store_revision, events)
+
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> AsyncIterator[WatchBatch]:
+        """Yield changes under ``prefix`` from ``start_revision`` on."""
+        after = start_revision - 1
+        while True:
+            changes = await self.changes(prefix, after, WATCH_WAIT_S)
+            after = max(after, changes.revision)
+            by_revision: dict[int, list] = {}
+            for event in changes.events:
+                revision = event.item.mod_revision if event.item else changes.revision
+                by_revision.setdefault(revision, []).append(event)
+            for revision, events in by_revision.items():
+                yield WatchBatch(revision, events)
+
+    async def txn(
+        self,
+        compares: list[Compare],
+        operations: list[Put | Delete],
+        read_on_failure: list[str] | None = None,
+    ) -> TxnResult:
+        """Apply ``operations`` if all ``compares``, by ``mod_revision``, hold."""
+        body = {
+            "expectedRev": [{"key": c.key, "revision": c.expected} for c in compares],
+            "puts": [_put(o) for o in operations if isinstance(o, Put)],
+            "remove": [o.key for o in operations if isinstance(o, Delete)],
+        }
+        status, data = await self._write("POST", "/kv-txn", body)
+        if status == 404:
+            raise LeaseLapsed("a put names a lease that has lapsed")
+        if status == 412:
+            failed = wire.parse(wire.ItemsBody, data)
+            reads = {i.key: wire.to_item(i) for i in failed.items if i.revision}
+            return TxnResult(False, 0, reads)
+        return TxnResult(True, wire.parse(wire.RevisionBody, data).revision)
+
+    async def grant_lease(self, ttl: float) -> int:
+        """Return the id of a new lease of ``ttl`` seconds."""
+        body = {"ttlMs": int(ttl * 1000)}
+        _, data = await self._write("POST", "/kv-lease", body)
+        return wire.parse(wire.LeaseBody, data).lease
+
+    async def keep_alive(self, lease_id: int) -> float:
+        """Renew a lease; return its remaining seconds, 0 if it has lapsed."""
+        status, data = await self._write("POST", f"/kv-keep/{lease_id}", {})
+        if status == 404:
+            return 0.0
+        return wire.parse(wire.LeaseBody, data).ttl_ms / 1000
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; no error if it has lapsed."""
+        await self._write("DELETE", f"/kv-lease-end/{lease_id}", None)
+
+    async def close(self) -> None:
+        """Close connections."""
+        self._client.forget(self.address)
+
+    async def _read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        try:
+            return _checked(
+                *await self._client.call(self.address, "GET", path, timeout_s=timeout_s)
+            )
+        except (NotSent, NoAnswer) as exc:
+            raise StoreUnavailable(str(exc)) from None
+
+    async def _write(self, method: str, path: str, body: dict | None):
+        data = b"" if body is None else wire.ENCODER.encode(body)
+        try:
+            return _checked(
+                *await self._client.call(
+                    self.address, method, path, data, self._timeout_s
+                )
+            )
+        except NotSent as exc:
+            raise StoreUnavailable(str(exc)) from None
+        except NoAnswer as exc:
+            raise StoreOutcomeUnknown(str(exc)) from None
+
+
+def _put(operation: Put) -> dict:
+    value = wire.to_text(operation.value)
+    return {"key": operation.key, "value": value, "lease": operation.lease}
+
+
+def _checked(status: int, data: bytes) -> tuple[int, bytes]:
+    """Return an answer, or raise what a refusal means."""
+    if status in (429, 503):
+        raise StoreUnavailable(f"the store refused the call with {status}")
+    if status in (400, 403, 413):
+        raise BadRequest(f"the store answered {status}: {data[:200]!r}")
+    return status, data
--- /dev/null
+++ b/flamingoway/queues/__init__.py
@@ -0,0 +1,1 @@
+"""Queues of stepped jobs whose tasks run on leased workers."""
--- /dev/null
+++ b/flamingoway/queues/board.py
@@ -0,0 +1,756 @@
+"""The leader's view of open jobs and workers: takes events, returns orders.
+
+The board performs no input or output. Resources of a worker are held from the
+decision to start a run until the worker lists its end, refuses it, or can no longer
+run it. An order that is not answered raises the worker's fencing token; the next
+look under the raised token settles whether the run exists, because the worker drops
+orders of lower tokens that arrive later.
+"""
+
+from collections.abc import Iterable
+
+from .decisions import DecisionLog
+from .model import (
+    Advice,
+    DesiredState,
+    EndedTask,
+    EndKind,
+    Queue,
+    RunningTask,
+    RunOrder,
+    StartReply,
+    StepJobState,
+    WorkerEntry,
+    WorkerReport,
+)
+from .placing import needed
+from .records import StepProgress
+from .runs import (
+    GANG,
+    TOKENS_PER_EPOCH,
+    LookNow,
+    OpenJob,
+    Order,
+    Run,
+    RunPhase,
+    StartRun,
+    StepRun,
+    StopRun,
+    WorkerState,
+)
+from .table import TableJob
+from .workerhealth import WorkerHealth
+
+# An order to stop is repeated after this time until the end is listed.
+STOP_REPEAT_S = 0.5
+# A task whose start was refused waits this long, so that a refusing worker does
+# not keep the planner busy.
+RESTART_DELAY_S = 0.1
+# Members of a gang that ended together list their ends within this time.
+GANG_END_S = 1.0
+
+REFUSALS_OF_WORKER = {StartReply.UNHEALTHY, StartReply.NO_ROOM, StartReply.INVALID}
+
+
+class Board:
+    """Open jobs, their runs and the workers of one leadership.
+
+    Args:
+        epoch: Number of the leadership.
+        lease_s: Length of the leases given to workers.
+        log: Decision log.
+
+    Attributes:
+        orders: Orders decided since they were last taken.
+        fenced: Whether a worker follows a higher token than this leadership's.
+    """
+
+    def __init__(self, epoch: int, lease_s: float, log: DecisionLog):
+        self.orders: list[Order] = []
+        self.fenced = False
+        self._epoch = epoch
+        self._lease_s = lease_s
+        self._log = log
+        self._desired: DesiredState | None = None
+        self._jobs: dict[str, OpenJob] = {}
+        self._workers: dict[str, WorkerState] = {}
+        self._unsettled: dict[str, float] = {}
+        self._waiting: dict[str, StepRun] = {}
+        self._scheduled: dict[str, OpenJob] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Number of the leadership."""
+        return self._epoch
+
+    @property
+    def jobs(self) -> dict[str, OpenJob]:
+        """Open jobs, and ended ones that are not stored yet, by id."""
+        return self._jobs
+
+    @property
+    def workers(self) -> dict[str, WorkerState]:
+        """Known workers by id."""
+        return self._workers
+
+    @property
+    def waiting(self) -> dict[str, StepRun]:
+        """Steps with tasks to be started, by id."""
+        return self._waiting
+
+    @property
+    def unsettled(self) -> dict[str, float]:
+        """Workers that may still run tasks of a former leader, and until when."""
+        return self._unsettled
+
+    def take_orders(self) -> list[Order]:
+        """Return the orders decided since the last call."""
+        orders, self.orders = self.orders, []
+        return orders
+
+    # Desired state and jobs
+
+    def set_desired(self, desired: DesiredState) -> None:
+        """Put a configuration into force; open jobs keep a queue that was removed."""
+        self._desired = desired
+        for job in self._jobs.values():
+            queue = desired.queue(job.queue.name)
+            if queue is not None:
+                job.queue = queue
+
+    def add_job(self, entry: TableJob, now: float, wall: float, inherited: bool):
+        """Take in an accepted job.
+
+        Args:
+            entry: The job as the store knows it.
+            now: Time on the leader's clock.
+            wall: Time of day.
+            inherited: Whether a former leader may have started tasks of it.
+        """
+        if entry.job_id in self._jobs or entry.state.final or self._desired is None:
+            return
+        record = entry.decode()
+        queue = self._desired.queue(record.spec.queue) or _orphan(record.spec.queue)
+        job = OpenJob(
+            spec=record.spec,
+            queue=queue,
+            # Clocks of two processes may differ by seconds, so the time of day counts
+            # only for jobs of a former leader.
+            accepted_at=now - max(0.0, wall - record.accepted_at) * inherited,
+            accepted_wall=record.accepted_at,
+            inherited=inherited,
+            state=entry.state,
+        )
+        job.objective_at = (
+            job.accepted_at
+            + queue.stretch * _longest_chain(record.spec.steps)
+            + queue.objective_s
+        )
+        progress = entry.decode_progress()
+        if progress is not None:
+            job.old_progress = dict(progress.steps)
+        self._jobs[entry.job_id] = job
+        if entry.cancelled:
+            self.cancel_job(entry.job_id, now, wall)
+        elif record.spec.schedule is not None:
+            self._scheduled[entry.job_id] = job
+            self.open_due(now, wall)
+        else:
+            self._open_occurrence(job, 0, now)
+
+    def cancel_job(self, job_id: str, now: float, wall: float) -> None:
+        """End a job that its caller cancelled."""
+        job = self._jobs.get(job_id)
+        if job is None or job.state.final:
+            return
+        self._end_job(job, StepJobState.CANCELLED, now, wall, "cancelled by the caller")
+
+    def open_due(self, now: float, wall: float) -> None:
+        """Open the occurrences of scheduled jobs whose time has come."""
+        for job in list(self._scheduled.values()):
+            schedule = job.spec.schedule
+            while job.next_occurrence < schedule.repeats:
+                due = schedule.first_at + job.next_occurrence * schedule.interval_s
+                if due > wall:
+                    break
+                self._open_occurrence(job, job.next_occurrence, now)
+                job.next_occurrence += 1
+            if job.next_occurrence >= schedule.repeats or job.state.final:
+                del self._scheduled[job.spec.job_id]
+
+    def _open_occurrence(self, job: OpenJob, occurrence: int, now: float) -> None:
+        for number, spec in enumerate(job.spec.steps):
+            step = StepRun(job, occurrence, number, spec, due_at=now)
+            old = job.old_progress.pop(f"{occurrence}.{number}", None)
+            if old is not None:
+                _restore(step, old)
+            job.steps[occurrence, number] = step
+        self._open_steps(job, occurrence, now)
+        self._end_if_complete(job, now, job.accepted_wall)
+
+    def _open_steps(self, job: OpenJob, occurrence: int, now: float) -> None:
+        """Make the steps ready whose predecessors are done."""
+        for number in range(len(job.spec.steps)):
+            step = job.steps[occurrence, number]
+            if step.ready or step.complete:
+                continue
+            before = [job.steps.get((occurrence, n)) for n in step.spec.after]
+            if all(b is not None and b.complete for b in before):
+                step.ready = True
+                step.due_at = now
+                step.pending = [i for i in range(step.spec.count) if i not in step.done]
+                self.update_waiting(step)
+
+    def update_waiting(self, step: StepRun) -> None:
+        """List a step among the waiting ones if it has tasks to start."""
+        whole = not step.spec.gang or not step.live
+        if step.ready and step.pending and whole and not step.job.state.final:
+            self._waiting[step.id] = step
+        else:
+            self._waiting.pop(step.id, None)
+
+    def _end_if_complete(self, job: OpenJob, now: float, wall: float) -> None:
+        schedule = job.spec.schedule
+        if schedule is not None and job.next_occurrence < schedule.repeats - 1:
+            return
+        if job.steps and all(step.complete for step in job.steps.values()):
+            self._end_job(job, StepJobState.COMPLETED, now, wall, "all tasks are done")
+
+    def _end_job(
+        self, job: OpenJob, state: StepJobState, now: float, wall: float, why: str
+    ) -> None:
+        job.state = state
+        job.ended_wall = wall
+        job.changed(now, urgent=True)
+        self._log.write(
+            "job ended",
+            job=job.spec.job_id,
+            queue=job.queue.name,
+            outcome=state,
+            why=why,
+            epoch=self._epoch,
+            age_s=round(now - job.accepted_at, 3),
+            objective_s=round(job.objective_at - job.accepted_at, 3),
+        )
+        for step in job.steps.values():
+            step.release_reservation()
+            step.pending.clear()
+            self.update_waiting(step)
+            for run in list(step.live.values()):
+                self.stop_run(run, now)
+
+    def forget_job(self, job: OpenJob) -> None:
+        """Drop an ended job whose end is stored."""
+        self._jobs.pop(job.spec.job_id, None)
+        self._scheduled.pop(job.spec.job_id, None)
+
+    # Workers
+
+    def expect_worker(self, entry: WorkerEntry, until: float) -> None:
+        """Take in a worker on which runs of a former leader may exist.
+
+        Args:
+            entry: The worker as the store recorded it.
+            until: Time at which such runs have surely ended.
+        """
+        worker = self._worker(entry)
+        worker.recorded = True
+        worker.listed = False
+        self._unsettled[entry.worker_id] = until
+
+    def set_worker(self, entry: WorkerEntry, now: float) -> WorkerState:
+        """Take in a worker's entry in the registry."""
+        worker = self._worker(entry)
+        if _is_newer_life(worker.entry, entry):
+            self._begin_new_life(worker, entry, now)
+        if worker.entry.draining != entry.draining:
+            self._log.write(
+                "worker draining", worker=entry.worker_id, draining=entry.draining
+            )
+        worker.entry = entry
+        worker.listed = True
+        return worker
+
+    def unlist_worker(self, worker_id: str, now: float) -> None:
+        """Note that the registry does not list a worker any more."""
+        worker = self._workers.get(worker_id)
+        if worker is not None and worker.listed:
+            worker.listed = False
+            worker.unlisted_at = now
+            self._log.write("worker unlisted", worker=worker_id, runs=len(worker.runs))
+
+    def forget_worker(self, worker: WorkerState) -> None:
+        """Drop a worker that can run nothing any more."""
+        self._workers.pop(worker.entry.worker_id, None)
+        self._unsettled.pop(worker.entry.worker_id, None)
+
+    def is_gone(self, worker: WorkerState, now: float) -> bool:
+        """Return whether nothing can run on a worker that does not answer."""
+        until = self._unsettled.get(worker.entry.worker_id)
+        if until is not None:
+            return now >= until
+        return now >= worker.lapsed_at()
+
+    def lose_runs(self, worker: WorkerState, now: float, why: str) -> None:
+        """Take all runs of a worker as ended without a verdict."""
+        self._unsettled.pop(worker.entry.worker_id, None)
+        worker.settled = False
+        worker.strays.clear()
+        worker.token += 1
+        if worker.runs:
+            self._log.write(
+                "runs lost",
+                worker=worker.entry.worker_id,
+                runs=len(worker.runs),
+                heard_age_s=round(now - worker.heard_at, 2),
+                why=why,
+            )
+        for run in list(worker.runs.values()):
+            self._drop_run(run, now)
+
+    def _worker(self, entry: WorkerEntry) -> WorkerState:
+        worker = self._workers.get(entry.worker_id)
+        if worker is None:
+            token = self._epoch * TOKENS_PER_EPOCH
+            worker = WorkerState(entry, token, WorkerHealth())
+            self._workers[entry.worker_id] = worker
+        return worker
+
+    def _begin_new_life(
+        self, worker: WorkerState, entry: WorkerEntry, now: float
+    ) -> None:
+        self.lose_runs(worker, now, "the worker started anew")
+        worker.entry = entry
+        worker.health = WorkerHealth()
+        worker.processed = worker.acknowledged = 0
+        worker.unstored.clear()
+        worker.lease_ms = 0
+        worker.clock_at = float("-inf")
+
+    # Reports
+
+    def on_report(
+        self,
+        worker: WorkerState,
+        report: WorkerReport,
+        sent_at: float,
+        token: int,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Take in what a worker runs and what has ended there.
+
+        Args:
+            worker: The worker.
+            report: Its answer.
+            sent_at: Time at which the look was sent.
+            token: Fencing token of the look.
+            now: Time on the leader's clock.
+            wall: Time of day.
+        """
+        if report.born_ms and report.born_ms != worker.entry.born_ms:
+            if worker.entry.born_ms and worker.clock_at > float("-inf"):
+                self._begin_new_life(worker, worker.entry, now)
+            worker.entry = _with_birth(worker.entry, report.born_ms)
+        worker.clock_ms, worker.clock_at = report.clock_ms, now
+        worker.heard_at = now
+        for ended in report.ended:
+            if ended.sequence > worker.processed:
+                self._on_end(worker, ended, now, wall)
+        self._on_running(worker, report, sent_at, token, now)
+        worker.advance_acknowledged()
+        if token == worker.token and not worker.settled:
+            worker.settled = True
+            self._unsettled.pop(worker.entry.worker_id, None)
+            self._log.write(
+                "worker settled",
+                worker=worker.entry.worker_id,
+                token=token,
+                running=len(report.running),
+                unsettled=len(self._unsettled),
+            )
+
+    def _on_running(
+        self,
+        worker: WorkerState,
+        report: WorkerReport,
+        sent_at: float,
+        token: int,
+        now: float,
+    ) -> None:
+        seen = set()
+        strays = {}
+        for row in report.running:
+            key = (row.task_id, row.number)
+            seen.add(key)
+            run = worker.runs.get(key)
+            if run is None:
+                run = self._adopt(worker, row, token, now)
+            if run is None:
+                strays[key] = self._stop_stray(worker, row, now)
+                continue
+            self._note_progress(run, row, now)
+        worker.strays = strays
+        for key, run in list(worker.runs.items()):
+            if key not in seen and _surely_absent(run, sent_at, token):
+                self._log.write(
+                    "run absent",
+                    task=run.task_id,
+                    run=run.number,
+                    worker=worker.entry.worker_id,
+                    unresolved=run.unresolved,
+                )
+                self._drop_run(run, now)
+
+    def _note_progress(self, run: Run, row: RunningTask, now: float) -> None:
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = now
+            self._note_started(run, now)
+        run.unresolved = False
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.moved_at = now
+        run.checkpoint = row.checkpoint
+
+    def _note_started(self, run: Run, now: float) -> None:
+        job = run.step.job
+        if job.state is StepJobState.QUEUED:
+            job.state = StepJobState.RUNNING
+            job.changed(now)
+
+    def _adopt(
+        self, worker: WorkerState, row: RunningTask, token: int, now: float
+    ) -> Run | None:
+        """Return a run of a former leader that goes on, or ``None``."""
+        found = self._find(row.task_id)
+        if found is None:
+            return None
+        step, index = found
+        if not step.ready or index in step.done or index in step.live:
+            return None
+        others = {run.number for run in step.live.values()}
+        if step.spec.gang and others and others != {row.number}:
+            return None
+        run = Run(step, index, row.number, worker, token, now)
+        run.phase = RunPhase.RUNNING
+        run.confirmed_at = run.moved_at = now
+        run.checkpoint = row.checkpoint
+        key = step.attempt_key(index)
+        step.last_numbers[key] = max(step.last_numbers.get(key, 0), row.number)
+        step.live[index] = run
+        if index in step.pending:
+            step.pending.remove(index)
+        worker.runs[run.key] = run
+        worker.used = worker.used + needed(step.spec)
+        self._note_started(run, now)
+        self.update_waiting(step)
+        return run
+
+    def _stop_stray(self, worker: WorkerState, row: RunningTask, now: float) -> float:
+        key = (row.task_id, row.number)
+        sent_at = worker.strays.get(key, float("-inf"))
+        if now - sent_at < STOP_REPEAT_S:
+            return sent_at
+        self._log.write(
+            "stray stopped",
+            task=row.task_id,
+            run=row.number,
+            worker=worker.entry.worker_id,
+        )
+        self.orders.append(StopRun(worker, row.task_id, row.number))
+        return now
+
+    # Ends
+
+    def _on_end(
+        self, worker: WorkerState, ended: EndedTask, now: float, wall: float
+    ) -> None:
+        worker.processed = ended.sequence
+        run = worker.runs.get((ended.task_id, ended.number))
+        found = self._find(ended.task_id)
+        if found is not None:
+            step, index = found
+            self._take_outcome(step, index, ended, worker, run, now, wall)
+        # An end may be forgotten by the worker only when the store has everything
+        # that followed from it.
+        job = self._jobs.get(ended.task_id.partition(".")[0], _NO_JOB)
+        worker.unstored.append((ended.sequence, job, job.version))
+        if run is not None:
+            self._drop_run(run, now)
+
+    def _take_outcome(
+        self,
+        step: StepRun,
+        index: int,
+        ended: EndedTask,
+        worker: WorkerState,
+        run: Run | None,
+        now: float,
+        wall: float,
+    ) -> None:
+        job = step.job
+        key = step.attempt_key(index)
+        if ended.kind is EndKind.DONE:
+            worker.health.note_success()
+            if not step.spec.lasting:
+                self._mark_done(step, index, ended.number, now, wall)
+            return
+        if ended.checkpoint and step.spec.checkpointing:
+            step.checkpoints[key] = ended.checkpoint
+            job.changed(now)
+        if ended.kind is EndKind.FAILED:
+            self._count_failure(step, index, ended, worker, now, wall)
+        if run is not None and run.phase is not RunPhase.STOPPING:
+            self._log.write(
+                "run ended early",
+                task=ended.task_id,
+                run=ended.number,
+                worker=worker.entry.worker_id,
+                outcome=ended.kind,
+            )
+
+    def _mark_done(
+        self, step: StepRun, index: int, number: int, now: float, wall: float
+    ) -> None:
+        job = step.job
+        indexes = range(step.spec.count) if step.spec.gang else (index,)
+        step.done.update(indexes)
+        step.pending = [i for i in step.pending if i not in step.done]
+        for i in indexes:
+            run = step.live.pop(i, None)
+            if run is None:
+                continue
+            if run.number != number:
+                self.stop_run(run, now)
+            elif i != index:
+                # The other members list their own ends; a stop is a last resort.
+                run.phase = RunPhase.STOPPING
+                run.stop_sent_at = now + GANG_END_S - STOP_REPEAT_S
+        step.checkpoints.pop(step.attempt_key(index), None)
+        job.changed(now)
+        self.update_waiting(step)
+        if step.complete and not job.state.final:
+            self._open_steps(job, step.occurrence, now)
+            self._end_if_complete(job, now, wall)
+
+    def _count_failure(
+        self,
+        step: StepRun,
+        index: int,
+        ended: EndedTask,
+        worker: WorkerState,
+        now: float,
+        wall: float,
+    ) -> None:
+        job = step.job
+        step.avoid.add(worker.entry.worker_id)
+        if worker.health.note_failure(now):
+            self._log.write(
+                "worker quarantined",
+                worker=worker.entry.worker_id,
+                failures=worker.health.failures,
+            )
+        if step.spec.lasting:
+            return
+        failed = step.failed_runs.setdefault(step.attempt_key(index), set())
+        if ended.number in failed:
+            return
+        failed.add(ended.number)
+        job.changed(now)
+        if len(failed) >= job.queue.max_attempts and not job.state.final:
+            why = f"{ended.task_id} failed {len(failed)} times"
+            self._end_job(job, StepJobState.FAILED, now, wall, why)
+
+    def _drop_run(self, run: Run, now: float) -> None:
+        """Give back what a run held; its task waits again if it is not done."""
+        worker, step = run.worker, run.step
+        if worker.runs.pop(run.key, None) is None:
+            return
+        worker.used = worker.used - needed(step.spec)
+        if step.live.get(run.index) is not run:
+            return
+        del step.live[run.index]
+        if step.spec.gang:
+            for other in step.live.values():
+                self.stop_run(other, now)
+            if not step.live:
+                step.pending = list(range(step.spec.count))
+        else:
+            step.pending.append(run.index)
+        if step.job.state.final:
+            step.pending.clear()
+        if step.spec.gang and run.checkpoint and step.spec.checkpointing:
+            step.checkpoints.setdefault(GANG, run.checkpoint)
+        elif run.checkpoint and step.spec.checkpointing:
+            step.checkpoints.setdefault(run.index, run.checkpoint)
+        self.update_waiting(step)
+
+    def stop_run(self, run: Run, now: float) -> None:
+        """Order a run to stop, again until its end is listed."""
+        run.phase = RunPhase.STOPPING
+        if now - run.stop_sent_at >= STOP_REPEAT_S:
+            run.stop_sent_at = now
+            self.orders.append(StopRun(run.worker, run.task_id, run.number))
+
+    def repeat_stops(self, now: float) -> None:
+        """Repeat orders to stop that have had no effect yet."""
+        for worker in self._workers.values():
+            for run in worker.runs.values():
+                if run.phase is RunPhase.STOPPING:
+                    self.stop_run(run, now)
+
+    # Starts
+
+    def start_run(
+        self, step: StepRun, index: int, number: int, worker: WorkerState, now: float
+    ) -> None:
+        """Place a task on a worker and order its start."""
+        run = Run(step, index, number, worker, worker.token, now)
+        run.moved_at = now
+        step.live[index] = run
+        worker.runs[run.key] = run
+        worker.used = worker.used + needed(step.spec)
+        lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
+        worker.lease_ms = max(worker.lease_ms, lease_ms)
+        order = RunOrder(
+            worker_id=worker.entry.worker_id,
+            task_id=run.task_id,
+            number=number,
+            payload=step.job.spec.payload,
+            lease_ms=lease_ms,
+            token=worker.token,
+            checkpoint=step.checkpoints.get(step.attempt_key(index), ""),
+            ticket=step.tickets.get(worker.entry.worker_id, ""),
+        )
+        self.orders.append(StartRun(run, order))
+
+    def on_start_reply(self, run: Run, reply: StartReply, now: float) -> None:
+        """Take in what became of an order to start a run."""
+        worker, step = run.worker, run.step
+        if worker.runs.get(run.key) is not run:
+            return
+        if reply is StartReply.RUNNING:
+            run.confirmed_at = now
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.RUNNING
+                self._note_started(run, now)
+            return
+        self._log.write(
+            "start not confirmed",
+            task=run.task_id,
+            run=run.number,
+            worker=worker.entry.worker_id,
+            reply=reply,
+            token=run.token,
+        )
+        if reply is StartReply.UNKNOWN:
+            run.unresolved = True
+            self.raise_token(worker, run.token)
+            return
+        if reply is StartReply.FENCED and run.token == worker.token:
+            self.fenced = True
+        if reply is StartReply.NO_TICKET:
+            step.tickets.clear()
+        if reply in REFUSALS_OF_WORKER:
+            worker.health.block(now)
+        step.retry_at = now + RESTART_DELAY_S
+        self._drop_run(run, now)
+
+    def raise_token(self, worker: WorkerState, used: int) -> None:
+        """Make sure that late orders under ``used`` have no effect."""
+        if worker.token == used:
+            worker.token += 1
+            worker.settled = False
+            self.orders.append(LookNow(worker))
+
+    # Advice
+
+    def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
+        """Take in which of the named workers may run a step."""
+        step.asking = False
+        step.release_reservation()
+        allowed = set(advice.tickets)
+        step.asked_workers.update(asked)
+        step.good = ((step.good or set()) - set(asked)) | allowed
+        step.tickets = dict(advice.tickets)
+        step.tickets_until = now + advice.valid_s
+
+    def on_no_advice(self, step: StepRun, now: float) -> None:
+        """Note that the advice service did not answer."""
+        step.asking = False
+        step.release_reservation()
+        step.retry_at = now + RESTART_DELAY_S
+
+    # Look-ups
+
+    def _find(self, task_id: str) -> tuple[StepRun, int] | None:
+        """Return the step and the index of a task of an open job."""
+        parts = task_id.split(".")
+        if len(parts) != 4 or not all(p.isdigit() for p in parts[1:]):
+            return None
+        job = self._jobs.get(parts[0])
+        if job is None or job.state.final:
+            return None
+        step = job.steps.get((int(parts[1]), int(parts[2])))
+        index = int(parts[3])
+        if step is None or index >= step.spec.count:
+            return None
+        return step, index
+
+    def eligible(self, step: StepRun) -> Iterable[WorkerState]:
+        """Yield the workers on which tasks of a step may run."""
+        spec, service = step.spec, step.job.queue.service
+        for worker in self._workers.values():
+            entry = worker.entry
+            if worker.usable and entry.service == service:
+                allowed = not spec.label or spec.label in entry.labels
+                if allowed:
+                    yield worker
+
+
+def _surely_absent(run: Run, sent_at: float, token: int) -> bool:
+    """Return whether a run that a look does not show neither runs nor will."""
+    if run.token < token:
+        return True
+    return run.phase is not RunPhase.STARTING and 0 < run.confirmed_at < sent_at
+
+
+def _is_newer_life(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    return bool(known.born_ms and entry.born_ms > known.born_ms)
+
+
+def _with_birth(entry: WorkerEntry, born_ms: int) -> WorkerEntry:
+    return WorkerEntry(
+        worker_id=entry.worker_id,
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        capacity=entry.capacity,
+        labels=entry.labels,
+        draining=entry.draining,
+        born_ms=born_ms,
+    )
+
+
+def _restore(step: StepRun, progress: StepProgress) -> None:
+    step.done = set(progress.done)
+    step.failed_runs = {k: set(v) for k, v in progress.failed_runs.items()}
+    step.checkpoints = dict(progress.checkpoints)
+
+
+def _longest_chain(steps) -> float:
+    """Return the declared duration of the longest chain of steps, in seconds."""
+    ends: list[float] = []
+    for step in steps:
+        begin = max((ends[n] for n in step.after if n < len(ends)), default=0.0)
+        ends.append(begin + step.estimate_s)
+    return max(ends, default=0.0)
+
+
+def _orphan(name: str) -> Queue:
+    """Return a queue that the configuration does not name; nothing runs for it."""
+    return Queue(name, "", "", "", 99, 1, 1.0, 0.0)
+
+
+_NO_JOB = OpenJob(None, None, 0.0, 0.0)
--- /dev/null
+++ b/flamingoway/queues/intake.py
@@ -0,0 +1,258 @@
+"""Requests of callers: accepting, showing and cancelling jobs.
+
+Any process accepts a job by creating its key in the store, so acceptance needs no
+scheduler. A job is refused only if its key was not and will not be written.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..errors import (
+    BadRequest,
+    FlamingowayError,
+    OutcomeUnknown,
+    Refused,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
+from ..status import Code
+from ..store import Compare, Put, Store
+from . import records
+from .decisions import DecisionLog
+from .model import DesiredState, Queue, StepJobSpec, StepJobState
+from .records import JobRecord
+from .table import JobTable
+
+# A transaction takes 32 entries, and a job needs a condition and a write.
+JOBS_PER_WRITE = 15
+# Time kept back from a caller's deadline for the way of the answer.
+ANSWER_S = 0.3
+RETRY_S = 0.05
+# While the store has been silent for this long, jobs are refused unread; a busy
+# store answers within a few hundred milliseconds.
+STORE_LOST_S = 1.5
+# Time after which a caller should return when the store is away; outages take
+# seconds, and a caller has a handful of retries.
+RETRY_AFTER_STORE_S = 2
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A job that waits for its write.
+
+    Attributes:
+        uncertain: Whether a write of it was sent and not answered.
+    """
+
+    job_id: str
+    value: bytes
+    deadline: float
+    accepted: asyncio.Future
+    uncertain: bool = False
+
+
+class Intake:
+    """Serves callers of one process.
+
+    Args:
+        store: The store.
+        table: Mirror of the store.
+        store_age: Returns the seconds since the store was last heard.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: JobTable,
+        store_age: Callable[[], float],
+        log: DecisionLog,
+    ):
+        self._store = store
+        self._table = table
+        self._store_age = store_age
+        self._log = log
+        self._desired: DesiredState | None = None
+        self._pending: list[_Pending] = []
+        self._writers: set[asyncio.Task] = set()
+        self._accepted_here: set[str] = set()
+
+    @property
+    def desired(self) -> DesiredState | None:
+        """The configuration in force, ``None`` before the first."""
+        return self._desired
+
+    def set_desired(self, desired: DesiredState) -> None:
+        """Put a configuration into force."""
+        self._desired = desired
+
+    def queue_for(self, host: str, path: str) -> Queue:
+        """Return the queue of a request.
+
+        Raises:
+            Refused: There is no configuration yet.
+            BadRequest: There is no such queue; its code is ``NOT_FOUND``.
+        """
+        if self._desired is None:
+            raise Refused("no configuration yet", Code.STARTING, retry_after=1)
+        queue = self._desired.find(host, path)
+        if queue is None:
+            raise BadRequest("no such queue", Code.NOT_FOUND)
+        return queue
+
+    async def submit(self, spec: StepJobSpec, timeout_s: float) -> None:
+        """Accept a job; returns once it is stored.
+
+        Args:
+            spec: The job.
+            timeout_s: How long the caller waits for the answer.
+
+        Raises:
+            Refused: The job was not stored and will not be.
+            OutcomeUnknown: It may be stored.
+        """
+        if self._table.find(spec.job_id) or spec.job_id in self._accepted_here:
+            self._log.write("job known", job=spec.job_id, queue=spec.queue)
+            return
+        age = self._store_age()
+        if age > STORE_LOST_S:
+            self._log.write("job refused", job=spec.job_id, store_age_s=round(age, 2))
+            raise Refused(
+                "the store is away",
+                Code.STORE_UNAVAILABLE,
+                retry_after=RETRY_AFTER_STORE_S,
+            )
+        value = records.encode(JobRecord(spec, time.time()))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + max(0.1, timeout_s - ANSWER_S)
+        pending = _Pending(spec.job_id, value, deadline, loop.create_future())
+        self._pending.append(pending)
+        self._start_writer()
+        try:
+            await pending.accepted
+        except FlamingowayError as exc:
+            self._log.write(
+                "job not accepted", job=spec.job_id, code=exc.code, why=exc.message
+            )
+            raise
+        self._accepted_here.add(spec.job_id)
+        self._log.write(
+            "job accepted",
+            job=spec.job_id,
+            queue=spec.queue,
+            version=self._desired.version,
+        )
+
+    async def state(self, job_id: str) -> StepJobState:
+        """Return the state of a job.
+
+        Raises:
+            BadRequest: There is no such job; its code is ``NOT_FOUND``.
+            Refused: The store is needed to tell and does not answer.
+        """
+        job = self._table.find(job_id)
+        if job is not None:
+            return job.shown_state
+        await self._require(job_id)
+        return StepJobState.QUEUED
+
+    async def cancel(self, job_id: str, timeout_s: float) -> None:
+        """Cancel a job; returns once that is stored.
+
+        Raises:
+            BadRequest: There is no such job; its code is ``NOT_FOUND``.
+            OutcomeUnknown: The cancelling may or may not be stored.
+            Refused: It is not stored.
+        """
+        job = self._table.find(job_id)
+        if job is None:
+            await self._require(job_id)
+        elif job.state.final or job.cancelled:
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + max(0.1, timeout_s - ANSWER_S)
+        uncertain = False
+        while loop.time() < deadline:
+            try:
+                await self._store.txn([], [Put(records.CANCEL_PREFIX + job_id, b"1")])
+            except StoreOutcomeUnknown:
+                uncertain = True
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_S)
+            else:
+                self._log.write("job cancelled", job=job_id)
+                return
+        self._log.write("cancelling not stored", job=job_id, uncertain=uncertain)
+        if uncertain:
+            raise OutcomeUnknown("the store did not answer", Code.WRITE_UNRESOLVED)
+        raise Refused("the store is away", Code.STORE_UNAVAILABLE, retry_after=1)
+
+    def waiting(self, queue: Queue) -> int:
+        """Return the number of jobs of a queue for which no task has started."""
+        return self._table.waiting(queue.name)
+
+    async def _require(self, job_id: str) -> None:
+        """Return if the store has a job that the mirror does not show yet."""
+        try:
+            item = await self._store.get(records.JOB_PREFIX + job_id)
+        except StoreUnavailable as exc:
+            raise Refused(
+                f"the job is not known here: {exc.message}",
+                Code.STORE_UNAVAILABLE,
+                retry_after=1,
+            ) from None
+        if item is None:
+            raise BadRequest("no such job", Code.NOT_FOUND)
+
+    def _start_writer(self) -> None:
+        # One writer at a time lets jobs that arrive meanwhile share the next write.
+        if not self._writers:
+            task = asyncio.create_task(self._write_all())
+            self._writers.add(task)
+            task.add_done_callback(self._writers.discard)
+
+    async def _write_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._pending:
+            batch = self._pending[:JOBS_PER_WRITE]
+            await self._write(batch)
+            now = loop.time()
+            for pending in batch:
+                if not pending.accepted.done() and now >= pending.deadline:
+                    _fail(pending)
+            self._pending = [p for p in self._pending if not p.accepted.done()]
+
+    async def _write(self, batch: list[_Pending]) -> None:
+        keys = [records.JOB_PREFIX + pending.job_id for pending in batch]
+        compares = [Compare(key, "mod_revision", 0) for key in keys]
+        puts = [Put(key, p.value) for key, p in zip(keys, batch, strict=True)]
+        try:
+            result = await self._store.txn(compares, puts, keys)
+        except StoreOutcomeUnknown:
+            for pending in batch:
+                pending.uncertain = True
+            return
+        except (StoreUnavailable, BadRequest) as exc:
+            self._log.write("job write refused", jobs=len(batch), why=exc.message)
+            await asyncio.sleep(RETRY_S)
+            return
+        for key, pending in zip(keys, batch, strict=True):
+            # A key that exists holds the same job, whoever wrote it.
+            if (result.succeeded or key in result.reads) and not (
+                pending.accepted.done()
+            ):
+                pending.accepted.set_result(None)
+
+
+def _fail(pending: _Pending) -> None:
+    if pending.uncertain:
+        error: FlamingowayError = OutcomeUnknown(
+            "the store did not answer", Code.WRITE_UNRESOLVED
+        )
+    else:
+        error = Refused(
+            "the store is away", Code.STORE_UNAVAILABLE, retry_after=RETRY_AFTER_STORE_S
+        )
+    pending.accepted.set_exception(error)
--- /dev/null
+++ b/flamingoway/queues/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of the queues, in a registry of the process."""
+
+import prometheus_client
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+# Bounds in seconds; they resolve answers of the store (4 ms) and objectives of
+# urgent jobs (250 ms).
+BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class QueueMetrics:
+    """Counters and latency histograms of one process."""
+
+    content_type = CONTENT_TYPE_LATEST
+
+    def __init__(self):
+        self._registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "flamingoway_queue_requests_total",
+            "Requests of callers by method and status",
+            ["method", "status"],
+            registry=self._registry,
+        )
+        self.request_seconds = self._histogram(
+            "flamingoway_queue_request_seconds", "Time to answer a caller"
+        )
+        self.starts = prometheus_client.Counter(
+            "flamingoway_queue_starts_total",
+            "Orders to start a run by the reply",
+            ["reply"],
+            registry=self._registry,
+        )
+        self.looks = prometheus_client.Counter(
+            "flamingoway_queue_looks_total",
+            "Reports of workers taken in",
+            registry=self._registry,
+        )
+        self.start_seconds = self._histogram(
+            "flamingoway_queue_start_seconds", "Time of an order to start a run"
+        )
+        self.plan_seconds = self._histogram(
+            "flamingoway_queue_plan_seconds", "Time of one pass of the planner"
+        )
+        self.flush_seconds = self._histogram(
+            "flamingoway_queue_flush_seconds", "Time of one write of progress"
+        )
+        self.dropped_lines = prometheus_client.Gauge(
+            "flamingoway_queue_log_lines_dropped",
+            "Log lines dropped so far",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def _histogram(self, name: str, text: str) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name, text, registry=self._registry, buckets=BUCKETS
+        )
--- /dev/null
+++ b/flamingoway/queues/mirror.py
@@ -0,0 +1,150 @@
+"""Copies of store prefixes in memory, kept current by watching."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from ..errors import BadRequest, StoreUnavailable
+from ..store import HistoryLost, KeyValue, Store, WatchEvent
+from ..store.follow import Backoff
+from .decisions import DecisionLog
+
+# A waiting watch is repeated after this time, so that a connection that went
+# silent is noticed within a fraction of the bound for a new configuration (2 s).
+WATCH_WAIT_S = 0.8
+FIRST_RETRY_S = 0.05
+# Each call of a watch is priced; changes within this time share one. Callers ask
+# for a job's state a few times a second.
+FOLLOWER_PACE_S = 0.12
+# The leader's pace adds to the time before a job starts.
+LEADER_PACE_S = 0.02
+LONGEST_RETRY_S = 0.4
+
+
+class Listener(Protocol):
+    """Receives the content of a prefix and its changes."""
+
+    def replace(self, items: list[KeyValue]) -> None:
+        """Take the whole content."""
+
+    def change(self, events: list[WatchEvent]) -> None:
+        """Take changes in the order in which they were made."""
+
+
+class Mirror:
+    """Keeps a listener up to date with the keys under a prefix.
+
+    Args:
+        store: The store.
+        prefix: Beginning of the keys.
+        listener: Receives content and changes.
+        clock: Monotonic clock in seconds.
+        log: Decision log.
+        pace_s: Least time between two reads of changes.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        listener: Listener,
+        clock: Callable[[], float],
+        log: DecisionLog,
+        pace_s: float = FOLLOWER_PACE_S,
+    ):
+        self.pace_s = pace_s
+        self._store = store
+        self._prefix = prefix
+        self._listener = listener
+        self._clock = clock
+        self._log = log
+        self._revision = 0
+        self._heard_at = float("-inf")
+        self._synced = asyncio.Event()
+        self._reachable = True
+        self._backoff = Backoff(random.Random(), FIRST_RETRY_S, LONGEST_RETRY_S)
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which the copy is complete."""
+        return self._revision
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last confirmed the copy."""
+        return self._clock() - self._heard_at
+
+    async def synced(self) -> None:
+        """Wait until the content has been read once."""
+        await self._synced.wait()
+
+    async def catch_up(self) -> None:
+        """Apply all changes that the store knows now.
+
+        Raises:
+            StoreUnavailable: The store does not answer.
+        """
+        await self._follow_once(0.0)
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                began = self._clock()
+                await self._follow_once(WATCH_WAIT_S)
+                self._backoff.reset()
+                await asyncio.sleep(began + self.pace_s - self._clock())
+            except StoreUnavailable as exc:
+                self._note_lost(exc)
+                await asyncio.sleep(self._backoff.next())
+
+    async def _follow_once(self, wait_s: float) -> None:
+        if not self._synced.is_set():
+            await self._read()
+            return
+        after = self._revision
+        try:
+            changes = await self._store.changes(self._prefix, after, wait_s)
+        except HistoryLost:
+            self._log.write("history lost", prefix=self._prefix, revision=after)
+            await self._read()
+            return
+        # Another call may have advanced the copy meanwhile; changes are applied in
+        # one order only.
+        if self._revision == after:
+            self._revision = max(after, changes.revision)
+            if changes.events:
+                self._listener.change(changes.events)
+        self._note_heard()
+
+    async def _read(self) -> None:
+        content = await self._store.range(self._prefix)
+        if content.revision < self._revision:
+            return
+        self._revision = content.revision
+        self._listener.replace(content.items)
+        self._synced.set()
+        self._note_heard()
+
+    def _note_heard(self) -> None:
+        self._heard_at = self._clock()
+        if not self._reachable:
+            self._reachable = True
+            self._log.write("store reachable again", prefix=self._prefix)
+
+    def _note_lost(self, exc: StoreUnavailable) -> None:
+        if self._reachable:
+            self._reachable = False
+            self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
+
+
+def decode_or_skip(log: DecisionLog, item: KeyValue, decode: Callable, *args):
+    """Return the decoded value of a stored key, or ``None`` if it is unreadable."""
+    try:
+        return decode(*args, item.value)
+    except BadRequest as exc:
+        log.write(
+            "entry skipped", key=item.key, revision=item.mod_revision, why=exc.message
+        )
+        return None
--- /dev/null
+++ b/flamingoway/queues/node.py
@@ -0,0 +1,233 @@
+"""The tasks of one entry process that serves queues, and how they start and stop."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+from ..errors import Refused
+from ..peer import PeerClient, PeerServer
+from ..status import Code
+from ..store import Store
+from . import records
+from .asking import AdviceDispatcher
+from .decisions import DecisionLog
+from .intake import Intake
+from .messages import AskReply, AskRequest
+from .metrics import QueueMetrics
+from .mirror import FOLLOWER_PACE_S, LEADER_PACE_S, Mirror
+from .model import DesiredState, WorkerEntry
+from .ports import AdviceService, Workers, WorkerSilent
+from .records import MemberRecord
+from .registry import ConfigListener, WorkerRegistry
+from .session import Election, Session
+from .table import JobTable
+from .term import Deposed, Term
+
+# A process that has not heard the store for this long sends callers elsewhere.
+READY_STORE_AGE_S = 2.0
+# Pause after a leadership that failed, so that a fault cannot spin.
+TERM_PAUSE_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """What a platform adapter provides.
+
+    Attributes:
+        config_prefix: Beginning of the operator's keys.
+        config_key: Key of the operator's configuration.
+        worker_prefix: Beginning of the keys of workers' entries.
+        lease_s: Longest lease that a worker accepts.
+    """
+
+    store: Store
+    workers: Workers
+    advice: AdviceService
+    config_prefix: str
+    config_key: str
+    decode_config: Callable[[bytes], DesiredState]
+    worker_prefix: str
+    decode_worker: Callable[[str, bytes], WorkerEntry]
+    lease_s: float
+
+
+class QueueNode:
+    """One entry process.
+
+    Args:
+        member: Name and addresses of the process.
+        platform: Platform adapter.
+        clock: Monotonic clock that counts suspended time, in seconds.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        member: MemberRecord,
+        platform: Platform,
+        clock: Callable[[], float],
+        log: DecisionLog,
+    ):
+        self.metrics = QueueMetrics()
+        self._member = member
+        self._platform = platform
+        self._clock = clock
+        self._log = log
+        self._table = JobTable(log)
+        self._mirror = self._mirror_of(records.ROOT, self._table)
+        self._intake = Intake(platform.store, self._table, self._store_age, log)
+        self._session = Session(platform.store, self._table, member, clock, log)
+        self._peers = PeerClient()
+        self._term: Term | None = None
+        self._leading: asyncio.Task | None = None
+        self._stopping = False
+
+    @property
+    def intake(self) -> Intake:
+        """Serves the callers."""
+        return self._intake
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process can serve callers."""
+        return (
+            not self._stopping
+            and self._intake.desired is not None
+            and self._store_age() < READY_STORE_AGE_S
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        config = ConfigListener(
+            self._platform.config_key,
+            self._platform.decode_config,
+            self._configure,
+            self._log,
+        )
+        config_mirror = self._mirror_of(self._platform.config_prefix, config)
+        server = PeerServer()
+        server.handle(AskRequest, self._ask_for_leader)
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(server.listen(self._member.peer_address))
+            stack.push_async_callback(self._peers.close)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._mirror.run())
+                group.create_task(config_mirror.run())
+                group.create_task(self._session.run())
+                await self._mirror.synced()
+                await config_mirror.synced()
+                self._leading = group.create_task(self._lead())
+
+    async def stop(self) -> None:
+        """Hand over the leadership and become unready; callers are still served."""
+        self._stopping = True
+        if self._leading is not None:
+            self._leading.cancel()
+            await asyncio.wait({self._leading})
+        if self._term is not None:
+            await self._term.resign()
+
+    async def close(self) -> None:
+        """Leave the list of live processes."""
+        await self._session.close()
+
+    def _mirror_of(self, prefix: str, listener) -> Mirror:
+        return Mirror(self._platform.store, prefix, listener, self._clock, self._log)
+
+    def _store_age(self) -> float:
+        return self._mirror.age_s
+
+    def _configure(self, desired: DesiredState) -> None:
+        self._intake.set_desired(desired)
+        if self._term is not None:
+            self._term.configure()
+
+    async def _lead(self) -> None:
+        election = Election(
+            self._platform.store,
+            self._table,
+            self._session,
+            self._member.name,
+            self._log,
+        )
+        while True:
+            if self._intake.desired is None:
+                await asyncio.sleep(TERM_PAUSE_S)
+                continue
+            leadership = await election.win()
+            async with self._following_workers() as (registry, mirror):
+                self._term = Term(
+                    leadership=leadership,
+                    store=self._platform.store,
+                    store_age=self._store_age,
+                    mirror=self._mirror,
+                    table=self._table,
+                    intake=self._intake,
+                    workers=self._platform.workers,
+                    registry=registry,
+                    registry_mirror=mirror,
+                    dispatcher=self._dispatcher,
+                    name=self._member.name,
+                    lease_s=self._platform.lease_s,
+                    clock=self._clock,
+                    metrics=self.metrics,
+                    log=self._log,
+                )
+                await self._run_term(self._term)
+                self._term = None
+            await asyncio.sleep(TERM_PAUSE_S)
+
+    async def _run_term(self, term: Term) -> None:
+        self._mirror.pace_s = LEADER_PACE_S
+        try:
+            await term.run()
+        except Deposed:
+            return
+        except Exception as exc:
+            # A fault of one leadership must not end the process, which also serves
+            # callers; the next leader starts from the store.
+            self._log.write("leadership failed", why=repr(exc), where=_where(exc))
+            await term.resign()
+        finally:
+            self._mirror.pace_s = FOLLOWER_PACE_S
+
+    @asynccontextmanager
+    async def _following_workers(self):
+        registry = WorkerRegistry(self._platform.decode_worker, self._log)
+        mirror = self._mirror_of(self._platform.worker_prefix, registry)
+        task = asyncio.create_task(mirror.run())
+        try:
+            yield registry, mirror
+        finally:
+            task.cancel()
+
+    def _dispatcher(self, done) -> AdviceDispatcher:
+        return AdviceDispatcher(
+            self._member.name,
+            self._platform.advice,
+            self._peers,
+            lambda: self._table.members,
+            done,
+            self._clock,
+            self._log,
+        )
+
+    async def _ask_for_leader(self, request: AskRequest) -> AskReply:
+        try:
+            advice = await self._platform.advice.ask(
+                request.step_id, request.workers, request.timeout_s
+            )
+        except WorkerSilent as exc:
+            raise Refused(str(exc), Code.NO_TARGET) from None
+        return AskReply(advice.tickets, advice.valid_s)
+
+
+def _where(exc: BaseException) -> str:
+    """Return file and line at which an exception was raised."""
+    trace = exc.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- /dev/null
+++ b/flamingoway/queues/session.py
@@ -0,0 +1,225 @@
+"""Session lease of a process, and the leadership that depends on it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..errors import StoreOutcomeUnknown, StoreUnavailable
+from ..store import Compare, KeyValue, LeaseLapsed, Put, Store
+from . import records
+from .decisions import DecisionLog
+from .records import LeaderRecord, MemberRecord
+from .table import JobTable
+
+# A leader that vanishes is replaced after this time. The platform's store takes
+# 240 ms for an answer when it is slow, so several renewals fit.
+SESSION_TTL_S = 2.0
+RENEW_INTERVAL_S = 0.5
+# Kept back from the lease for the drift of clocks and the way of an order.
+VALIDITY_MARGIN_S = 0.3
+RETRY_S = 0.2
+# Spreads the attempts of several processes to become leader.
+ELECTION_JITTER_S = 0.05
+
+
+@dataclass(slots=True)
+class Leadership:
+    """Proof of being the leader.
+
+    Attributes:
+        epoch: Number of this leadership; fencing tokens derive from it.
+        revision: Revision of the leader key, the condition of each write.
+        writes: Number of the last write under this leadership.
+    """
+
+    epoch: int
+    revision: int
+    began_revision: int
+    lease: int
+    writes: int = 0
+
+
+class Session:
+    """Keeps a process registered in the store.
+
+    Args:
+        store: The store.
+        table: Mirror of the store.
+        member: What to register.
+        clock: Monotonic clock that counts suspended time, in seconds.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: JobTable,
+        member: MemberRecord,
+        clock: Callable[[], float],
+        log: DecisionLog,
+    ):
+        self._store = store
+        self._table = table
+        self._member = member
+        self._clock = clock
+        self._log = log
+        self._lease = 0
+        self._valid_until = float("-inf")
+
+    @property
+    def lease(self) -> int:
+        """Id of the session lease; 0 while there is none."""
+        return self._lease
+
+    @property
+    def valid(self) -> bool:
+        """Whether the lease is sure to exist in the store now."""
+        return self._clock() < self._valid_until
+
+    async def run(self) -> None:
+        """Hold the lease until cancelled."""
+        while True:
+            try:
+                if not self._lease:
+                    await self._open()
+                else:
+                    await self._renew()
+                await asyncio.sleep(RENEW_INTERVAL_S)
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                # The mirrors log the store's absence.
+                await asyncio.sleep(RETRY_S)
+
+    async def close(self) -> None:
+        """End the lease, so that others need not wait for it to lapse."""
+        lease, self._lease = self._lease, 0
+        self._valid_until = float("-inf")
+        if lease:
+            try:
+                await self._store.revoke_lease(lease)
+            except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+                self._log.write("session left to lapse", why=exc.message)
+
+    async def _open(self) -> None:
+        sent_at = self._clock()
+        lease = await self._store.grant_lease(SESSION_TTL_S)
+        key = records.MEMBER_PREFIX + self._member.name
+        await self._store.txn([], [Put(key, records.encode(self._member), lease)])
+        self._lease = lease
+        self._extend(sent_at, SESSION_TTL_S)
+        self._log.write("session opened", lease=lease)
+
+    async def _renew(self) -> None:
+        sent_at = self._clock()
+        remaining = await self._store.keep_alive(self._lease)
+        if remaining > 0:
+            self._extend(sent_at, remaining)
+            await self._restore_member()
+            return
+        self._log.write("session lapsed", lease=self._lease)
+        self._lease = 0
+        self._valid_until = float("-inf")
+
+    async def _restore_member(self) -> None:
+        """Register again if the key was taken away while the lease lived."""
+        if self._member.name in self._table.members:
+            return
+        key = records.MEMBER_PREFIX + self._member.name
+        value = records.encode(self._member)
+        try:
+            await self._store.txn([], [Put(key, value, self._lease)])
+        except LeaseLapsed:
+            self._lease = 0
+
+    def _extend(self, sent_at: float, ttl_s: float) -> None:
+        self._valid_until = sent_at + ttl_s - VALIDITY_MARGIN_S
+
+
+class Election:
+    """Makes this process the leader while there is no other.
+
+    Args:
+        store: The store.
+        table: Mirror of the store.
+        session: Session of this process.
+        name: Name of this process.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: JobTable,
+        session: Session,
+        name: str,
+        log: DecisionLog,
+    ):
+        self._store = store
+        self._table = table
+        self._session = session
+        self._name = name
+        self._log = log
+        self._changed = asyncio.Event()
+        self._rng = random.Random()
+        self._used_epochs: set[int] = set()
+        table.on_leader = self._changed.set
+
+    async def win(self) -> Leadership:
+        """Wait until this process is the leader."""
+        while True:
+            if self._vacant and self._session.valid:
+                await asyncio.sleep(self._rng.uniform(0, ELECTION_JITTER_S))
+                won = await self._try()
+                if won is not None:
+                    self._used_epochs.add(won.epoch)
+                    self._log.write(
+                        "leader elected", leader=self._name, epoch=won.epoch
+                    )
+                    return won
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(RETRY_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                # Looks again: the session may have become valid.
+                continue
+
+    @property
+    def _vacant(self) -> bool:
+        """Whether no other process leads; a former life of this one does not."""
+        leader = self._table.leader
+        return leader is None or leader.name == self._name
+
+    async def _try(self) -> Leadership | None:
+        if not self._vacant or not self._session.valid:
+            return None
+        item, leader = self._table.leader_item, self._table.leader
+        lease = self._session.lease
+        own = leader is not None and item.lease == lease
+        if own and leader.epoch not in self._used_epochs:
+            # An election whose answer was lost.
+            revision = item.mod_revision
+            return Leadership(leader.epoch, revision, revision, lease)
+        known = self._table.epoch_item
+        epoch = 1 + (int(known.value) if known else 0)
+        record = records.encode(LeaderRecord(self._name, epoch))
+        compares = [
+            Compare(records.LEADER_KEY, "mod_revision", _revision(item)),
+            Compare(records.EPOCH_KEY, "mod_revision", _revision(known)),
+        ]
+        puts = [
+            Put(records.LEADER_KEY, record, lease),
+            Put(records.EPOCH_KEY, str(epoch).encode()),
+        ]
+        try:
+            result = await self._store.txn(compares, puts)
+        except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+            self._log.write("election unresolved", epoch=epoch, why=exc.message)
+            return None
+        if not result.succeeded:
+            return None
+        return Leadership(epoch, result.revision, result.revision, lease)
+
+
+def _revision(item: KeyValue | None) -> int:
+    return item.mod_revision if item else 0
--- /dev/null
+++ b/flamingoway/queues/table.py
@@ -0,0 +1,220 @@
+"""Table of accepted jobs, members and leadership, mirrored from the store."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..store import KeyValue, WatchEvent
+from . import records
+from .decisions import DecisionLog
+from .mirror import decode_or_skip
+from .model import StepJobState, WorkerEntry
+from .records import (
+    JobRecord,
+    LeaderRecord,
+    MemberRecord,
+    ProgressRecord,
+    WorkerRecord,
+)
+
+
+@dataclass(slots=True)
+class TableJob:
+    """A job as the store knows it.
+
+    Attributes:
+        record: Stored ``JobRecord``; kept encoded because most processes need only
+            the queue.
+        revision: Revision of the acceptance.
+        progress: Stored ``ProgressRecord``; empty before the first.
+    """
+
+    job_id: str
+    queue: str = ""
+    record: bytes = b""
+    revision: int = 0
+    progress: bytes = b""
+    state: StepJobState = StepJobState.QUEUED
+    cancelled: bool = False
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the acceptance has been seen."""
+        return bool(self.record)
+
+    @property
+    def shown_state(self) -> StepJobState:
+        """State that callers see."""
+        if self.cancelled and not self.state.final:
+            return StepJobState.CANCELLED
+        return self.state
+
+    def decode(self) -> JobRecord:
+        """Return the acceptance."""
+        return records.decode(JobRecord, self.record)
+
+    def decode_progress(self) -> ProgressRecord | None:
+        """Return the progress, if there is any."""
+        if not self.progress:
+            return None
+        return records.decode(ProgressRecord, self.progress)
+
+
+class JobTable:
+    """Mirror of everything that flamingoway keeps in the store.
+
+    Args:
+        log: Decision log.
+
+    Attributes:
+        on_job: Called with a job that was accepted or cancelled.
+    """
+
+    def __init__(self, log: DecisionLog):
+        self.on_job: Callable[[TableJob], None] | None = None
+        self.on_leader: Callable[[], None] | None = None
+        self._log = log
+        self._jobs: dict[str, TableJob] = {}
+        self._members: dict[str, MemberRecord] = {}
+        self._workers: dict[str, WorkerEntry] = {}
+        self._leader: tuple[LeaderRecord, KeyValue] | None = None
+        self._epoch_item: KeyValue | None = None
+
+    @property
+    def jobs(self) -> dict[str, TableJob]:
+        """Accepted jobs by id; entries may still lack their acceptance."""
+        return self._jobs
+
+    @property
+    def members(self) -> dict[str, MemberRecord]:
+        """Live entry processes by name."""
+        return self._members
+
+    @property
+    def workers(self) -> dict[str, WorkerEntry]:
+        """Workers on which runs may exist, by id."""
+        return self._workers
+
+    @property
+    def leader(self) -> LeaderRecord | None:
+        """The process that schedules, if one does."""
+        return self._leader[0] if self._leader else None
+
+    @property
+    def leader_item(self) -> KeyValue | None:
+        """Stored form of ``leader``."""
+        return self._leader[1] if self._leader else None
+
+    @property
+    def epoch_item(self) -> KeyValue | None:
+        """Stored counter of leaderships."""
+        return self._epoch_item
+
+    def find(self, job_id: str) -> TableJob | None:
+        """Return an accepted job, or ``None``."""
+        job = self._jobs.get(job_id)
+        return job if job is not None and job.accepted else None
+
+    def waiting(self, queue: str) -> int:
+        """Return the number of jobs of a queue for which no task has started."""
+        return sum(
+            job.queue == queue and job.shown_state is StepJobState.QUEUED
+            for job in self._jobs.values()
+        )
+
+    def replace(self, items: list[KeyValue]) -> None:
+        """Take the whole content."""
+        known = {item.key for item in items}
+        gone = [key for key in self._keys() if key not in known]
+        self.change([WatchEvent(key, None) for key in gone])
+        self.change([WatchEvent(item.key, item) for item in items])
+
+    def change(self, events: list[WatchEvent]) -> None:
+        """Take changes in the order in which they were made."""
+        for event in events:
+            self._apply(event)
+
+    def _apply(self, event: WatchEvent) -> None:
+        key, item = event.key, event.item
+        if key.startswith(records.JOB_PREFIX):
+            self._set_job(records.job_id_of(key), item)
+        elif key.startswith(records.PROGRESS_PREFIX):
+            self._set_progress(records.job_id_of(key), item)
+        elif key.startswith(records.CANCEL_PREFIX):
+            self._set_cancelled(records.job_id_of(key), item)
+        elif key.startswith(records.MEMBER_PREFIX):
+            self._set(self._members, MemberRecord, key, item)
+        elif key.startswith(records.WORKER_PREFIX):
+            self._set_worker(key, item)
+        elif key == records.LEADER_KEY:
+            self._set_leader(item)
+        elif key == records.EPOCH_KEY:
+            self._epoch_item = item
+
+    def _entry(self, job_id: str) -> TableJob:
+        return self._jobs.setdefault(job_id, TableJob(job_id))
+
+    def _set_job(self, job_id: str, item: KeyValue | None) -> None:
+        if item is None:
+            self._jobs.pop(job_id, None)
+            return
+        record = decode_or_skip(self._log, item, records.decode, JobRecord)
+        if record is None:
+            return
+        job = self._entry(job_id)
+        known = job.accepted
+        job.queue = record.spec.queue
+        job.record = item.value
+        job.revision = item.create_revision
+        if not known and self.on_job is not None:
+            self.on_job(job)
+
+    def _set_progress(self, job_id: str, item: KeyValue | None) -> None:
+        if item is None:
+            return
+        record = decode_or_skip(self._log, item, records.decode, ProgressRecord)
+        if record is not None:
+            job = self._entry(job_id)
+            job.progress = item.value
+            job.state = record.state
+
+    def _set_cancelled(self, job_id: str, item: KeyValue | None) -> None:
+        if item is None:
+            return
+        job = self._entry(job_id)
+        job.cancelled = True
+        if job.accepted and self.on_job is not None:
+            self.on_job(job)
+
+    def _set(self, entries: dict, kind: type, key: str, item: KeyValue | None) -> None:
+        name = records.job_id_of(key)
+        if item is None:
+            entries.pop(name, None)
+            return
+        record = decode_or_skip(self._log, item, records.decode, kind)
+        if record is not None:
+            entries[name] = record
+
+    def _set_worker(self, key: str, item: KeyValue | None) -> None:
+        worker_id = records.job_id_of(key)
+        if item is None:
+            self._workers.pop(worker_id, None)
+            return
+        record = decode_or_skip(self._log, item, records.decode, WorkerRecord)
+        if record is not None:
+            self._workers[worker_id] = record.entry
+
+    def _set_leader(self, item: KeyValue | None) -> None:
+        record = None
+        if item is not None:
+            record = decode_or_skip(self._log, item, records.decode, LeaderRecord)
+        self._leader = None if record is None else (record, item)
+        if self.on_leader is not None:
+            self.on_leader()
+
+    def _keys(self) -> list[str]:
+        keys = [records.MEMBER_PREFIX + name for name in self._members]
+        keys += [records.WORKER_PREFIX + name for name in self._workers]
+        keys += [records.JOB_PREFIX + job_id for job_id in self._jobs]
+        if self._leader is not None:
+            keys.append(records.LEADER_KEY)
+        return keys
--- /dev/null
+++ b/flamingoway/queues/term.py
@@ -0,0 +1,574 @@
+"""One leadership: takes over the workers, places tasks and stores the progress."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+
+from ..errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
+from ..store import Compare, Delete, LeaseLapsed, Put, Store
+from . import records
+from .asking import AdviceDispatcher
+from .board import Board
+from .decisions import DecisionLog
+from .intake import Intake
+from .metrics import QueueMetrics
+from .mirror import Mirror
+from .model import Advice, StartReply, WorkerEntry
+from .planning import Planner
+from .ports import OrderRefused, Workers, WorkerSilent
+from .records import LeaderRecord, WorkerRecord
+from .registry import WorkerRegistry
+from .runs import (
+    CLOCK_RATE_MIN,
+    LAPSE_MARGIN_S,
+    AskAdvice,
+    LookNow,
+    OpenJob,
+    StartRun,
+    StopRun,
+    WorkerState,
+)
+from .session import Leadership
+from .table import JobTable, TableJob
+
+# A leader that does not reach the store goes on for this time, which spans the
+# outages of the platform's store. A new leader waits as long, and a worker's lease
+# more, for workers that it cannot reach.
+HORIZON_S = 8.0
+# A worker's answer waits at most this long for an end; the lease is renewed with
+# each look.
+LOOK_WAIT_S = 1.0
+LOOK_RETRY_S = 0.1
+LOOK_RETRY_MAX_S = 0.5
+# Events within this time share one pass of the planner.
+PLAN_DELAY_S = 0.005
+TICK_S = 0.1
+# Changes that no caller waits for are stored together after this time.
+FLUSH_DELAY_S = 0.05
+# Least time between two writes of progress; keeps them under 40 a second.
+FLUSH_INTERVAL_S = 0.025
+# A transaction takes 32 entries; two are the leader's key.
+FLUSH_ENTRIES = 29
+STORE_RETRY_S = 0.1
+
+
+class Deposed(Exception):
+    """Another process leads."""
+
+
+class Term:
+    """Runs the queues for as long as this process is the leader.
+
+    Args:
+        leadership: Proof of being the leader.
+        store: The store.
+        store_age: Returns the seconds since the store was last heard.
+        mirror: Mirror that feeds ``table``.
+        table: Mirror of jobs and workers.
+        intake: Knows the configuration in force.
+        workers: Orders to workers.
+        registry: Entries of the workers.
+        registry_mirror: Mirror that feeds ``registry``.
+        dispatcher: Makes the dispatcher for advice, given what to call when done.
+        name: Name of this process.
+        lease_s: Length of the leases given to workers.
+        clock: Monotonic clock that counts suspended time, in seconds.
+        metrics: Metrics of the process.
+        log: Decision log.
+    """
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        store: Store,
+        store_age: Callable[[], float],
+        mirror: Mirror,
+        table: JobTable,
+        intake: Intake,
+        workers: Workers,
+        registry: WorkerRegistry,
+        registry_mirror: Mirror,
+        dispatcher: Callable[..., AdviceDispatcher],
+        name: str,
+        lease_s: float,
+        clock: Callable[[], float],
+        metrics: QueueMetrics,
+        log: DecisionLog,
+    ):
+        self._leadership = leadership
+        self._store = store
+        self._store_age = store_age
+        self._mirror = mirror
+        self._table = table
+        self._intake = intake
+        self._workers = workers
+        self._registry = registry
+        self._registry_mirror = registry_mirror
+        self._dispatcher = dispatcher(self._on_advice)
+        self._name = name
+        self._lease_s = lease_s
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._board = Board(leadership.epoch, lease_s, log)
+        self._planner = Planner(self._board, log)
+        self._plan_needed = asyncio.Event()
+        self._flush_needed = asyncio.Event()
+        self._looks: dict[str, asyncio.Event] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._loops: dict[str, asyncio.Task] = {}
+        self._failed: asyncio.Future = asyncio.get_running_loop().create_future()
+        self._removed: list[str] = []
+
+    @property
+    def board(self) -> Board:
+        """Open jobs and workers."""
+        return self._board
+
+    @property
+    def may_act(self) -> bool:
+        """Whether orders may be sent: no other leader is known or can be due."""
+        leader = self._table.leader
+        replaced = leader is not None and leader.epoch != self._leadership.epoch
+        return not replaced and self._store_age() < HORIZON_S
+
+    async def run(self) -> None:
+        """Lead until another process does or the task is cancelled."""
+        async with self._running():
+            await self._take_over()
+            self._spawn(self._plan_loop())
+            self._spawn(self._flush_loop())
+            self._spawn(self._tick_loop())
+            await self._failed
+
+    @asynccontextmanager
+    async def _running(self):
+        try:
+            yield
+        except Deposed as exc:
+            self._log.write("leader deposed", epoch=self._board.epoch, why=str(exc))
+        finally:
+            self._table.on_job = None
+            self._registry.on_change = None
+            self._dispatcher.close()
+            tasks = [*self._tasks, *self._loops.values()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def resign(self) -> None:
+        """Give up the leadership, so that the next leader need not wait."""
+        for _ in range(2):
+            compare = Compare(
+                records.LEADER_KEY, "mod_revision", self._leadership.revision
+            )
+            try:
+                result = await self._store.txn([compare], [Delete(records.LEADER_KEY)])
+            except (StoreUnavailable, StoreOutcomeUnknown) as exc:
+                self._log.write("leadership left to lapse", why=exc.message)
+                continue
+            self._log.write(
+                "leader resigned", epoch=self._board.epoch, done=result.succeeded
+            )
+            return
+
+    # Takeover
+
+    async def _take_over(self) -> None:
+        while True:
+            try:
+                await self._mirror.catch_up()
+                await self._registry_mirror.catch_up()
+                break
+            except StoreUnavailable as exc:
+                self._log.write("takeover waits for the store", why=exc.message)
+                await asyncio.sleep(STORE_RETRY_S)
+                if not self.may_act:
+                    raise Deposed("the store is away") from None
+        now = self._clock()
+        self._board.set_desired(self._intake.desired)
+        until = now + HORIZON_S + self._lease_s / CLOCK_RATE_MIN + LAPSE_MARGIN_S
+        for entry in self._table.workers.values():
+            self._board.expect_worker(entry, until)
+        self._update_workers()
+        for job in list(self._table.jobs.values()):
+            if job.accepted:
+                self._take_job(job)
+        self._table.on_job = self._on_job
+        self._registry.on_change = self._update_workers
+        self._log.write(
+            "leadership taken",
+            epoch=self._board.epoch,
+            jobs=len(self._board.jobs),
+            workers=len(self._board.workers),
+            unsettled=len(self._board.unsettled),
+            mirror_revision=self._mirror.revision,
+        )
+
+    def configure(self) -> None:
+        """Put a new configuration into force."""
+        self._board.set_desired(self._intake.desired)
+        self._plan_needed.set()
+
+    def _on_job(self, job: TableJob) -> None:
+        now = self._clock()
+        if job.cancelled and job.job_id in self._board.jobs:
+            self._board.cancel_job(job.job_id, now, time.time())
+        else:
+            self._take_job(job)
+        self._after_event()
+
+    def _take_job(self, job: TableJob) -> None:
+        inherited = job.revision < self._leadership.began_revision
+        try:
+            self._board.add_job(job, self._clock(), time.time(), inherited)
+        except BadRequest as exc:
+            self._log.write("job unreadable", job=job.job_id, why=exc.message)
+
+    def _update_workers(self) -> None:
+        now = self._clock()
+        for entry in self._registry.entries.values():
+            known = self._board.workers.get(entry.worker_id)
+            if known is None or not known.listed or known.entry != entry:
+                worker = self._board.set_worker(entry, now)
+                self._attend(worker)
+        for worker in list(self._board.workers.values()):
+            if worker.entry.worker_id not in self._registry.entries:
+                self._board.unlist_worker(worker.entry.worker_id, now)
+                self._attend(worker)
+        self._after_event()
+
+    # Workers
+
+    def _attend(self, worker: WorkerState) -> None:
+        worker_id = worker.entry.worker_id
+        loop = self._loops.get(worker_id)
+        if loop is None or loop.done():
+            self._looks[worker_id] = asyncio.Event()
+            task = asyncio.create_task(self._look_loop(worker))
+            task.add_done_callback(self._note_failure)
+            self._loops[worker_id] = task
+
+    async def _look_loop(self, worker: WorkerState) -> None:
+        """Look at a worker until it is gone for good."""
+        wake = self._looks[worker.entry.worker_id]
+        retry_s = LOOK_RETRY_S
+        while worker.entry.worker_id in self._board.workers:
+            if not self.may_act:
+                await asyncio.sleep(TICK_S)
+                continue
+            wake.clear()
+            if await self._look(worker, wake):
+                retry_s = LOOK_RETRY_S
+                await self._wait_for_store(worker, wake)
+                continue
+            self._check_gone(worker)
+            await asyncio.sleep(retry_s)
+            retry_s = min(LOOK_RETRY_MAX_S, retry_s * 2)
+
+    async def _look(self, worker: WorkerState, wake: asyncio.Event) -> bool:
+        """Look once; return whether the worker answered."""
+        entry, token = worker.entry, worker.token
+        sent_at = self._clock()
+        lease_ms = 0
+        if worker.clock_at > float("-inf"):
+            lease_ms = worker.clock_estimate(sent_at) + int(self._lease_s * 1000)
+            worker.lease_ms = max(worker.lease_ms, lease_ms)
+        wait_s = LOOK_WAIT_S if worker.settled else 0.0
+        look = asyncio.create_task(
+            self._workers.look(entry, token, worker.acknowledged, lease_ms, wait_s)
+        )
+        woken = asyncio.create_task(wake.wait())
+        try:
+            await asyncio.wait({look, woken}, return_when=asyncio.FIRST_COMPLETED)
+            if not look.done():
+                return True
+            report = look.result()
+        except WorkerSilent as exc:
+            self._note_silent(worker, str(exc))
+            return False
+        except OrderRefused as exc:
+            self._note_refused(worker, entry, token, exc.reply)
+            return False
+        finally:
+            look.cancel()
+            woken.cancel()
+        if worker.entry.address != entry.address or worker.token != token:
+            return True
+        self._metrics.looks.inc()
+        now = self._clock()
+        self._board.on_report(worker, report, sent_at, token, now, time.time())
+        self._after_event()
+        return True
+
+    async def _wait_for_store(self, worker: WorkerState, wake: asyncio.Event) -> None:
+        """Wait until the ends just listed are stored, or for a while.
+
+        A waiting look returns at once while an end is not acknowledged.
+        """
+        if not worker.unstored or wake.is_set():
+            return
+        try:
+            async with asyncio.timeout(FLUSH_DELAY_S):
+                await wake.wait()
+        except TimeoutError:
+            return
+
+    def _note_silent(self, worker: WorkerState, why: str) -> None:
+        now = self._clock()
+        if worker.settled:
+            worker.settled = False
+            self._log.write(
+                "worker silent",
+                worker=worker.entry.worker_id,
+                runs=len(worker.runs),
+                heard_age_s=round(now - worker.heard_at, 2),
+                why=why,
+            )
+
+    def _note_refused(
+        self, worker: WorkerState, entry: WorkerEntry, token: int, reply: StartReply
+    ) -> None:
+        self._log.write(
+            "look refused", worker=entry.worker_id, token=token, reply=reply
+        )
+        if worker.entry is not entry or worker.token != token:
+            return
+        if reply is StartReply.FENCED:
+            self._fail(f"{entry.worker_id} follows a higher token than {token}")
+        elif reply is StartReply.OTHER_LIFE:
+            self._board.lose_runs(worker, self._clock(), "another worker answered")
+            self._after_event()
+
+    def _check_gone(self, worker: WorkerState) -> None:
+        now = self._clock()
+        if worker.settled or not self._board.is_gone(worker, now):
+            return
+        if worker.runs or worker.entry.worker_id in self._board.unsettled:
+            self._board.lose_runs(worker, now, "its lease has lapsed")
+            self._after_event()
+        if not worker.listed and not worker.runs:
+            self._log.write("worker forgotten", worker=worker.entry.worker_id)
+            self._board.forget_worker(worker)
+            if worker.recorded:
+                self._removed.append(worker.entry.worker_id)
+                self._flush_needed.set()
+
+    # Orders
+
+    def _after_event(self) -> None:
+        """Carry out what an event led to."""
+        if self._board.fenced:
+            self._fail("a worker follows a higher token")
+        self._carry_out()
+        self._plan_needed.set()
+        self._flush_needed.set()
+
+    def _carry_out(self) -> None:
+        for order in self._board.take_orders():
+            match order:
+                case StartRun():
+                    self._spawn(self._start(order))
+                case StopRun():
+                    self._spawn(self._stop(order))
+                case AskAdvice():
+                    self._dispatcher.submit(order)
+                case LookNow():
+                    self._wake(order.worker)
+
+    async def _start(self, start: StartRun) -> None:
+        run = start.run
+        reply = StartReply.NOT_SENT
+        if self.may_act:
+            sent_at = self._clock()
+            reply = await self._workers.start(run.worker.entry, start.order)
+            self._metrics.start_seconds.observe(self._clock() - sent_at)
+        self._metrics.starts.labels(reply.value).inc()
+        self._board.on_start_reply(run, reply, self._clock())
+        if reply is not StartReply.RUNNING:
+            self._after_event()
+        else:
+            self._flush_needed.set()
+
+    async def _stop(self, stop: StopRun) -> None:
+        if not self.may_act:
+            return
+        worker = stop.worker
+        done = await self._workers.stop(
+            worker.entry, stop.task_id, stop.number, worker.token
+        )
+        self._log.write(
+            "stop sent",
+            task=stop.task_id,
+            run=stop.number,
+            worker=worker.entry.worker_id,
+            taken=done,
+        )
+
+    def _on_advice(self, ask: AskAdvice, advice: Advice | None) -> None:
+        now = self._clock()
+        if advice is None:
+            self._board.on_no_advice(ask.step, now)
+        else:
+            self._board.on_advice(ask.step, ask.workers, advice, now)
+        self._plan_needed.set()
+
+    def _wake(self, worker: WorkerState) -> None:
+        event = self._looks.get(worker.entry.worker_id)
+        if event is not None:
+            event.set()
+
+    # Loops
+
+    async def _plan_loop(self) -> None:
+        while True:
+            await self._plan_needed.wait()
+            await asyncio.sleep(PLAN_DELAY_S)
+            self._plan_needed.clear()
+            if not self.may_act:
+                continue
+            with self._metrics.plan_seconds.time():
+                self._planner.run(self._clock())
+            self._carry_out()
+
+    async def _tick_loop(self) -> None:
+        acting = True
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.may_act != acting:
+                acting = self.may_act
+                self._log.write(
+                    "orders allowed" if acting else "orders suspended",
+                    epoch=self._board.epoch,
+                    store_age_s=round(self._store_age(), 2),
+                )
+            leader = self._table.leader
+            if leader is not None and leader.epoch != self._leadership.epoch:
+                self._fail(f"{leader.name} leads with epoch {leader.epoch}")
+            now = self._clock()
+            self._board.open_due(now, time.time())
+            self._board.repeat_stops(now)
+            self._after_event()
+
+    # Progress
+
+    async def _flush_loop(self) -> None:
+        while True:
+            await self._flush_needed.wait()
+            self._flush_needed.clear()
+            while True:
+                jobs = self._jobs_to_store()
+                workers = [
+                    w
+                    for w in self._board.workers.values()
+                    if w.listed and not w.recorded
+                ]
+                removed, self._removed = self._removed[:5], self._removed[5:]
+                if not jobs and not workers and not removed:
+                    break
+                await self._flush(jobs, workers, removed)
+                await asyncio.sleep(FLUSH_INTERVAL_S)
+
+    def _jobs_to_store(self) -> list[OpenJob]:
+        now = self._clock()
+        dirty = [job for job in self._board.jobs.values() if job.dirty]
+        urgent = any(job.urgent for job in dirty)
+        old = any(now - job.changed_at >= FLUSH_DELAY_S for job in dirty)
+        if not urgent and not old:
+            return []
+        dirty.sort(key=lambda job: (not job.urgent, job.changed_at))
+        return dirty
+
+    async def _flush(
+        self, jobs: list[OpenJob], workers: list[WorkerState], removed: list[str]
+    ) -> None:
+        """Store what changed in one write on the condition of still leading."""
+        workers = workers[:FLUSH_ENTRIES]
+        jobs = jobs[: FLUSH_ENTRIES - len(workers)]
+        removed = removed[: FLUSH_ENTRIES - len(workers) - len(jobs)]
+        versions = [job.version for job in jobs]
+        puts: list[Put | Delete] = [
+            Put(records.PROGRESS_PREFIX + job.spec.job_id, records.encode(job.record()))
+            for job in jobs
+        ]
+        puts += [
+            Put(
+                records.WORKER_PREFIX + worker.entry.worker_id,
+                records.encode(WorkerRecord(worker.entry)),
+            )
+            for worker in workers
+        ]
+        puts += [Delete(records.WORKER_PREFIX + worker_id) for worker_id in removed]
+        began = self._clock()
+        await self._write(puts)
+        self._metrics.flush_seconds.observe(self._clock() - began)
+        for job, version in zip(jobs, versions, strict=True):
+            job.stored_version = version
+            if not job.dirty:
+                job.urgent = False
+                if job.state.final:
+                    self._board.forget_job(job)
+        for worker in workers:
+            worker.recorded = True
+        self._advance_acknowledged()
+        if workers:
+            self._plan_needed.set()
+
+    async def _write(self, operations: list[Put | Delete]) -> None:
+        """Write under the leader's key, which each write changes.
+
+        A write whose answer was lost may be applied later; since it names the
+        revision of the leader's key, it cannot undo a newer one.
+
+        Raises:
+            Deposed: The leader's key is gone or another process has it.
+        """
+        leadership = self._leadership
+        mark = LeaderRecord(self._name, leadership.epoch, leadership.writes + 1)
+        value = records.encode(mark)
+        compare = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
+        puts = [Put(records.LEADER_KEY, value, leadership.lease), *operations]
+        while True:
+            try:
+                result = await self._store.txn([compare], puts, [records.LEADER_KEY])
+            except LeaseLapsed:
+                raise Deposed("the session lease has lapsed") from None
+            except (StoreUnavailable, StoreOutcomeUnknown):
+                await asyncio.sleep(STORE_RETRY_S)
+                continue
+            break
+        revision = result.revision
+        if not result.succeeded:
+            found = result.reads.get(records.LEADER_KEY)
+            if found is None or found.value != value:
+                raise Deposed("the leader's key was changed")
+            revision = found.mod_revision
+        leadership.revision = revision
+        leadership.writes += 1
+
+    def _advance_acknowledged(self) -> None:
+        for worker in self._board.workers.values():
+            if worker.unstored:
+                worker.advance_acknowledged()
+                if not worker.unstored:
+                    self._wake(worker)
+
+    # Tasks
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_failure)
+
+    def _note_failure(self, task: asyncio.Task) -> None:
+        if task.cancelled() or self._failed.done():
+            return
+        error = task.exception()
+        if error is not None:
+            self._failed.set_exception(error)
+
+    def _fail(self, why: str) -> None:
+        if not self._failed.done():
+            self._failed.set_exception(Deposed(why))
--- a/flamingoway/store/__init__.py
+++ b/flamingoway/store/__init__.py
@@ -17,6 +17,10 @@
     """The lease that a write names does not exist any more; nothing was written."""
 
 
+class HistoryLost(StoreUnavailable):
+    """The changes that a watch asks for are no longer known; read the range again."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValue:
     """One key with its value and revisions."""
@@ -100,6 +104,18 @@
     events: list[WatchEvent]
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes of a prefix since a revision.
+
+    Attributes:
+        revision: Revision up to which the changes are complete.
+    """
+
+    revision: int
+    events: list[WatchEvent]
+
+
 class Store(Protocol):
     """What flamingoway needs of a key-value service."""
 
