Adopt the runs of steps whose predecessors are not known as done yet

Ruled out: late store writes (the histories have none).

Change: runs of any step of an open job are adopted, and a task whose stray run is being stopped is not placed.

Also: a model of the queues in virtual time (fake workers, store faults, rule checker) with 12 kinds of fault.

--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -3,11 +3,13 @@
 import asyncio
 import gc
 import os
+import random
 import signal
 
 from ..context import boot_time
 from ..errors import BadSettings
 from ..httpserver import HttpAnswer, HttpRequest, HttpServer
+from ..peer import PeerClient, PeerServer
 from ..queues.decisions import DecisionLog
 from ..queues.node import Platform, QueueNode
 from ..queues.records import MemberRecord
@@ -75,7 +77,15 @@
             decode_worker=wire.to_worker,
             lease_s=settings.bounds.hold_max_ms / 1000 * LEASE_SHARE,
         )
-        self._node = QueueNode(member, platform, boot_time, self._log)
+        self._node = QueueNode(
+            member,
+            platform,
+            boot_time,
+            self._log,
+            PeerServer(),
+            PeerClient(),
+            random.Random(),
+        )
         self._changed = asyncio.Event()
 
     async def run(self) -> int:
@@ -117,7 +127,8 @@
     async def _drain(self, front: HttpServer) -> None:
         began = asyncio.get_running_loop().time()
         self._log.write("stopping", in_flight=front.in_flight)
-        await self._node.stop()
+        # The store may be away, so handing over must not delay the callers.
+        handover = asyncio.create_task(self._node.stop())
         await asyncio.sleep(DRAIN_NOTICE_S)
         front.stop_listening()
         spent = asyncio.get_running_loop().time() - began
@@ -125,7 +136,13 @@
         abandoned = await front.drain(max(0.1, left))
         if abandoned:
             self._log.write("requests abandoned", requests=abandoned)
-        await self._node.close()
+        handover.add_done_callback(lambda task: task.cancelled() or task.exception())
+        try:
+            async with asyncio.timeout(STOP_RESERVE_S / 2):
+                await handover
+                await self._node.close()
+        except TimeoutError:
+            self._log.write("session left to lapse", why="the store is away")
 
     async def _watch_settings(self) -> None:
         modified = _modified(self._path)
--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -198,7 +198,9 @@
             if all(b is not None and b.complete for b in before):
                 step.ready = True
                 step.due_at = now
-                step.pending = [i for i in range(step.spec.count) if i not in step.done]
+                # Tasks that a former leader started may be known already.
+                taken = step.done | step.live.keys()
+                step.pending = [i for i in range(step.spec.count) if i not in taken]
                 self.update_waiting(step)
 
     def update_waiting(self, step: StepRun) -> None:
@@ -427,7 +429,7 @@
         if found is None:
             return None
         step, index = found
-        if not step.ready or index in step.done or index in step.live:
+        if index in step.done or index in step.live:
             return None
         others = {run.number for run in step.live.values()}
         if step.spec.gang and others and others != {row.number}:
@@ -684,6 +686,12 @@
 
     # Look-ups
 
+    def stray_tasks(self) -> set[str]:
+        """Return the tasks of runs that are being stopped as strays."""
+        return {
+            task_id for worker in self._workers.values() for task_id, _ in worker.strays
+        }
+
     def _find(self, task_id: str) -> tuple[StepRun, int] | None:
         """Return the step and the index of a task of an open job."""
         parts = task_id.split(".")
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -41,6 +41,7 @@
         listener: Receives content and changes.
         clock: Monotonic clock in seconds.
         log: Decision log.
+        rng: Source of the jitter of retries.
         pace_s: Least time between two reads of changes.
     """
 
@@ -51,6 +52,7 @@
         listener: Listener,
         clock: Callable[[], float],
         log: DecisionLog,
+        rng: random.Random,
         pace_s: float = FOLLOWER_PACE_S,
     ):
         self.pace_s = pace_s
@@ -63,7 +65,7 @@
         self._heard_at = float("-inf")
         self._synced = asyncio.Event()
         self._reachable = True
-        self._backoff = Backoff(random.Random(), FIRST_RETRY_S, LONGEST_RETRY_S)
+        self._backoff = Backoff(rng, FIRST_RETRY_S, LONGEST_RETRY_S)
 
     @property
     def revision(self) -> int:
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -1,6 +1,7 @@
 """The tasks of one entry process that serves queues, and how they start and stop."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -28,6 +29,8 @@
 READY_STORE_AGE_S = 2.0
 # Pause after a leadership that failed, so that a fault cannot spin.
 TERM_PAUSE_S = 0.2
+# Calls of other processes that are in progress at a stop get this long.
+PEER_GRACE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,9 @@
         platform: Platform adapter.
         clock: Monotonic clock that counts suspended time, in seconds.
         log: Decision log.
+        server: Serves the calls of other processes.
+        peers: Calls other processes.
+        rng: Source of jitter.
     """
 
     def __init__(
@@ -68,17 +74,22 @@
         platform: Platform,
         clock: Callable[[], float],
         log: DecisionLog,
+        server: PeerServer,
+        peers: PeerClient,
+        rng: random.Random,
     ):
         self.metrics = QueueMetrics()
         self._member = member
         self._platform = platform
         self._clock = clock
         self._log = log
+        self._rng = rng
         self._table = JobTable(log)
         self._mirror = self._mirror_of(records.ROOT, self._table)
         self._intake = Intake(platform.store, self._table, self._store_age, log)
         self._session = Session(platform.store, self._table, member, clock, log)
-        self._peers = PeerClient()
+        self._server = server
+        self._peers = peers
         self._term: Term | None = None
         self._leading: asyncio.Task | None = None
         self._stopping = False
@@ -106,10 +117,11 @@
             self._log,
         )
         config_mirror = self._mirror_of(self._platform.config_prefix, config)
-        server = PeerServer()
+        server = self._server
         server.handle(AskRequest, self._ask_for_leader)
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(server.listen(self._member.peer_address))
+            address = self._member.peer_address
+            await stack.enter_async_context(server.listen(address, PEER_GRACE_S))
             stack.push_async_callback(self._peers.close)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._mirror.run())
@@ -133,7 +145,8 @@
         await self._session.close()
 
     def _mirror_of(self, prefix: str, listener) -> Mirror:
-        return Mirror(self._platform.store, prefix, listener, self._clock, self._log)
+        store, clock = self._platform.store, self._clock
+        return Mirror(store, prefix, listener, clock, self._log, self._rng)
 
     def _store_age(self) -> float:
         return self._mirror.age_s
@@ -150,6 +163,7 @@
             self._session,
             self._member.name,
             self._log,
+            self._rng,
         )
         while True:
             if self._intake.desired is None:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -44,11 +44,13 @@
         self._board = board
         self._log = log
         self._held: dict[str, StepRun] = {}
+        self._strays: set[str] = set()
 
     def run(self, now: float) -> int:
         """Start what can start; return the number of starts ordered."""
         board = self._board
         self._held = {}
+        self._strays = board.stray_tasks()
         started = 0
         steps = sorted(board.waiting.values(), key=lambda s: self.rank(s, now))
         for step in steps:
@@ -109,10 +111,15 @@
     def _place(
         self, step: StepRun, workers: Sequence[WorkerState], now: float
     ) -> list[Placement]:
+        indexes = step.pending
+        if self._strays:
+            # The former run of a task must be gone before the next one.
+            indexes = [i for i in indexes if step.task_id(i) not in self._strays]
         if step.spec.gang:
-            return place_gang(step, workers, now)
+            whole = len(indexes) == step.spec.count
+            return place_gang(step, workers, now) if whole else []
         sound = [w for w in workers if w.entry.worker_id not in step.avoid]
-        return place_tasks(step, step.pending, sound or workers, now)
+        return place_tasks(step, indexes, sound or workers, now)
 
     def _hold(self, step: StepRun, workers: Sequence[WorkerState]) -> None:
         """Keep workers free for a gang that does not fit yet."""
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -144,6 +144,7 @@
         session: Session of this process.
         name: Name of this process.
         log: Decision log.
+        rng: Source of the jitter of attempts.
     """
 
     def __init__(
@@ -153,6 +154,7 @@
         session: Session,
         name: str,
         log: DecisionLog,
+        rng: random.Random,
     ):
         self._store = store
         self._table = table
@@ -160,7 +162,7 @@
         self._name = name
         self._log = log
         self._changed = asyncio.Event()
-        self._rng = random.Random()
+        self._rng = rng
         self._used_epochs: set[int] = set()
         table.on_leader = self._changed.set
 
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 from ..errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
-from ..store import Compare, Delete, LeaseLapsed, Put, Store
+from ..store import Compare, Delete, KeyValue, LeaseLapsed, Put, Store
 from . import records
 from .asking import AdviceDispatcher
 from .board import Board
@@ -51,6 +51,7 @@
 # A transaction takes 32 entries; two are the leader's key.
 FLUSH_ENTRIES = 29
 STORE_RETRY_S = 0.1
+RESIGN_ATTEMPTS = 3
 
 
 class Deposed(Exception):
@@ -159,19 +160,24 @@
 
     async def resign(self) -> None:
         """Give up the leadership, so that the next leader need not wait."""
-        for _ in range(2):
-            compare = Compare(
-                records.LEADER_KEY, "mod_revision", self._leadership.revision
-            )
+        key, revision = records.LEADER_KEY, self._leadership.revision
+        for _ in range(RESIGN_ATTEMPTS):
+            compare = Compare(key, "mod_revision", revision)
             try:
-                result = await self._store.txn([compare], [Delete(records.LEADER_KEY)])
+                result = await self._store.txn([compare], [Delete(key)], [key])
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
                 self._log.write("leadership left to lapse", why=exc.message)
                 continue
-            self._log.write(
-                "leader resigned", epoch=self._board.epoch, done=result.succeeded
-            )
-            return
+            found = result.reads.get(key)
+            if result.succeeded or found is None or not self._is_own(found):
+                self._log.write("leader resigned", epoch=self._board.epoch)
+                return
+            # The last write of progress was applied without an answer.
+            revision = found.mod_revision
+
+    def _is_own(self, item: KeyValue) -> bool:
+        leader = records.decode(LeaderRecord, item.value)
+        return (leader.name, leader.epoch) == (self._name, self._leadership.epoch)
 
     # Takeover
 
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -7,8 +7,10 @@
 
 from flamingoway.errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
 from flamingoway.store import (
+    Changes,
     Compare,
     Delete,
+    HistoryLost,
     KeyValue,
     LeaseLapsed,
     Put,
@@ -21,6 +23,9 @@
 
 from . import kv
 
+# How often a waiting watch looks for expired leases.
+EXPIRY_POLL_S = 0.1
+
 
 class MemoryStore:
     """One client's view of an engine; several may share one engine.
@@ -47,6 +52,7 @@
         self._open = asyncio.Event()
         self._open.set()
         self._watches: set[asyncio.Queue] = set()
+        self._late: list[float] = []
 
     @property
     def down(self) -> bool:
@@ -71,6 +77,10 @@
         """Raise ``StoreOutcomeUnknown`` for the next writes without applying them."""
         self._lost_requests += count
 
+    def apply_late(self, delay_s: float) -> None:
+        """Raise ``StoreOutcomeUnknown`` for the next write and apply it later."""
+        self._late.append(delay_s)
+
     def pause(self) -> None:
         """Hold all calls until :meth:`resume`; they take effect only then."""
         self._open.clear()
@@ -160,6 +170,40 @@
             self.engine.unwatch(watcher)
         raise StoreUnavailable("the watch broke")
 
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes under ``prefix`` that followed a revision."""
+        await self._begin("changes")
+        queue: asyncio.Queue[kv.Changes | None] = asyncio.Queue()
+        first, end = prefix.encode(), prefix_end(prefix).encode()
+        try:
+            watcher = self.engine.watch(first, end, after + 1, queue.put_nowait)
+        except kv.Compacted as exc:
+            raise HistoryLost(str(exc)) from None
+        self._watches.add(queue)
+        try:
+            batches = await self._collect(queue, wait_s)
+        finally:
+            self._watches.discard(queue)
+            self.engine.unwatch(watcher)
+        if self._down or None in batches:
+            raise StoreUnavailable("the watch broke")
+        events = [event for batch in batches for event in _to_batch(batch).events]
+        return Changes(self.engine.revision, events)
+
+    async def _collect(self, queue: asyncio.Queue, wait_s: float) -> list:
+        """Wait for the first change, then take all that are there."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while queue.empty() and loop.time() < end:
+            # Leases expire only when the engine is called.
+            self.engine.expire()
+            try:
+                async with asyncio.timeout(min(EXPIRY_POLL_S, end - loop.time())):
+                    return [await queue.get(), *_drain(queue)]
+            except TimeoutError:
+                continue
+        return _drain(queue)
+
     async def close(self) -> None:
         """Break open watches."""
         self.break_watches()
@@ -177,6 +221,9 @@
         if self._lost_requests:
             self._lost_requests -= 1
             raise StoreOutcomeUnknown("no answer")
+        if self._late:
+            asyncio.get_running_loop().call_later(self._late.pop(0), apply)
+            raise StoreOutcomeUnknown("no answer")
         try:
             answer = apply()
         except kv.LeaseNotFound as exc:
@@ -189,6 +236,10 @@
         return answer
 
 
+def _drain(queue: asyncio.Queue) -> list:
+    return [queue.get_nowait() for _ in range(queue.qsize())]
+
+
 def _to_item(entry: kv.Entry) -> KeyValue:
     return KeyValue(
         entry.key.decode(),
--- /dev/null
+++ b/tests/queue_world.py
@@ -0,0 +1,595 @@
+"""Fake workers, advice and callers around real queue nodes, and a rule checker.
+
+The workers keep the platform's published rules: fencing tokens, leases on their own
+clock, run numbers, gangs, ends that are listed until they are acknowledged, and
+orders that are carried out seconds after their answer was lost.
+"""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from flamingoway.errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
+from flamingoway.model import Resources
+from flamingoway.queues.model import (
+    Advice,
+    AdviceTiming,
+    DesiredState,
+    EndedTask,
+    EndKind,
+    Queue,
+    RunningTask,
+    StartReply,
+    StepJobState,
+    WorkerEntry,
+    WorkerReport,
+)
+from flamingoway.queues.node import Platform, QueueNode
+from flamingoway.queues.ports import OrderRefused, WorkerSilent
+from flamingoway.queues.records import MemberRecord
+from flamingoway.store import Delete, Put
+from standins import kv
+from standins.memory import MemoryStore
+
+LATENCY_S = 0.002
+ANSWER_LOST_S = 0.6
+LEASE_S = 5.7
+GANG_S = 3.0
+STOP_S = 0.3
+CANCEL_S = 3.0
+# A caller of a process that was killed gets no answer.
+CALLER_S = 3.0
+QUEUE = Queue(
+    name="plans",
+    host="h",
+    prefix="/p/",
+    service="planner",
+    priority=1,
+    max_attempts=4,
+    stretch=2.0,
+    objective_s=1.0,
+    advice=AdviceTiming(0.05, 0.001, 1.5),
+)
+CHECKS = Queue(
+    name="checks",
+    host="h",
+    prefix="/c/",
+    service="planner",
+    priority=0,
+    max_attempts=4,
+    stretch=1.5,
+    objective_s=0.25,
+)
+DESIRED = DesiredState(1, (QUEUE, CHECKS))
+
+
+class QuietLog:
+    """Keeps log lines for a failing test."""
+
+    def __init__(self, name, lines):
+        self.dropped = 0
+        self._name = name
+        self._lines = lines
+
+    def write(self, event, **fields):
+        now = asyncio.get_event_loop().time()
+        self._lines.append((round(now, 3), self._name, event, fields))
+
+
+@dataclass(eq=False)
+class FakeRun:
+    """A run on a fake worker."""
+
+    task_id: str
+    number: int
+    needs: Resources
+    left_s: float
+    gang: int = 0
+    checkpoint: str = ""
+    fails: bool = False
+    began: float = 0.0
+    timers: list = field(default_factory=list)
+
+
+class FakeWorker:
+    """One life after another of a worker."""
+
+    def __init__(self, world, worker_id, rack):
+        self.world = world
+        self.worker_id = worker_id
+        self.rack = rack
+        self.capacity = Resources(16_000, 65_536)
+        self.up = True
+        self.draining = False
+        self.life = 0
+        self.ended_log = []
+        self._begin_life()
+
+    def _begin_life(self):
+        self.life += 1
+        self.born = self.world.now
+        self.token = 0
+        self.lease_ms = 0
+        self.runs = {}
+        self.ended = []
+        self.sequence = 0
+        self.highest = {}
+        self.changed = asyncio.Event()
+        self.lease_timer = None
+
+    @property
+    def entry(self):
+        return WorkerEntry(
+            worker_id=self.worker_id,
+            service="planner",
+            address=f"{self.worker_id}:1",
+            zone="a",
+            capacity=self.capacity,
+            labels=(self.rack,),
+            draining=self.draining,
+            born_ms=1_000_000 + self.life,
+        )
+
+    @property
+    def clock_ms(self):
+        return int((self.world.now - self.born) * 1000 * 0.98)
+
+    def crash(self):
+        for run in list(self.runs.values()):
+            self._cancel_timers(run)
+        self.up = False
+        self._begin_life()
+
+    def start(self, order, spec, number_of_members):
+        if order.token < self.token:
+            return StartReply.FENCED
+        self.token = order.token
+        if order.lease_ms <= self.clock_ms:
+            return StartReply.LATE
+        self._extend(order.lease_ms)
+        known = self.runs.get(order.task_id)
+        if known is not None and known.number == order.number:
+            return StartReply.RUNNING
+        if order.number <= self.highest.get(order.task_id, 0) or known is not None:
+            return StartReply.SUPERSEDED
+        run = FakeRun(
+            order.task_id,
+            order.number,
+            spec.resources,
+            self.world.duration(order.task_id),
+            gang=number_of_members,
+            fails=self.world.rng.random() < self.world.failure_share,
+        )
+        self.runs[order.task_id] = run
+        self.world.checker.on_start(self, run, order)
+        if number_of_members:
+            self.world.join_gang(self, run)
+        else:
+            self.begin_work(run)
+        return StartReply.RUNNING
+
+    def begin_work(self, run):
+        run.began = self.world.now
+        kind = EndKind.FAILED if run.fails else EndKind.DONE
+        run.timers.append(self.world.loop.call_later(run.left_s, self.end, run, kind))
+
+    def stop(self, task_id, number, token):
+        if token < self.token:
+            return False
+        self.token = token
+        self.highest[task_id] = max(self.highest.get(task_id, 0), number)
+        run = self.runs.get(task_id)
+        if run is not None and run.number <= number:
+            run.timers.append(
+                self.world.loop.call_later(STOP_S, self.end, run, EndKind.STOPPED)
+            )
+        return True
+
+    def end(self, run, kind):
+        if self.runs.get(run.task_id) is not run:
+            return
+        self._cancel_timers(run)
+        del self.runs[run.task_id]
+        self.highest[run.task_id] = max(self.highest.get(run.task_id, 0), run.number)
+        self.sequence += 1
+        row = EndedTask(self.sequence, run.task_id, run.number, kind, run.checkpoint)
+        self.ended.append(row)
+        self.changed.set()
+        self.world.checker.on_end(self, run, kind)
+        if run.gang:
+            self.world.leave_gang(run, kind)
+
+    def acknowledge(self, sequence):
+        for row in self.ended:
+            if row.sequence <= sequence:
+                self.world.checker.on_noted(row)
+        self.ended = [row for row in self.ended if row.sequence > sequence]
+
+    def report(self):
+        running = tuple(
+            RunningTask(run.task_id, run.number, run.checkpoint, 1.0)
+            for run in self.runs.values()
+        )
+        return WorkerReport(
+            self.clock_ms, 1_000_000 + self.life, running, tuple(self.ended)
+        )
+
+    def _extend(self, lease_ms):
+        limit = self.clock_ms + int(LEASE_S / 0.95 * 1000)
+        self.lease_ms = max(self.lease_ms, min(lease_ms, limit))
+        if self.lease_timer is not None:
+            self.lease_timer.cancel()
+        left = (self.lease_ms - self.clock_ms) / 1000 / 0.98
+        self.lease_timer = self.world.loop.call_later(left, self._lapse, self.life)
+
+    def _lapse(self, life):
+        if life == self.life and self.clock_ms >= self.lease_ms - 1:
+            for run in list(self.runs.values()):
+                self.end(run, EndKind.LAPSED)
+
+    def _cancel_timers(self, run):
+        for timer in run.timers:
+            timer.cancel()
+
+
+class WorkerPort:
+    """The workers as one node reaches them."""
+
+    def __init__(self, world, node_name):
+        self.world = world
+        self.node = node_name
+        self.cut = set()
+        self.lost_share = 0.0
+        self.late_share = 0.0
+
+    async def _reach(self, worker_id):
+        worker = self.world.workers[worker_id]
+        await self.world.gate(self.node)
+        await asyncio.sleep(LATENCY_S)
+        if not worker.up or worker_id in self.cut:
+            await asyncio.sleep(ANSWER_LOST_S)
+            raise WorkerSilent(worker_id)
+        return worker
+
+    async def _answer(self, apply):
+        """Apply an order, perhaps later, and perhaps without an answer."""
+        roll = self.world.rng.random()
+        if roll < self.late_share:
+            self.world.loop.call_later(self.world.rng.uniform(1, 8), apply)
+            await asyncio.sleep(ANSWER_LOST_S)
+            raise WorkerSilent("late")
+        result = apply()
+        await asyncio.sleep(LATENCY_S)
+        if roll < self.late_share + self.lost_share:
+            await asyncio.sleep(ANSWER_LOST_S)
+            raise WorkerSilent("lost")
+        await self.world.gate(self.node)
+        return result
+
+    async def start(self, entry, order):
+        try:
+            worker = await self._reach(entry.worker_id)
+            return await self._answer(lambda: self.world.start(worker, order))
+        except WorkerSilent:
+            return StartReply.UNKNOWN
+
+    async def stop(self, entry, task_id, number, token):
+        try:
+            worker = await self._reach(entry.worker_id)
+            return await self._answer(lambda: worker.stop(task_id, number, token))
+        except WorkerSilent:
+            return False
+
+    async def look(self, entry, token, acknowledged, lease_ms, wait_s):
+        worker = await self._reach(entry.worker_id)
+        if token < worker.token:
+            raise OrderRefused(StartReply.FENCED)
+        worker.token = token
+        if lease_ms:
+            worker._extend(lease_ms)
+        worker.acknowledge(acknowledged)
+        if not worker.ended and wait_s:
+            worker.changed.clear()
+            try:
+                async with asyncio.timeout(wait_s):
+                    await worker.changed.wait()
+            except TimeoutError:
+                pass
+        if not worker.up or entry.worker_id in self.cut:
+            raise WorkerSilent(entry.worker_id)
+        return await self._answer(worker.report)
+
+
+class AdvicePort:
+    """An advice service that allows four workers."""
+
+    def __init__(self, world):
+        self.world = world
+
+    async def ask(self, step_id, workers, timeout_s):
+        await asyncio.sleep(QUEUE.advice.duration(len(workers)))
+        # The same four of six workers whichever are named.
+        ranked = sorted(self.world.workers, key=lambda w: hash_of(step_id + w))
+        good = [w for w in ranked[:4] if w in workers]
+        return Advice({w: f"t-{w}" for w in good}, QUEUE.advice.valid_s)
+
+
+def hash_of(text):
+    return random.Random(text).random()
+
+
+class DirectPeers:
+    """Calls handlers of other nodes without a network."""
+
+    def __init__(self, world):
+        self.world = world
+        self.handlers = {}
+
+    def handle(self, request_type, handler):
+        self.handlers[request_type] = handler
+
+    @asynccontextmanager
+    async def listen(self, address, grace_s):
+        self.world.peers[address] = self
+        try:
+            yield self
+        finally:
+            self.world.peers.pop(address, None)
+
+    async def call(self, address, request, timeout_s, reply):
+        peer = self.world.peers.get(address)
+        if peer is None:
+            await asyncio.sleep(0.1)
+            raise Refused("no peer")
+        return await peer.handlers[type(request)](request)
+
+    async def forget(self, address):
+        pass
+
+    async def close(self):
+        pass
+
+
+class Checker:
+    """States the rules that must hold whatever happens."""
+
+    def __init__(self, world):
+        self.world = world
+        self.broken = []
+        self.done_noted = set()
+        self.done = set()
+        self.failed_noted = {}
+        self.alone = 0
+
+    def fail(self, rule, detail):
+        self.broken.append(f"{self.world.now:.2f} {rule}: {detail}")
+
+    def on_start(self, worker, run, order):
+        job_id, _, step, _ = run.task_id.split(".")
+        if job_id not in self.world.specs:
+            self.fail("UNASKED", run.task_id)
+            return
+        used = sum(r.needs.cores_milli for r in worker.runs.values())
+        if used > worker.capacity.cores_milli:
+            self.fail("LIMIT", f"{worker.worker_id} {used}")
+        for other in self.world.workers.values():
+            if other is not worker and run.task_id in other.runs and other.up:
+                self.fail("TWICE", f"{run.task_id} also on {other.worker_id}")
+        if run.task_id in self.done_noted:
+            self.fail("TWICE", f"{run.task_id} started after its end was noted")
+        for before in self.world.specs[job_id].steps[int(step)].after:
+            self._require_done(job_id, before, run.task_id)
+        failed = self.failed_noted.get(self._attempt(run.task_id), set())
+        if len(failed) >= QUEUE.max_attempts:
+            self.fail("BUDGET", run.task_id)
+        cancelled_at = self.world.cancelled.get(job_id)
+        late = cancelled_at is not None and self.world.now > cancelled_at + CANCEL_S
+        if late and not self.world.troubled:
+            self.fail("UNASKED", f"{run.task_id} after its cancelling")
+        if job_id in self.world.refused:
+            self.fail("REFUSED", run.task_id)
+
+    def _require_done(self, job_id, step, task_id):
+        count = self.world.specs[job_id].steps[step].count
+        missing = [i for i in range(count) if f"{job_id}.0.{step}.{i}" not in self.done]
+        if missing:
+            self.fail("ORDER", f"{task_id} before step {step} was done")
+
+    def _attempt(self, task_id):
+        job_id, k, step, index = task_id.split(".")
+        gang = self.world.specs[job_id].steps[int(step)].gang
+        return (job_id, k, step, "gang" if gang else index)
+
+    def on_end(self, worker, run, kind):
+        if kind is EndKind.DONE:
+            self._add(self.done, run)
+        if kind is EndKind.ALONE:
+            self.alone += 1
+
+    def on_noted(self, row):
+        if row.kind is EndKind.DONE:
+            self._add(self.done_noted, row)
+        if row.kind is EndKind.FAILED:
+            key = self._attempt(row.task_id)
+            self.failed_noted.setdefault(key, set()).add(row.number)
+
+    def _add(self, target, run):
+        job_id, k, step, _ = run.task_id.split(".")
+        spec = self.world.specs[job_id].steps[int(step)]
+        indexes = range(spec.count) if spec.gang else [run.task_id.split(".")[3]]
+        target.update(f"{job_id}.{k}.{step}.{i}" for i in indexes)
+
+    def on_shown(self, job_id, state):
+        if state is not StepJobState.COMPLETED:
+            return
+        for number, step in enumerate(self.world.specs[job_id].steps):
+            for index in range(step.count):
+                if f"{job_id}.0.{number}.{index}" not in self.done:
+                    self.fail("MIXED", f"{job_id} is shown as completed")
+                    return
+
+
+class World:
+    """A store, workers, and nodes of a seed."""
+
+    def __init__(self, seed, workers=6, nodes=3, failure_share=0.03):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.lines = []
+        self.failure_share = failure_share
+        self.engine = kv.Engine(self.loop.time, history=100_000)
+        self.checker = Checker(self)
+        self.specs = {}
+        self.accepted = set()
+        self.refused = set()
+        self.unanswered = set()
+        self.cancelled = {}
+        self.gangs = {}
+        self.peers = {}
+        self.gates = {}
+        self.troubled = False
+        self.workers = {}
+        self.operator = MemoryStore(self.engine)
+        self.names = [f"n{i}" for i in range(nodes)]
+        self.nodes = {}
+        self.tasks = {}
+        self.ports = {}
+        self.stores = {}
+        for index in range(workers):
+            worker_id = f"w{index}"
+            self.workers[worker_id] = FakeWorker(self, worker_id, f"r{index // 3}")
+
+    @property
+    def now(self):
+        return self.loop.time()
+
+    def duration(self, task_id):
+        return random.Random(task_id).uniform(0.2, 2.5)
+
+    async def begin(self):
+        await self.operator.txn([], [Put("op/config", b"1")])
+        for worker in self.workers.values():
+            await self.list_worker(worker)
+        for name in self.names:
+            self.start_node(name)
+        await asyncio.sleep(1.0)
+
+    async def list_worker(self, worker):
+        await self.operator.txn([], [Put(f"servers/{worker.worker_id}", b"x")])
+
+    async def unlist_worker(self, worker):
+        await self.operator.txn([], [Delete(f"servers/{worker.worker_id}")])
+
+    def start_node(self, name):
+        store = self.stores[name] = MemoryStore(self.engine)
+        port = self.ports[name] = WorkerPort(self, name)
+        self.gates[name] = asyncio.Event()
+        self.gates[name].set()
+        platform = Platform(
+            store=store,
+            workers=port,
+            advice=AdvicePort(self),
+            config_prefix="op/",
+            config_key="op/config",
+            decode_config=lambda value: DESIRED,
+            worker_prefix="servers/",
+            decode_worker=lambda worker_id, value: self.workers[worker_id].entry,
+            lease_s=LEASE_S,
+        )
+        peers = DirectPeers(self)
+        log = QuietLog(name, self.lines)
+        member = MemberRecord(name, name, "a")
+        rng = random.Random(f"{self.seed}{name}{len(self.lines)}")
+        node = QueueNode(member, platform, self.loop.time, log, peers, peers, rng)
+        self.nodes[name] = node
+        self.tasks[name] = asyncio.create_task(node.run())
+
+    async def kill_node(self, name):
+        """End a node at once: its lease lapses and its sessions are left open."""
+        self.stores[name].down = True
+        self.gates[name].clear()
+        self.tasks[name].cancel()
+        await asyncio.wait({self.tasks[name]})
+
+    async def end(self):
+        for name in self.names:
+            await self.kill_node(name)
+
+    async def gate(self, name):
+        """Hold calls of a frozen node."""
+        await self.gates[name].wait()
+
+    def leader(self):
+        for line in reversed(self.lines):
+            if line[2] == "leader elected":
+                return line[1]
+        return None
+
+    def start(self, worker, order):
+        job_id, _, step, _ = order.task_id.split(".")
+        spec = self.specs[job_id].steps[int(step)]
+        return worker.start(order, spec, spec.count if spec.gang else 0)
+
+    def join_gang(self, worker, run):
+        key = (run.task_id.rpartition(".")[0], run.number)
+        members = self.gangs.setdefault(key, {})
+        members[run.task_id] = (worker, run)
+        if len(members) == run.gang:
+            longest = max(m[1].left_s for m in members.values())
+            for member, other in members.values():
+                other.left_s = longest
+                other.fails = run.fails and other is run
+                member.begin_work(other)
+        else:
+            run.timers.append(
+                self.loop.call_later(GANG_S, self._end_alone, worker, run, key)
+            )
+
+    def _end_alone(self, worker, run, key):
+        if len(self.gangs.get(key, {})) < run.gang and not run.began:
+            worker.end(run, EndKind.ALONE)
+
+    def leave_gang(self, run, kind):
+        key = (run.task_id.rpartition(".")[0], run.number)
+        members = self.gangs.pop(key, {})
+        for worker, other in members.values():
+            if other is not run:
+                worker.end(other, kind if kind is EndKind.DONE else EndKind.BROKEN)
+
+    async def submit(self, name, spec):
+        """Hand a job in once; return whether it was accepted."""
+        self.specs[spec.job_id] = spec
+        try:
+            async with asyncio.timeout(CALLER_S):
+                await self.nodes[name].intake.submit(spec, 2.0)
+        except (OutcomeUnknown, TimeoutError):
+            self.unanswered.add(spec.job_id)
+            self.refused.discard(spec.job_id)
+            return False
+        except FlamingowayError:
+            if spec.job_id not in self.accepted | self.unanswered:
+                self.refused.add(spec.job_id)
+            return False
+        self.refused.discard(spec.job_id)
+        self.accepted.add(spec.job_id)
+        return True
+
+    async def cancel(self, name, job_id):
+        try:
+            async with asyncio.timeout(CALLER_S):
+                await self.nodes[name].intake.cancel(job_id, 2.0)
+        except (FlamingowayError, TimeoutError):
+            return
+        self.cancelled[job_id] = self.now
+
+    async def show(self, name, job_id):
+        try:
+            state = await self.nodes[name].intake.state(job_id)
+        except Refused:
+            return None
+        except BadRequest:
+            return "unknown"
+        self.checker.on_shown(job_id, state)
+        return state
--- /dev/null
+++ b/tests/test_queue_world.py
@@ -0,0 +1,271 @@
+"""Guards the rules of the queues through seeded histories of faults.
+
+Real nodes run in virtual time against fakes of the store, the workers and the
+advice service; ``python -m tests.test_queue_world FIRST COUNT`` plays more seeds.
+"""
+
+import asyncio
+import functools
+import random
+import sys
+
+import pytest
+
+from flamingoway.model import Resources
+from flamingoway.queues.model import Step, StepJobSpec, StepJobState
+from tests.queue_world import World
+from tests.virtual import run_virtual
+
+SEEDS = range(40)
+TRAFFIC_S = 20.0
+# Longest wait for tasks of an unreachable worker after a takeover is 14 s.
+SETTLE_S = 45.0
+
+
+def random_job(rng, number):
+    job_id = f"{rng.getrandbits(56):014x}{number:02x}"
+    if rng.random() < 0.5:
+        step = Step(rng.randint(1, 3), Resources(1400, 2000), 0.6)
+        return StepJobSpec(job_id, "checks", "x", (step,))
+    steps = [
+        Step(
+            rng.randint(1, 6),
+            Resources(rng.choice([900, 3000, 4500]), 4000),
+            1.0,
+            gang=rng.random() < 0.4,
+            checkpointing=rng.random() < 0.5,
+        )
+    ]
+    if rng.random() < 0.4:
+        steps.append(Step(rng.randint(1, 4), Resources(1000, 1000), 1.0, after=(0,)))
+    return StepJobSpec(job_id, "plans", "x", tuple(steps))
+
+
+async def traffic(world, rng):
+    number = 0
+    end = world.now + TRAFFIC_S
+    pending = set()
+    while world.now < end:
+        await asyncio.sleep(rng.expovariate(3.0))
+        job = random_job(rng, number)
+        number += 1
+        task = asyncio.create_task(one_caller(world, rng, job))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+    await asyncio.gather(*pending)
+
+
+async def one_caller(world, rng, job):
+    for _ in range(4):
+        name = rng.choice(world.names)
+        if await world.submit(name, job):
+            break
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+    else:
+        return
+    if rng.random() < 0.1:
+        await asyncio.sleep(rng.uniform(0, 1.5))
+        await world.cancel(rng.choice(world.names), job.job_id)
+
+
+FAULTS = {}
+
+
+def fault(function):
+    FAULTS[function.__name__] = function
+    return function
+
+
+@fault
+async def kill_leader(world, rng):
+    name = world.leader()
+    await world.kill_node(name)
+    await asyncio.sleep(rng.uniform(0.2, 3.0))
+    world.start_node(name)
+
+
+@fault
+async def kill_all(world, rng):
+    for name in world.names:
+        await world.kill_node(name)
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    for name in world.names:
+        world.start_node(name)
+
+
+@fault
+async def freeze_leader(world, rng):
+    name = world.leader()
+    world.gates[name].clear()
+    world.stores[name].pause()
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    world.stores[name].resume()
+    world.gates[name].set()
+
+
+@fault
+async def cut_leader_from_store(world, rng):
+    store = world.stores[world.leader()]
+    store.down = True
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    store.down = False
+
+
+@fault
+async def revoke_leader(world, rng):
+    store = world.stores[world.leader()]
+    store.down = True
+    for lease in world.engine.lease_ids:
+        if rng.random() < 0.5:
+            world.engine.revoke(lease)
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    store.down = False
+
+
+@fault
+async def store_down(world, rng):
+    stores = list(world.stores.values())
+    for store in stores:
+        store.down = True
+    await asyncio.sleep(rng.uniform(1.0, 6.0))
+    for store in stores:
+        store.down = False
+
+
+@fault
+async def store_answers_lost(world, rng):
+    for _ in range(12):
+        store = world.stores[rng.choice(world.names)]
+        if rng.random() < 0.5:
+            store.drop_answers()
+        else:
+            store.apply_late(rng.uniform(1.0, 5.0))
+        await asyncio.sleep(0.2)
+
+
+@fault
+async def history_lost(world, rng):
+    for _ in range(3):
+        world.engine.compact()
+        for store in world.stores.values():
+            store.break_watches()
+        await asyncio.sleep(1.0)
+
+
+@fault
+async def orders_late(world, rng):
+    for port in world.ports.values():
+        port.late_share, port.lost_share = 0.05, 0.05
+    await asyncio.sleep(5.0)
+    for port in world.ports.values():
+        port.late_share = port.lost_share = 0.0
+
+
+@fault
+async def worker_crash(world, rng):
+    worker = rng.choice(list(world.workers.values()))
+    worker.crash()
+    await asyncio.sleep(rng.uniform(0.2, 4.0))
+    worker.up = True
+    await world.list_worker(worker)
+
+
+@fault
+async def worker_cut(world, rng):
+    worker_id = rng.choice(list(world.workers))
+    ports = [p for p in world.ports.values() if rng.random() < 0.7]
+    for port in ports:
+        port.cut.add(worker_id)
+    unlisted = rng.random() < 0.5
+    if unlisted:
+        await world.unlist_worker(world.workers[worker_id])
+    await asyncio.sleep(rng.uniform(1.0, 9.0))
+    for port in ports:
+        port.cut.discard(worker_id)
+    if unlisted:
+        await world.list_worker(world.workers[worker_id])
+
+
+@fault
+async def worker_drains(world, rng):
+    worker = rng.choice(list(world.workers.values()))
+    worker.draining = True
+    await world.list_worker(worker)
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    worker.draining = False
+    await world.list_worker(worker)
+
+
+def history(seed, names):
+    return run_virtual(functools.partial(play, seed, names))
+
+
+async def play(seed, names):
+    """Play one history; return the world afterwards."""
+    rng = random.Random(seed)
+    world = World(seed)
+    await world.begin()
+    callers = asyncio.create_task(traffic(world, rng))
+    troubles = []
+    for name in names:
+        await asyncio.sleep(rng.uniform(0.5, 5.0))
+        world.troubled = True
+        troubles.append(asyncio.create_task(FAULTS[name](world, rng)))
+    await asyncio.gather(*troubles, callers)
+    for port in world.ports.values():
+        port.cut.clear()
+    end = world.now + SETTLE_S
+    while world.now < end:
+        if not await unfinished(world):
+            break
+        await asyncio.sleep(1.0)
+    for job_id in sorted(await unfinished(world)):
+        world.checker.fail("LOST", f"{job_id} did not end")
+    await world.end()
+    return world
+
+
+async def unfinished(world):
+    left = set()
+    for job_id in world.accepted:
+        state = await world.show(world.names[0], job_id)
+        if not isinstance(state, StepJobState) or not state.final:
+            left.add(job_id)
+    return left
+
+
+def faults_of(seed):
+    rng = random.Random(seed * 7919)
+    return [rng.choice(sorted(FAULTS)) for _ in range(rng.randint(1, 5))]
+
+
+def test_a_calm_history_completes_every_job():
+    world = history(1, [])
+    assert world.checker.broken == []
+    assert world.checker.alone == 0
+    assert len(world.accepted) > 30
+
+
+@pytest.mark.parametrize("name", sorted(FAULTS))
+def test_the_rules_hold_under_each_fault(name):
+    for seed in range(3):
+        world = history(seed, [name, name])
+        assert world.checker.broken == [], (name, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_rules_hold_in_a_random_history(seed):
+    world = history(seed, faults_of(seed))
+    assert world.checker.broken == [], faults_of(seed)
+
+
+def main(first, count):
+    for seed in range(first, first + count):
+        world = history(seed, faults_of(seed))
+        if world.checker.broken:
+            print(seed, faults_of(seed), *world.checker.broken, sep="\n  ")
+    print(f"{count} histories from seed {first} played")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]))
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,25 @@
+"""An event loop in virtual time, so that hours of faults take seconds."""
+
+import asyncio
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jumps to the next timer whenever nothing is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 1000.0
+
+    def time(self):
+        return self._now
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0]._when)
+        super()._run_once()
+
+
+def run_virtual(main):
+    """Run a coroutine function in virtual time and return its result."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main())
