Carry out what a machine without the store is asked for through another machine

Change: a machine that the store turns away relays submissions, cancellations and questions to another one after 0.3 s, and a leader hands over after 0.35 s. The session lease is 1.2 s instead of 2 s.

--- a/flamingoway/platform/store.py
+++ b/flamingoway/platform/store.py
@@ -24,6 +24,8 @@
 # silent is noticed within a fraction of the bound for new configuration (2 s).
 WATCH_WAIT_S = 1.0
 WATCH_SLACK_S = 0.5
+# The store takes 4 ms for an answer and 240 ms when it is slow.
+ANSWER_TIMEOUT_S = 0.8
 # Pages of a range read can be large (1 MB).
 RANGE_TIMEOUT_S = 3.0
 
@@ -38,7 +40,9 @@
         timeout_s: Longest wait for one answer.
     """
 
-    def __init__(self, address: str, client: HttpClient, timeout_s: float = 1.0):
+    def __init__(
+        self, address: str, client: HttpClient, timeout_s: float = ANSWER_TIMEOUT_S
+    ):
         self.address = address
         self._client = client
         self._timeout_s = timeout_s
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -21,8 +21,10 @@
 from ..store import Compare, Put, Store
 from . import records
 from .decisions import DecisionLog
+from .messages import CancelRequest, StateRequest, SubmitRequest
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
 from .records import JobRecord
+from .relay import Relay
 from .table import JobTable
 
 # A transaction takes 32 entries, and a job needs a condition and a write.
@@ -30,9 +32,9 @@
 # Time kept back from a caller's deadline for the way of the answer.
 ANSWER_S = 0.3
 RETRY_S = 0.05
-# While the store has been silent for this long, jobs are refused unread; a busy
-# store answers within a few hundred milliseconds.
-STORE_LOST_S = 1.5
+# Calls that fail for this long mean that the store turns this process away; a slow
+# store answers late, but it answers.
+STORE_LOST_S = 0.3
 # Time after which a caller should return when the store is away; outages take
 # seconds, and a caller has a handful of retries.
 RETRY_AFTER_STORE_S = 2
@@ -43,15 +45,24 @@
     """A job that waits for its write.
 
     Attributes:
+        began: Time at which it came.
+        failed: Whether the last write failed.
         uncertain: Whether a write of it was sent and not answered.
     """
 
     job_id: str
     value: bytes
+    began: float
     deadline: float
     accepted: asyncio.Future
+    failed: bool = False
     uncertain: bool = False
 
+    def is_given_up(self, now: float) -> bool:
+        """Return whether another process should be asked instead."""
+        lost = self.failed and now - self.began >= STORE_LOST_S
+        return lost or now >= self.deadline
+
 
 class Intake:
     """Serves callers of one process.
@@ -59,7 +70,8 @@
     Args:
         store: The store.
         table: Mirror of the store.
-        store_age: Returns the seconds since the store was last heard.
+        store_lost: Returns the seconds for which calls of the store have failed.
+        relay: Has requests carried out by other processes.
         log: Decision log.
     """
 
@@ -67,12 +79,14 @@
         self,
         store: Store,
         table: JobTable,
-        store_age: Callable[[], float],
+        store_lost: Callable[[], float],
+        relay: Relay,
         log: DecisionLog,
     ):
         self._store = store
         self._table = table
-        self._store_age = store_age
+        self._store_lost = store_lost
+        self._relay = relay
         self._log = log
         self._desired: DesiredState | None = None
         self._pending: list[_Pending] = []
@@ -102,12 +116,15 @@
             raise BadRequest("no such queue", Code.NOT_FOUND)
         return queue
 
-    async def submit(self, spec: StepJobSpec, timeout_s: float) -> None:
+    async def submit(
+        self, spec: StepJobSpec, timeout_s: float, relay: bool = True
+    ) -> None:
         """Accept a job; returns once it is stored.
 
         Args:
             spec: The job.
             timeout_s: How long the caller waits for the answer.
+            relay: Whether another process may be asked to store it.
 
         Raises:
             Refused: The job was not stored and will not be.
@@ -116,36 +133,55 @@
         if self._table.find(spec.job_id) or spec.job_id in self._accepted_here:
             self._log.write("job known", job=spec.job_id, queue=spec.queue)
             return
-        age = self._store_age()
-        if age > STORE_LOST_S:
-            self._log.write("job refused", job=spec.job_id, store_age_s=round(age, 2))
-            raise Refused(
-                "the store is away",
-                Code.STORE_UNAVAILABLE,
-                retry_after=RETRY_AFTER_STORE_S,
-            )
-        value = records.encode(JobRecord(spec, time.time()))
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + max(0.1, timeout_s - ANSWER_S)
-        pending = _Pending(spec.job_id, value, deadline, loop.create_future())
-        self._pending.append(pending)
-        self._start_writer()
+        uncertain = False
         try:
-            await pending.accepted
-        except FlamingowayError as exc:
-            self._log.write(
-                "job not accepted", job=spec.job_id, code=exc.code, why=exc.message
-            )
-            raise
+            await self._store_job(spec, timeout_s)
+        except (Refused, OutcomeUnknown) as exc:
+            uncertain = isinstance(exc, OutcomeUnknown)
+            if not relay:
+                raise
+            await self._relay_job(spec, timeout_s, uncertain)
         self._accepted_here.add(spec.job_id)
         self._log.write(
             "job accepted",
             job=spec.job_id,
             queue=spec.queue,
-            version=self._desired.version,
+            version=self._desired.version if self._desired else 0,
         )
 
-    async def state(self, job_id: str) -> StepJobState:
+    async def _relay_job(
+        self, spec: StepJobSpec, timeout_s: float, uncertain: bool
+    ) -> None:
+        """Let another process store a job that may or may not be stored."""
+        try:
+            await self._relay.call(SubmitRequest(spec, timeout_s))
+        except (Refused, OutcomeUnknown) as exc:
+            if uncertain and isinstance(exc, Refused):
+                exc = OutcomeUnknown(exc.message, Code.WRITE_UNRESOLVED)
+            exc.details.setdefault("retry_after", RETRY_AFTER_STORE_S)
+            self._log.write(
+                "job not accepted",
+                job=spec.job_id,
+                code=exc.code,
+                store_lost_s=round(self._store_lost(), 2),
+                why=exc.message,
+            )
+            raise exc from None
+
+    async def _store_job(self, spec: StepJobSpec, timeout_s: float) -> None:
+        if self._store_lost() > STORE_LOST_S:
+            raise Refused("the store is away", Code.STORE_UNAVAILABLE)
+        value = records.encode(JobRecord(spec, time.time()))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + max(0.1, timeout_s - ANSWER_S)
+        pending = _Pending(
+            spec.job_id, value, loop.time(), deadline, loop.create_future()
+        )
+        self._pending.append(pending)
+        self._start_writer()
+        await pending.accepted
+
+    async def state(self, job_id: str, relay: bool = True) -> StepJobState:
         """Return the state of a job.
 
         Raises:
@@ -153,12 +189,21 @@
             Refused: The store is needed to tell and does not answer.
         """
         job = self._table.find(job_id)
-        if job is not None:
+        if job is not None and job.state.final:
+            return job.shown_state
+        lost = self._store_lost() > STORE_LOST_S
+        if lost and relay:
+            try:
+                return (await self._relay.call(StateRequest(job_id))).state
+            except (Refused, OutcomeUnknown):
+                # No process knows more; the newest known state is the best answer.
+                pass
+        if job is not None and not (lost and not relay):
             return job.shown_state
         await self._require(job_id)
         return StepJobState.QUEUED
 
-    async def cancel(self, job_id: str, timeout_s: float) -> None:
+    async def cancel(self, job_id: str, timeout_s: float, relay: bool = True) -> None:
         """Cancel a job; returns once that is stored.
 
         Raises:
@@ -167,27 +212,36 @@
             Refused: It is not stored.
         """
         job = self._table.find(job_id)
-        if job is None:
-            await self._require(job_id)
-        elif job.state.final or job.cancelled:
+        if job is not None and (job.state.final or job.cancelled):
             return
+        try:
+            await self._store_cancel(job_id, job is None, timeout_s)
+        except (Refused, OutcomeUnknown) as exc:
+            if not relay:
+                raise
+            self._log.write("cancelling not stored here", job=job_id, why=exc.message)
+            await self._relay.call(CancelRequest(job_id, timeout_s))
+        self._log.write("job cancelled", job=job_id)
+
+    async def _store_cancel(self, job_id: str, unknown: bool, timeout_s: float) -> None:
+        if self._store_lost() > STORE_LOST_S:
+            raise Refused("the store is away", Code.STORE_UNAVAILABLE, retry_after=1)
+        if unknown:
+            await self._require(job_id)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + max(0.1, timeout_s - ANSWER_S)
-        uncertain = False
-        while loop.time() < deadline:
+        began = loop.time()
+        patience_s = min(STORE_LOST_S, timeout_s - ANSWER_S)
+        while True:
             try:
                 await self._store.txn([], [Put(records.CANCEL_PREFIX + job_id, b"1")])
-            except StoreOutcomeUnknown:
-                uncertain = True
-            except StoreUnavailable:
-                await asyncio.sleep(RETRY_S)
-            else:
-                self._log.write("job cancelled", job=job_id)
                 return
-        self._log.write("cancelling not stored", job=job_id, uncertain=uncertain)
-        if uncertain:
-            raise OutcomeUnknown("the store did not answer", Code.WRITE_UNRESOLVED)
-        raise Refused("the store is away", Code.STORE_UNAVAILABLE, retry_after=1)
+            except StoreOutcomeUnknown as exc:
+                error: FlamingowayError = OutcomeUnknown(exc.message, exc.code)
+            except StoreUnavailable as exc:
+                error = Refused(exc.message, exc.code, retry_after=1)
+            if loop.time() - began >= patience_s:
+                raise error
+            await asyncio.sleep(RETRY_S)
 
     def waiting(self, queue: Queue) -> int:
         """Return the number of jobs of a queue for which no task has started."""
@@ -220,7 +274,7 @@
             await self._write(batch)
             now = loop.time()
             for pending in batch:
-                if not pending.accepted.done() and now >= pending.deadline:
+                if not pending.accepted.done() and pending.is_given_up(now):
                     _fail(pending)
             self._pending = [p for p in self._pending if not p.accepted.done()]
 
@@ -232,9 +286,11 @@
             result = await self._store.txn(compares, puts, keys)
         except StoreOutcomeUnknown:
             for pending in batch:
-                pending.uncertain = True
+                pending.failed = pending.uncertain = True
             return
         except (StoreUnavailable, BadRequest) as exc:
+            for pending in batch:
+                pending.failed = True
             self._log.write("job write refused", jobs=len(batch), why=exc.message)
             await asyncio.sleep(RETRY_S)
             return
--- a/flamingoway/queues/messages.py
+++ b/flamingoway/queues/messages.py
@@ -3,6 +3,7 @@
 from typing import ClassVar
 
 from ..peer import Message, Request
+from .model import StepJobSpec, StepJobState
 
 
 class AskReply(Message):
@@ -20,3 +21,47 @@
     step_id: str
     workers: list[str]
     timeout_s: float
+
+
+class Done(Message):
+    """The request was carried out."""
+
+
+class SubmitRequest(Request):
+    """Accept a job for a process that does not reach the store."""
+
+    reply: ClassVar[type[Message]] = Done
+
+    spec: StepJobSpec
+    timeout_s: float
+
+
+class CancelRequest(Request):
+    """Cancel a job for a process that does not reach the store."""
+
+    reply: ClassVar[type[Message]] = Done
+
+    job_id: str
+    timeout_s: float
+
+
+class StateReply(Message):
+    """State of a job."""
+
+    state: StepJobState
+
+
+class StateRequest(Request):
+    """Tell the state of a job to a process that does not reach the store."""
+
+    reply: ClassVar[type[Message]] = StateReply
+
+    job_id: str
+
+
+class TakeOverRequest(Request):
+    """Lead in place of a process that does not reach the store."""
+
+    reply: ClassVar[type[Message]] = Done
+
+    epoch: int
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -65,6 +65,7 @@
         self._heard_at = float("-inf")
         self._synced = asyncio.Event()
         self._reachable = True
+        self._lost_at = 0.0
         self._backoff = Backoff(rng, FIRST_RETRY_S, LONGEST_RETRY_S)
 
     @property
@@ -77,6 +78,11 @@
         """Seconds since the store last confirmed the copy."""
         return self._clock() - self._heard_at
 
+    @property
+    def lost_s(self) -> float:
+        """Seconds for which every call has failed; 0 if the last one did not."""
+        return 0.0 if self._reachable else self._clock() - self._lost_at
+
     async def synced(self) -> None:
         """Wait until the content has been read once."""
         await self._synced.wait()
@@ -138,6 +144,7 @@
     def _note_lost(self, exc: StoreUnavailable) -> None:
         if self._reachable:
             self._reachable = False
+            self._lost_at = self._clock()
             self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
 
 
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -14,19 +14,31 @@
 from .asking import AdviceDispatcher
 from .decisions import DecisionLog
 from .intake import Intake
-from .messages import AskReply, AskRequest
+from .messages import (
+    AskReply,
+    AskRequest,
+    CancelRequest,
+    Done,
+    StateReply,
+    StateRequest,
+    SubmitRequest,
+    TakeOverRequest,
+)
 from .metrics import QueueMetrics
 from .mirror import FOLLOWER_PACE_S, LEADER_PACE_S, Mirror
 from .model import DesiredState, WorkerEntry
 from .ports import AdviceService, Workers, WorkerSilent
 from .records import MemberRecord
 from .registry import ConfigListener, WorkerRegistry
+from .relay import Relay
 from .session import Election, Session
 from .table import JobTable
 from .term import Deposed, Term
 
 # A process that has not heard the store for this long sends callers elsewhere.
 READY_STORE_AGE_S = 2.0
+# Calls of the store that fail for this long do the same.
+READY_STORE_LOST_S = 0.5
 # Pause after a leadership that failed, so that a fault cannot spin.
 TERM_PAUSE_S = 0.2
 # Calls of other processes that are in progress at a stop get this long.
@@ -86,10 +98,16 @@
         self._rng = rng
         self._table = JobTable(log)
         self._mirror = self._mirror_of(records.ROOT, self._table)
-        self._intake = Intake(platform.store, self._table, self._store_age, log)
+        self._relay = Relay(member.name, peers, lambda: self._table.members, rng, log)
+        self._intake = Intake(
+            platform.store, self._table, self._store_lost, self._relay, log
+        )
         self._session = Session(platform.store, self._table, member, clock, log)
         self._server = server
         self._peers = peers
+        self._election = Election(
+            platform.store, self._table, self._session, member.name, log, rng
+        )
         self._term: Term | None = None
         self._leading: asyncio.Task | None = None
         self._stopping = False
@@ -106,6 +124,7 @@
             not self._stopping
             and self._intake.desired is not None
             and self._store_age() < READY_STORE_AGE_S
+            and self._store_lost() < READY_STORE_LOST_S
         )
 
     async def run(self) -> None:
@@ -119,6 +138,10 @@
         config_mirror = self._mirror_of(self._platform.config_prefix, config)
         server = self._server
         server.handle(AskRequest, self._ask_for_leader)
+        server.handle(SubmitRequest, self._submit_for_peer)
+        server.handle(CancelRequest, self._cancel_for_peer)
+        server.handle(StateRequest, self._show_to_peer)
+        server.handle(TakeOverRequest, self._take_over)
         async with AsyncExitStack() as stack:
             address = self._member.peer_address
             await stack.enter_async_context(server.listen(address, PEER_GRACE_S))
@@ -151,25 +174,20 @@
     def _store_age(self) -> float:
         return self._mirror.age_s
 
+    def _store_lost(self) -> float:
+        return self._mirror.lost_s
+
     def _configure(self, desired: DesiredState) -> None:
         self._intake.set_desired(desired)
         if self._term is not None:
             self._term.configure()
 
     async def _lead(self) -> None:
-        election = Election(
-            self._platform.store,
-            self._table,
-            self._session,
-            self._member.name,
-            self._log,
-            self._rng,
-        )
         while True:
             if self._intake.desired is None:
                 await asyncio.sleep(TERM_PAUSE_S)
                 continue
-            leadership = await election.win()
+            leadership = await self._election.win()
             async with self._following_workers() as (registry, mirror):
                 self._term = Term(
                     leadership=leadership,
@@ -182,6 +200,7 @@
                     registry=registry,
                     registry_mirror=mirror,
                     dispatcher=self._dispatcher,
+                    relay=self._relay,
                     name=self._member.name,
                     lease_s=self._platform.lease_s,
                     clock=self._clock,
@@ -236,6 +255,23 @@
             raise Refused(str(exc), Code.NO_TARGET) from None
         return AskReply(advice.tickets, advice.valid_s)
 
+    async def _submit_for_peer(self, request: SubmitRequest) -> Done:
+        await self._intake.submit(request.spec, request.timeout_s, relay=False)
+        return Done()
+
+    async def _cancel_for_peer(self, request: CancelRequest) -> Done:
+        await self._intake.cancel(request.job_id, request.timeout_s, relay=False)
+        return Done()
+
+    async def _show_to_peer(self, request: StateRequest) -> StateReply:
+        return StateReply(await self._intake.state(request.job_id, relay=False))
+
+    async def _take_over(self, request: TakeOverRequest) -> Done:
+        reaches_store = self._store_lost() == 0.0 and not self._stopping
+        if not reaches_store or not self._election.take_over(request.epoch):
+            raise Refused("this process cannot lead", Code.STORE_UNAVAILABLE)
+        return Done()
+
 
 def _where(exc: BaseException) -> str:
     """Return file and line at which an exception was raised."""
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -13,12 +13,12 @@
 from .table import JobTable
 
 # A leader that vanishes is replaced after this time. The platform's store takes
-# 240 ms for an answer when it is slow, so several renewals fit.
-SESSION_TTL_S = 2.0
-RENEW_INTERVAL_S = 0.5
+# 240 ms for an answer when it is slow, so two renewals fit.
+SESSION_TTL_S = 1.2
+RENEW_INTERVAL_S = 0.3
 # Kept back from the lease for the drift of clocks and the way of an order.
-VALIDITY_MARGIN_S = 0.3
-RETRY_S = 0.2
+VALIDITY_MARGIN_S = 0.2
+RETRY_S = 0.1
 # Spreads the attempts of several processes to become leader.
 ELECTION_JITTER_S = 0.05
 
@@ -164,6 +164,7 @@
         self._changed = asyncio.Event()
         self._rng = rng
         self._used_epochs: set[int] = set()
+        self._handed_over = 0
         table.on_leader = self._changed.set
 
     async def win(self) -> Leadership:
@@ -186,11 +187,22 @@
                 # Looks again: the session may have become valid.
                 continue
 
+    def take_over(self, epoch: int) -> bool:
+        """Replace a leader that asks for it; return whether it still leads."""
+        leader = self._table.leader
+        if leader is None or leader.epoch != epoch or not self._session.valid:
+            return False
+        self._handed_over = epoch
+        self._changed.set()
+        return True
+
     @property
     def _vacant(self) -> bool:
         """Whether no other process leads; a former life of this one does not."""
         leader = self._table.leader
-        return leader is None or leader.name == self._name
+        if leader is None or leader.name == self._name:
+            return True
+        return leader.epoch == self._handed_over
 
     async def _try(self) -> Leadership | None:
         if not self._vacant or not self._session.valid:
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -5,13 +5,20 @@
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 
-from ..errors import BadRequest, StoreOutcomeUnknown, StoreUnavailable
+from ..errors import (
+    BadRequest,
+    OutcomeUnknown,
+    Refused,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+)
 from ..store import Compare, Delete, KeyValue, LeaseLapsed, Put, Store
 from . import records
 from .asking import AdviceDispatcher
 from .board import Board
 from .decisions import DecisionLog
 from .intake import Intake
+from .messages import TakeOverRequest
 from .metrics import QueueMetrics
 from .mirror import Mirror
 from .model import Advice, StartReply, WorkerEntry
@@ -19,6 +26,7 @@
 from .ports import OrderRefused, Workers, WorkerSilent
 from .records import LeaderRecord, WorkerRecord
 from .registry import WorkerRegistry
+from .relay import Relay
 from .runs import (
     CLOCK_RATE_MIN,
     LAPSE_MARGIN_S,
@@ -51,6 +59,10 @@
 # A transaction takes 32 entries; two are the leader's key.
 FLUSH_ENTRIES = 29
 STORE_RETRY_S = 0.1
+# A leader whose calls of the store fail for this long asks a process that reaches
+# the store to lead; new jobs reach the leader through the store only.
+HANDOVER_S = 0.35
+HANDOVER_RETRY_S = 0.5
 RESIGN_ATTEMPTS = 3
 
 
@@ -72,6 +84,7 @@
         registry: Entries of the workers.
         registry_mirror: Mirror that feeds ``registry``.
         dispatcher: Makes the dispatcher for advice, given what to call when done.
+        relay: Has requests carried out by other processes.
         name: Name of this process.
         lease_s: Length of the leases given to workers.
         clock: Monotonic clock that counts suspended time, in seconds.
@@ -91,6 +104,7 @@
         registry: WorkerRegistry,
         registry_mirror: Mirror,
         dispatcher: Callable[..., AdviceDispatcher],
+        relay: Relay,
         name: str,
         lease_s: float,
         clock: Callable[[], float],
@@ -107,6 +121,7 @@
         self._registry = registry
         self._registry_mirror = registry_mirror
         self._dispatcher = dispatcher(self._on_advice)
+        self._relay = relay
         self._name = name
         self._lease_s = lease_s
         self._clock = clock
@@ -141,6 +156,7 @@
             self._spawn(self._plan_loop())
             self._spawn(self._flush_loop())
             self._spawn(self._tick_loop())
+            self._spawn(self._handover_loop())
             await self._failed
 
     @asynccontextmanager
@@ -457,6 +473,20 @@
             self._board.repeat_stops(now)
             self._after_event()
 
+    async def _handover_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            lost_s = self._mirror.lost_s
+            if lost_s < HANDOVER_S:
+                continue
+            try:
+                await self._relay.call(TakeOverRequest(self._leadership.epoch))
+            except (Refused, OutcomeUnknown):
+                # The store is away for all; this process goes on.
+                await asyncio.sleep(HANDOVER_RETRY_S)
+                continue
+            self._fail(f"handed over, the store is away for {lost_s:.2f} s")
+
     # Progress
 
     async def _flush_loop(self) -> None:
