Let the lease of a silent worker end

Cause: each failing look sent a later end of the lease, so a worker that was gone was never given up.

Change: a look extends the lease only while the worker answers. A leader that resigns or hands over says so, and its successor does not wait for the horizon; it sends no order between asking and the answer.

Before: test_tasks_of_a_lost_worker_start_again_when_its_lease_has_lapsed fails.

--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -72,11 +72,13 @@
         epoch: Rises with each leadership.
         writes: Number of the last write under this leadership; tells whether a
             write whose answer was lost was applied.
+        settled: Whether no leader before it can act any more.
     """
 
     name: str
     epoch: int
     writes: int = 0
+    settled: bool = False
 
 
 class WorkerRecord(msgspec.Struct, frozen=True):
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -21,6 +21,8 @@
 RETRY_S = 0.1
 # Spreads the attempts of several processes to become leader.
 ELECTION_JITTER_S = 0.05
+# Mark of a leadership whose leader stopped acting before it gave up its key.
+RESIGNED = "resigned"
 
 
 @dataclass(slots=True)
@@ -30,6 +32,9 @@
     Attributes:
         epoch: Number of this leadership; fencing tokens derive from it.
         revision: Revision of the leader key, the condition of each write.
+        began_revision: Revision of the election.
+        lease: Session lease that the leader key is bound to.
+        handed_over: Whether all former leaders had stopped acting.
         writes: Number of the last write under this leadership.
     """
 
@@ -37,6 +42,7 @@
     revision: int
     began_revision: int
     lease: int
+    handed_over: bool = False
     writes: int = 0
 
 
@@ -215,7 +221,13 @@
             revision = item.mod_revision
             return Leadership(leader.epoch, revision, revision, lease)
         known = self._table.epoch_item
-        epoch = 1 + (int(known.value) if known else 0)
+        former, resigned = read_epoch(known)
+        epoch = former + 1
+        handed_over = resigned
+        if leader is not None:
+            # A former life of this process, or a leader that asked to be replaced,
+            # acts no more; leaders before it may, until its workers are settled.
+            handed_over = leader.settled
         record = records.encode(LeaderRecord(self._name, epoch))
         compares = [
             Compare(records.LEADER_KEY, "mod_revision", _revision(item)),
@@ -223,7 +235,7 @@
         ]
         puts = [
             Put(records.LEADER_KEY, record, lease),
-            Put(records.EPOCH_KEY, str(epoch).encode()),
+            epoch_put(epoch, False),
         ]
         try:
             result = await self._store.txn(compares, puts)
@@ -232,7 +244,27 @@
             return None
         if not result.succeeded:
             return None
-        return Leadership(epoch, result.revision, result.revision, lease)
+        revision = result.revision
+        return Leadership(epoch, revision, revision, lease, handed_over)
+
+
+def epoch_put(epoch: int, resigned: bool) -> Put:
+    """Return the write of the counter of leaderships.
+
+    Args:
+        epoch: Number of the last leadership.
+        resigned: Whether it and all leaders before have stopped acting.
+    """
+    value = f"{epoch} {RESIGNED}" if resigned else str(epoch)
+    return Put(records.EPOCH_KEY, value.encode())
+
+
+def read_epoch(item: KeyValue | None) -> tuple[int, bool]:
+    """Return the number of the last leadership and whether its leader resigned."""
+    if item is None:
+        return 0, False
+    number, _, mark = item.value.decode().partition(" ")
+    return int(number), mark == RESIGNED
 
 
 def _revision(item: KeyValue | None) -> int:
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -37,7 +37,7 @@
     StopRun,
     WorkerState,
 )
-from .session import Leadership
+from .session import Leadership, epoch_put
 from .table import JobTable, TableJob
 
 # A leader that does not reach the store goes on for this time, which spans the
@@ -136,6 +136,7 @@
         self._loops: dict[str, asyncio.Task] = {}
         self._failed: asyncio.Future = asyncio.get_running_loop().create_future()
         self._removed: list[str] = []
+        self._handing_over = False
 
     @property
     def board(self) -> Board:
@@ -147,7 +148,8 @@
         """Whether orders may be sent: no other leader is known or can be due."""
         leader = self._table.leader
         replaced = leader is not None and leader.epoch != self._leadership.epoch
-        return not replaced and self._store_age() < HORIZON_S
+        suspended = replaced or self._handing_over
+        return not suspended and self._store_age() < HORIZON_S
 
     async def run(self) -> None:
         """Lead until another process does or the task is cancelled."""
@@ -179,8 +181,10 @@
         key, revision = records.LEADER_KEY, self._leadership.revision
         for _ in range(RESIGN_ATTEMPTS):
             compare = Compare(key, "mod_revision", revision)
+            settled = not self._board.unsettled
+            operations = [Delete(key), epoch_put(self._leadership.epoch, settled)]
             try:
-                result = await self._store.txn([compare], [Delete(key)], [key])
+                result = await self._store.txn([compare], operations, [key])
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
                 self._log.write("leadership left to lapse", why=exc.message)
                 continue
@@ -210,7 +214,8 @@
                     raise Deposed("the store is away") from None
         now = self._clock()
         self._board.set_desired(self._intake.desired)
-        until = now + HORIZON_S + self._lease_s / CLOCK_RATE_MIN + LAPSE_MARGIN_S
+        horizon_s = 0.0 if self._leadership.handed_over else HORIZON_S
+        until = now + horizon_s + self._lease_s / CLOCK_RATE_MIN + LAPSE_MARGIN_S
         for entry in self._table.workers.values():
             self._board.expect_worker(entry, until)
         self._update_workers()
@@ -294,7 +299,8 @@
         entry, token = worker.entry, worker.token
         sent_at = self._clock()
         lease_ms = 0
-        if worker.clock_at > float("-inf"):
+        # A worker that does not answer gets no further time, so that its lease ends.
+        if worker.settled:
             lease_ms = worker.clock_estimate(sent_at) + int(self._lease_s * 1000)
             worker.lease_ms = max(worker.lease_ms, lease_ms)
         wait_s = LOOK_WAIT_S if worker.settled else 0.0
@@ -479,12 +485,17 @@
             lost_s = self._mirror.lost_s
             if lost_s < HANDOVER_S:
                 continue
+            # The successor relies on it that no order is sent after it has agreed.
+            self._handing_over = True
             try:
                 await self._relay.call(TakeOverRequest(self._leadership.epoch))
-            except (Refused, OutcomeUnknown):
+            except Refused:
                 # The store is away for all; this process goes on.
+                self._handing_over = False
                 await asyncio.sleep(HANDOVER_RETRY_S)
                 continue
+            except OutcomeUnknown as exc:
+                self._fail(f"handed over without an answer: {exc.message}")
             self._fail(f"handed over, the store is away for {lost_s:.2f} s")
 
     # Progress
@@ -561,7 +572,12 @@
             Deposed: The leader's key is gone or another process has it.
         """
         leadership = self._leadership
-        mark = LeaderRecord(self._name, leadership.epoch, leadership.writes + 1)
+        mark = LeaderRecord(
+            self._name,
+            leadership.epoch,
+            leadership.writes + 1,
+            settled=not self._board.unsettled,
+        )
         value = records.encode(mark)
         compare = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
         puts = [Put(records.LEADER_KEY, value, leadership.lease), *operations]
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -13,7 +13,7 @@
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
-from tests.queue_world import World
+from tests.queue_world import LEASE_S, World
 from tests.virtual import run_virtual
 
 SEEDS = range(40)
@@ -170,6 +170,17 @@
     await world.list_worker(worker)
 
 
+@fault
+async def worker_gone(world, rng):
+    up = [w for w in world.workers.values() if w.up]
+    if len(up) <= 4:
+        return
+    worker = rng.choice(up)
+    worker.crash()
+    await asyncio.sleep(4.5)
+    await world.unlist_worker(worker)
+
+
 @fault
 async def worker_cut(world, rng):
     worker_id = rng.choice(list(world.workers))
@@ -239,6 +250,15 @@
     return [rng.choice(sorted(FAULTS)) for _ in range(rng.randint(1, 5))]
 
 
+def test_tasks_of_a_lost_worker_start_again_when_its_lease_has_lapsed():
+    """Guards against leases that failing looks extend without end."""
+    world = history(3, ["worker_gone", "worker_gone"])
+    assert world.checker.broken == []
+    lost = [line for line in world.lines if line[2] == "runs lost"]
+    assert lost
+    assert all(line[3]["heard_age_s"] < LEASE_S / 0.97 + 1.5 for line in lost)
+
+
 def test_a_calm_history_completes_every_job():
     world = history(1, [])
     assert world.checker.broken == []
