--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -287,6 +287,7 @@
         except StoreOutcomeUnknown:
             for pending in batch:
                 pending.failed = pending.uncertain = True
+            await asyncio.sleep(RETRY_S)
             return
         except (StoreUnavailable, BadRequest) as exc:
             for pending in batch:
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,367 @@
+"""Stand-in of the users' platform over HTTP: store, workers and advice service."""
+
+import asyncio
+import base64
+import json
+import time
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+from flamingoway.httpserver import HttpAnswer, HttpRequest, HttpServer
+from flamingoway.store.keys import prefix_end
+
+from . import kv
+
+PAGE_ITEMS = 500
+EXPIRY_POLL_S = 0.05
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What the store does wrong at present.
+
+    Attributes:
+        status: Refuses every call with this status; 0 for none.
+        silent: Answers no call.
+        lost_answers: Number of writes that are applied and not answered.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lost_answers: int = 0
+
+
+class StoreStandin:
+    """The metadata store.
+
+    Args:
+        engine: Holds the keys; a new one by default.
+    """
+
+    def __init__(self, engine: kv.Engine | None = None):
+        self.engine = engine or kv.Engine(time.monotonic)
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._server = HttpServer(self._handle, _refuse, MAX_BODY_BYTES)
+
+    @asynccontextmanager
+    async def listen(self, port: int = 0):
+        """Serve until the block ends; yields ``IP:port``."""
+        self._server.listen("127.0.0.1", port)
+        try:
+            yield f"127.0.0.1:{self._server.port}"
+        finally:
+            await self._server.close()
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+        self.calls += 1
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.status:
+            return HttpAnswer(self.faults.status, b"")
+        query = {k: v[0] for k, v in parse_qs(request.query).items()}
+        body = json.loads(request.body or b"{}")
+        answer = await self._call(request.method, request.path, query, body)
+        if request.method != "GET" and self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            await asyncio.sleep(3600)
+        return answer
+
+    async def _call(self, method, path, query, body) -> HttpAnswer:
+        if path == "/kv-key":
+            return self._get(query["key"])
+        if path == "/kv-range":
+            return self._range(query["prefix"], query.get("after", ""))
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._txn(body)
+        if path == "/kv-lease":
+            lease = self.engine.grant(body["ttlMs"] / 1000)
+            return _json(200, {"lease": lease, "ttlMs": body["ttlMs"]})
+        lease = int(path.rpartition("/")[2])
+        if path.startswith("/kv-keep/"):
+            ttl = self.engine.keep_alive(lease)
+            return _json(200 if ttl else 404, {"ttlMs": int(ttl * 1000)})
+        try:
+            self.engine.revoke(lease)
+        except kv.LeaseNotFound:
+            return _json(404, {})
+        return _json(200, {})
+
+    def _get(self, key: str) -> HttpAnswer:
+        entries = self.engine.range(kv.RangeOp(key.encode())).entries
+        if not entries:
+            return _json(404, {})
+        return _json(200, _item(entries[0]) | {"storeRevision": self.engine.revision})
+
+    def _range(self, prefix: str, after: str) -> HttpAnswer:
+        first = after.encode() + b"\0" if after else prefix.encode()
+        end = prefix_end(prefix).encode()
+        entries = self.engine.range(kv.RangeOp(first, end, PAGE_ITEMS + 1)).entries
+        body = {
+            "items": [_item(e) for e in entries[:PAGE_ITEMS]],
+            "hasMore": len(entries) > PAGE_ITEMS,
+            "storeRevision": self.engine.revision,
+        }
+        return _json(200, body)
+
+    async def _watch(self, query: dict) -> HttpAnswer:
+        prefix = query["prefix"]
+        events: list[dict] = []
+        first, end = prefix.encode(), prefix_end(prefix).encode()
+
+        def notify(batch):
+            events.extend(_event(change, batch.revision) for change in batch.changes)
+
+        try:
+            watcher = self.engine.watch(first, end, int(query["after"]) + 1, notify)
+        except kv.Compacted:
+            return _json(410, {})
+        until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        try:
+            while not events and time.monotonic() < until:
+                await asyncio.sleep(EXPIRY_POLL_S)
+                self.engine.expire()
+        finally:
+            self.engine.unwatch(watcher)
+        body = {"events": events, "storeRevision": self.engine.revision}
+        return _json(200, body)
+
+    def _txn(self, body: dict) -> HttpAnswer:
+        rows = body.get("expectedRev", [])
+        conditions = [
+            kv.Condition(row["key"].encode(), "mod_revision", row["revision"])
+            for row in rows
+        ]
+        operations: list = [
+            kv.PutOp(put["key"].encode(), base64.b64decode(put["value"]), put["lease"])
+            for put in body.get("puts", [])
+        ]
+        operations += [kv.DeleteOp(key.encode(), b"") for key in body.get("remove", [])]
+        try:
+            answer = self.engine.txn(conditions, operations, [])
+        except kv.LeaseNotFound:
+            return _json(404, {})
+        except kv.InvalidRequest as exc:
+            return _json(400, {"error": str(exc)})
+        if answer.succeeded:
+            return _json(200, {"revision": answer.revision})
+        ops = [kv.RangeOp(row["key"].encode()) for row in rows]
+        found = [e for op in ops for e in self.engine.range(op).entries]
+        return _json(412, {"items": [_item(entry) for entry in found]})
+
+
+@dataclass(slots=True)
+class _Task:
+    """A running task."""
+
+    number: int
+    ends: asyncio.TimerHandle
+
+
+@dataclass(slots=True)
+class WorkerFaults:
+    """What a worker does wrong at present.
+
+    Attributes:
+        silent: Answers no call.
+        status: Refuses starts with this status; 0 for none.
+    """
+
+    silent: bool = False
+    status: int = 0
+
+
+class WorkerStandin:
+    """A worker whose tasks all take the same time.
+
+    Args:
+        worker_id: Id in the registry.
+        task_s: Duration of a task.
+    """
+
+    def __init__(self, worker_id: str, task_s: float = 0.05):
+        self.worker_id = worker_id
+        self.faults = WorkerFaults()
+        self.starts: list[dict] = []
+        self.born_ms = int(time.time() * 1000)
+        self._task_s = task_s
+        self._token = 0
+        self._tasks: dict[str, _Task] = {}
+        self._ended: list[list] = []
+        self._sequence = 0
+        self._changed = asyncio.Event()
+        self._server = HttpServer(self._handle, _refuse, MAX_BODY_BYTES)
+
+    @property
+    def running(self) -> list[str]:
+        """Ids of the running tasks."""
+        return list(self._tasks)
+
+    @asynccontextmanager
+    async def listen(self):
+        """Serve until the block ends; yields ``IP:port``."""
+        self._server.listen("127.0.0.1", 0)
+        try:
+            yield f"127.0.0.1:{self._server.port}"
+        finally:
+            await self._server.close()
+
+    def entry(self, address: str, service: str, state: str = "ready") -> bytes:
+        """Return the worker's entry in the registry."""
+        body = {
+            "service": service,
+            "address": address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": 16000, "memMb": 65536},
+            "labels": ["a", "r1"],
+            "born": self.born_ms,
+            "seq": 1,
+        }
+        return json.dumps(body).encode()
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if request.headers.get("Target-Instance") != self.worker_id:
+            return _json(421, {})
+        body = json.loads(request.body)
+        if body["fencingToken"] < self._token:
+            return self._answer(409, reason="fence")
+        self._token = body["fencingToken"]
+        if request.path == "/run-start":
+            return self._start(body)
+        if request.path == "/run-stop":
+            if body["task"] in self._tasks:
+                self._end(body["task"], "stopped")
+            return self._answer(200)
+        return await self._hold(body)
+
+    def _start(self, body: dict) -> HttpAnswer:
+        if self.faults.status:
+            return _json(self.faults.status, {})
+        if body["untilMs"] <= self._clock_ms():
+            return self._answer(409, reason="late")
+        task = body["task"]
+        if task not in self._tasks:
+            self.starts.append(body)
+            loop = asyncio.get_running_loop()
+            ends = loop.call_later(self._task_s, self._end, task, "done")
+            self._tasks[task] = _Task(body["run"], ends)
+        return self._answer(200)
+
+    async def _hold(self, body: dict) -> HttpAnswer:
+        self._ended = [row for row in self._ended if row[0] > body["lastSeen"]]
+        if not self._ended and body.get("waitMs"):
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(body["waitMs"] / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        running = [[task, t.number, "", 50] for task, t in self._tasks.items()]
+        return self._answer(200, numRunning=running, ended=self._ended)
+
+    def _end(self, task: str, how: str) -> None:
+        ended = self._tasks.pop(task)
+        ended.ends.cancel()
+        self._sequence += 1
+        self._ended.append([self._sequence, task, ended.number, how, ""])
+        self._changed.set()
+
+    def _answer(self, status: int, **fields) -> HttpAnswer:
+        clock = {"clockMs": self._clock_ms(), "born": self.born_ms}
+        return _json(status, clock | fields)
+
+    def _clock_ms(self) -> int:
+        return int(time.monotonic() * 1000)
+
+
+@dataclass(slots=True)
+class AdviceStandin:
+    """An advice service that allows every worker.
+
+    Attributes:
+        steps: Steps that were asked about.
+    """
+
+    steps: list[str] = field(default_factory=list)
+
+    @asynccontextmanager
+    async def listen(self):
+        """Serve until the block ends; yields ``IP:port``."""
+        server = HttpServer(self._handle, _refuse, MAX_BODY_BYTES)
+        server.listen("127.0.0.1", 0)
+        try:
+            yield f"127.0.0.1:{server.port}"
+        finally:
+            await server.close()
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+        body = json.loads(request.body)
+        self.steps.append(body["step"])
+        good = [[worker, f"t-{worker}"] for worker in body["workers"]]
+        return _json(200, {"good": good, "validMs": 2000})
+
+
+def config(version: int, service: str, queues: dict[str, str]) -> bytes:
+    """Return a configuration.
+
+    Args:
+        version: Its version.
+        service: The service of all queues.
+        queues: Prefixes by queue name.
+    """
+    routes = [
+        {
+            "name": name,
+            "host": "jobs.example",
+            "prefix": prefix,
+            "service": service,
+            "priority": 1,
+            "maxAttempts": 3,
+            "stretch": 2.0,
+            "sloMs": 500,
+            "advice": {"decideMs": 5, "eachMs": 0.1, "validMs": 2000},
+        }
+        for name, prefix in queues.items()
+    ]
+    body = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": service, "admissionCheck": False}],
+        "limits": {"maxBodyBytes": 262144},
+    }
+    return json.dumps(body).encode()
+
+
+def _json(status: int, body: dict) -> HttpAnswer:
+    data = json.dumps(body).encode()
+    return HttpAnswer(status, data, {"Content-Type": "application/json"})
+
+
+def _refuse(code, message) -> HttpAnswer:
+    return _json(400, {"error": message})
+
+
+def _item(entry: kv.Entry) -> dict:
+    return {
+        "key": entry.key.decode(),
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.mod_revision,
+        "created": entry.create_revision,
+        "lease": entry.lease,
+    }
+
+
+def _event(change: kv.Change, revision: int) -> dict:
+    if change.entry is None:
+        return {"key": change.key.decode(), "revision": revision, "deleted": True}
+    return _item(change.entry)
--- /dev/null
+++ b/tests/queue_board.py
@@ -0,0 +1,129 @@
+"""A board with workers and jobs for tests of single decisions."""
+
+from flamingoway.model import Resources
+from flamingoway.queues import records
+from flamingoway.queues.board import Board
+from flamingoway.queues.model import (
+    AdviceTiming,
+    DesiredState,
+    EndedTask,
+    EndKind,
+    Queue,
+    RunningTask,
+    Step,
+    StepJobSpec,
+    WorkerEntry,
+    WorkerReport,
+)
+from flamingoway.queues.planning import Planner
+from flamingoway.queues.records import JobRecord
+from flamingoway.queues.runs import AskAdvice, StartRun, StopRun
+from flamingoway.queues.table import TableJob
+
+LEASE_S = 5.0
+LARGE = Resources(16_000, 64_000)
+
+
+class NoLog:
+    """Keeps the events of log lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event, fields))
+
+
+def queue(name, priority=1, advice=None, **fields):
+    defaults = {"max_attempts": 3, "stretch": 2.0, "objective_s": 1.0}
+    return Queue(
+        name, "h", f"/{name}/", "s", priority, advice=advice, **(defaults | fields)
+    )
+
+
+PLANS = queue("plans", 1)
+SORTS = queue("sorts", 2)
+CHECKS = queue("checks", 0)
+ADVISED = queue("advised", 1, AdviceTiming(0.1, 0.01, 2.0))
+
+
+class Bench:
+    """A board, its planner and what they ordered."""
+
+    def __init__(self, workers=2, capacity=LARGE, epoch=1):
+        self.log = NoLog()
+        self.now = 100.0
+        self.board = Board(epoch, LEASE_S, self.log)
+        self.planner = Planner(self.board, self.log)
+        self.board.set_desired(DesiredState(1, (PLANS, SORTS, CHECKS, ADVISED)))
+        self.clock = {}
+        for index in range(workers):
+            self.add_worker(f"w{index}", capacity)
+
+    def add_worker(self, worker_id, capacity=LARGE, **fields):
+        entry = WorkerEntry(
+            worker_id, "s", f"{worker_id}:1", "z", capacity, ("r1",), born_ms=1
+        )
+        worker = self.board.set_worker(entry, self.now)
+        worker.recorded = True
+        self.report(worker_id)
+        return worker
+
+    def worker(self, worker_id):
+        return self.board.workers[worker_id]
+
+    def report(self, worker_id, running=(), ended=(), token=None, sent_at=None):
+        worker = self.worker(worker_id)
+        report = WorkerReport(
+            clock_ms=int(self.now * 1000),
+            born_ms=1,
+            running=tuple(RunningTask(*row) for row in running),
+            ended=tuple(ended),
+        )
+        self.board.on_report(
+            worker,
+            report,
+            self.now if sent_at is None else sent_at,
+            worker.token if token is None else token,
+            self.now,
+            self.now,
+        )
+
+    def end(self, run, kind=EndKind.DONE, checkpoint=""):
+        """Let a worker list the end of a run."""
+        worker = run.worker
+        row = EndedTask(worker.processed + 1, run.task_id, run.number, kind, checkpoint)
+        others = [
+            (r.task_id, r.number)
+            for r in worker.runs.values()
+            if r is not run and r.confirmed_at
+        ]
+        self.report(worker.entry.worker_id, others, [row], sent_at=0.0)
+
+    def submit(self, job_id, *steps, queue="plans", inherited=False):
+        spec = StepJobSpec(job_id, queue, "text", steps)
+        record = records.encode(JobRecord(spec, self.now))
+        entry = TableJob(job_id, queue, record, 1)
+        self.board.add_job(entry, self.now, self.now, inherited)
+        return self.board.jobs.get(job_id)
+
+    def plan(self):
+        """Run the planner and return the runs that it started."""
+        self.planner.run(self.now)
+        return [o.run for o in self.orders(StartRun)]
+
+    def orders(self, kind):
+        found = [o for o in self.board.orders if isinstance(o, kind)]
+        self.board.orders = [o for o in self.board.orders if not isinstance(o, kind)]
+        return found
+
+    def stops(self):
+        return [(o.task_id, o.number) for o in self.orders(StopRun)]
+
+    def asks(self):
+        return self.orders(AskAdvice)
+
+
+def step(count=1, cpu=1000, memory=1000, **fields):
+    fields.setdefault("estimate_s", 1.0)
+    return Step(count, Resources(cpu, memory), **fields)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,47 @@
+"""Guards the decision log: complete lines, bounded, never blocking."""
+
+import json
+import os
+
+from flamingoway.queues.decisions import BURST_LINES, DecisionLog
+
+
+class Clock:
+    """Clock that a test advances."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def test_a_line_is_one_json_object():
+    read, write = os.pipe()
+    DecisionLog("n1", write).write("job accepted", job="a1", age_s=0.25)
+    line = json.loads(os.read(read, 4096))
+    assert (line["process"], line["event"], line["job"]) == ("n1", "job accepted", "a1")
+
+
+def test_a_reader_that_does_not_read_stops_nothing():
+    """Guards against a process that waits for its log."""
+    _, write = os.pipe()
+    clock = Clock()
+    log = DecisionLog("n1", write, clock)
+    for _ in range(2000):
+        clock.now += 1
+        log.write("x", text="y" * 200)
+    assert log.dropped > 0
+
+
+def test_lines_are_bounded_and_dropped_ones_are_told():
+    read, write = os.pipe()
+    clock = Clock()
+    log = DecisionLog("n1", write, clock)
+    for _ in range(int(BURST_LINES) + 50):
+        log.write("x")
+        os.read(read, 100_000) if log.dropped == 0 else None
+    assert log.dropped == 50
+    clock.now += 1
+    log.write("next")
+    assert json.loads(os.read(read, 100_000))["dropped_lines"] == 50
--- /dev/null
+++ b/tests/test_platform_workers.py
@@ -0,0 +1,178 @@
+"""Guards the orders to workers and what their answers mean."""
+
+import asyncio
+import time
+
+import pytest
+
+from flamingoway.errors import BadRequest
+from flamingoway.model import Resources
+from flamingoway.platform import wire
+from flamingoway.platform.client import HttpClient
+from flamingoway.platform.workers import PlatformAdvice, PlatformWorkers
+from flamingoway.queues.model import EndKind, RunOrder, StartReply, WorkerEntry
+from flamingoway.queues.ports import OrderRefused, WorkerSilent
+from standins.platform import AdviceStandin, WorkerStandin
+
+
+def play(body):
+    async def main():
+        standin = WorkerStandin("w1")
+        async with standin.listen() as address:
+            client = HttpClient(time.monotonic)
+            entry = WorkerEntry("w1", "s", address, "z1", Resources(16000, 65536))
+            try:
+                await asyncio.wait_for(
+                    body(PlatformWorkers(client), entry, standin), 20
+                )
+            finally:
+                client.close()
+
+    asyncio.run(main())
+
+
+def order(token=5, number=1, lease_s=10.0, **fields):
+    lease_ms = int((time.monotonic() + lease_s) * 1000)
+    return RunOrder("w1", "job.0.0.0", number, "text", lease_ms, token, **fields)
+
+
+def test_a_task_runs_and_its_end_is_listed_until_acknowledged():
+    async def body(workers, entry, standin):
+        started = order(checkpoint="c1", ticket="t1")
+        assert await workers.start(entry, started) is StartReply.RUNNING
+        assert standin.starts[0]["checkpoint"] == "c1"
+        assert standin.starts[0]["ticket"] == "t1"
+        report = await workers.look(entry, 5, 0, 0, 1.0)
+        assert [(e.sequence, e.task_id, e.kind) for e in report.ended] == [
+            (1, "job.0.0.0", EndKind.DONE)
+        ]
+        assert report.born_ms == standin.born_ms
+        assert (await workers.look(entry, 5, 1, 0, 0.0)).ended == ()
+
+    play(body)
+
+
+def test_fields_without_a_value_are_left_out():
+    """Guards against an empty checkpoint that a worker takes for a real one."""
+
+    async def body(workers, entry, standin):
+        await workers.start(entry, order())
+        assert "checkpoint" not in standin.starts[0]
+        assert "ticket" not in standin.starts[0]
+
+    play(body)
+
+
+def test_a_lower_token_is_fenced():
+    async def body(workers, entry, standin):
+        await workers.look(entry, 7, 0, 0, 0.0)
+        assert await workers.start(entry, order(token=6)) is StartReply.FENCED
+        with pytest.raises(OrderRefused) as refused:
+            await workers.look(entry, 6, 0, 0, 0.0)
+        assert refused.value.reply is StartReply.FENCED
+        assert not await workers.stop(entry, "job.0.0.0", 1, 6)
+
+    play(body)
+
+
+@pytest.mark.parametrize(
+    "status, reply",
+    [
+        (400, StartReply.INVALID),
+        (429, StartReply.UNHEALTHY),
+        (503, StartReply.UNHEALTHY),
+        (500, StartReply.UNKNOWN),
+    ],
+)
+def test_refusals_of_a_start(status, reply):
+    async def body(workers, entry, standin):
+        standin.faults.status = status
+        assert await workers.start(entry, order()) is reply
+
+    play(body)
+
+
+def test_a_start_that_comes_too_late_is_told_apart():
+    async def body(workers, entry, standin):
+        assert await workers.start(entry, order(lease_s=-1)) is StartReply.LATE
+
+    play(body)
+
+
+def test_another_life_answers():
+    async def body(workers, entry, standin):
+        standin.worker_id = "w2"
+        assert await workers.start(entry, order()) is StartReply.OTHER_LIFE
+        with pytest.raises(OrderRefused):
+            await workers.look(entry, 5, 0, 0, 0.0)
+
+    play(body)
+
+
+def test_a_silent_worker_leaves_the_outcome_unknown():
+    """Guards against a task that is placed again while its start may come late."""
+
+    async def body(workers, entry, standin):
+        standin.faults.silent = True
+        assert await workers.start(entry, order()) is StartReply.UNKNOWN
+        with pytest.raises(WorkerSilent):
+            await workers.look(entry, 5, 0, 0, 0.0)
+
+    play(body)
+
+
+def test_a_closed_port_means_that_nothing_was_sent():
+    async def body(workers, entry, standin):
+        gone = WorkerEntry("w1", "s", "127.0.0.1:1", "z1", Resources())
+        assert await workers.start(gone, order()) is StartReply.NOT_SENT
+
+    play(body)
+
+
+def test_advice_names_the_allowed_workers():
+    async def main():
+        standin = AdviceStandin()
+        async with standin.listen() as address:
+            advice = PlatformAdvice(address, HttpClient(time.monotonic))
+            answer = await advice.ask("job.0.0", ["w1", "w2"], 1.0)
+            assert answer.tickets == {"w1": "t-w1", "w2": "t-w2"}
+            assert answer.valid_s == 2.0
+            assert standin.steps == ["job.0.0"]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"service":"s"}',
+        b'{"service":"s","address":"1:2","zone":"z","state":"odd","capacity":{}}',
+        b'{"service":"s","address":7,"zone":"z","state":"ready","capacity":{}}',
+    ],
+)
+def test_entries_of_other_writers_name_no_worker(data):
+    with pytest.raises(BadRequest):
+        wire.to_worker("w1", data)
+
+
+def test_an_entry_is_decoded_into_our_words():
+    entry = wire.to_worker("w1", WorkerStandin("w1").entry("1:2", "s", "draining"))
+    assert entry.draining and entry.capacity == Resources(16000, 65536)
+    assert entry.labels == ("a", "r1") and entry.born_ms > 0
+
+
+def test_a_job_is_decoded_with_defaults():
+    job = wire.to_job(
+        b'{"spec":"x","steps":[{"count":2,"cpu":500,"memMb":256,"estRuntimeMs":900,'
+        b'"affinity":"r1"},{"count":1,"after":[0],"gang":true,"antiAffinity":2,'
+        b'"mayMiss":1}],"repeats":2,"firstRunMs":1000,"intervalMs":500}',
+        "id",
+        "q",
+    )
+    first, second = job.steps
+    assert (first.count, first.data_rack, first.estimate_s) == (2, "r1", 0.9)
+    assert (second.after, second.gang, second.per_worker) == ((0,), True, 2)
+    assert (job.schedule.repeats, job.schedule.first_at) == (2, 1.0)
--- /dev/null
+++ b/tests/test_queue_board.py
@@ -0,0 +1,297 @@
+"""Guards what the board takes for running, ended and lost."""
+
+import pytest
+
+from flamingoway.model import Resources
+from flamingoway.queues.model import EndKind, StartReply, StepJobState, WorkerEntry
+from flamingoway.queues.runs import LookNow
+from tests.queue_board import Bench, step
+
+
+def running(bench, *steps, **fields):
+    job = bench.submit("a1", *steps, **fields)
+    runs = bench.plan()
+    for run in runs:
+        bench.board.on_start_reply(run, StartReply.RUNNING, bench.now)
+    return job, runs
+
+
+def test_a_job_completes_when_all_steps_are_done():
+    bench = Bench()
+    job, runs = running(bench, step(2), step(1, after=(0,)))
+    for run in runs:
+        bench.end(run)
+    assert job.state is StepJobState.RUNNING
+    (last,) = bench.plan()
+    assert last.task_id == "a1.0.1.0"
+    bench.end(last)
+    assert job.state is StepJobState.COMPLETED and job.urgent
+
+
+def test_a_step_waits_for_its_predecessors():
+    """Guards against a start before the tasks of an earlier step are done."""
+    bench = Bench()
+    _, runs = running(bench, step(2), step(1, after=(0,)))
+    bench.end(runs[0])
+    assert bench.plan() == []
+
+
+def test_an_end_is_acknowledged_only_when_it_is_stored():
+    """Guards against a finished task that a new leader runs again."""
+    bench = Bench()
+    job, (run, _) = running(bench, step(2))
+    bench.end(run)
+    worker = run.worker
+    worker.advance_acknowledged()
+    assert (worker.processed, worker.acknowledged) == (1, 0)
+    job.stored_version = job.version
+    worker.advance_acknowledged()
+    assert worker.acknowledged == 1
+
+
+def test_an_end_of_an_ended_job_waits_for_the_end_of_the_job():
+    """Guards against a lost end when the job's own end is not stored yet."""
+    bench = Bench()
+    job, (run, other) = running(bench, step(2))
+    bench.board.cancel_job("a1", bench.now, bench.now)
+    bench.end(run, EndKind.STOPPED)
+    run.worker.advance_acknowledged()
+    assert run.worker.acknowledged == 0
+    job.stored_version = job.version
+    run.worker.advance_acknowledged()
+    assert run.worker.acknowledged == 1
+
+
+def test_resources_are_held_until_the_end_is_listed():
+    """Guards against a worker that is given more than it has."""
+    bench = Bench(1)
+    _, runs = running(bench, step(4, cpu=4000))
+    bench.submit("b2", step(1, cpu=4000))
+    assert bench.plan() == []
+    bench.board.cancel_job("a1", bench.now, bench.now)
+    assert bench.plan() == []
+    bench.end(runs[0], EndKind.STOPPED)
+    assert [run.task_id for run in bench.plan()] == ["b2.0.0.0"]
+
+
+def test_an_unanswered_start_raises_the_token_and_is_settled_by_a_look():
+    """Guards against a task that runs twice because its start came late."""
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    token = run.token
+    bench.board.on_start_reply(run, StartReply.UNKNOWN, bench.now)
+    assert bench.worker("w0").token == token + 1
+    assert len(bench.orders(LookNow)) == 1
+    assert bench.plan() == []
+    bench.report("w0", token=token)
+    assert run.key in bench.worker("w0").runs
+    bench.report("w0", token=token + 1)
+    assert bench.worker("w0").runs == {}
+    (again,) = bench.plan()
+    assert again.number > run.number and again.token == token + 1
+
+
+def test_an_unanswered_start_that_took_effect_goes_on():
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    bench.board.on_start_reply(run, StartReply.UNKNOWN, bench.now)
+    bench.report("w0", [(run.task_id, run.number)])
+    assert run.key in bench.worker("w0").runs and not run.unresolved
+    assert bench.plan() == []
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        StartReply.NOT_SENT,
+        StartReply.SUPERSEDED,
+        StartReply.LATE,
+        StartReply.NO_TICKET,
+    ],
+)
+def test_a_refused_start_is_placed_again(reply):
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    bench.board.on_start_reply(run, reply, bench.now)
+    assert bench.worker("w0").used == Resources()
+    bench.now += 1
+    (again,) = bench.plan()
+    assert again.number > run.number
+
+
+def test_a_start_fenced_under_the_newest_token_deposes_the_leader():
+    """Guards against a former leader that goes on."""
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    bench.board.on_start_reply(run, StartReply.FENCED, bench.now)
+    assert bench.board.fenced
+
+
+def test_a_task_is_given_up_after_its_attempts():
+    """Guards against more runs than the queue allows."""
+    bench = Bench(4)
+    job = bench.submit("a1", step(1))
+    for _ in range(3):
+        assert not job.state.final
+        (run,) = bench.plan()
+        bench.end(run, EndKind.FAILED)
+    assert job.state is StepJobState.FAILED
+    assert bench.plan() == []
+
+
+def test_a_failed_run_that_is_listed_twice_counts_once():
+    """Guards against attempts that a takeover counts again."""
+    bench = Bench(2)
+    job = bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    bench.end(run, EndKind.FAILED)
+    worker = run.worker
+    worker.processed = 0
+    bench.end(run, EndKind.FAILED)
+    (failed,) = job.steps[0, 0].failed_runs.values()
+    assert failed == {run.number}
+
+
+@pytest.mark.parametrize("kind", [EndKind.STOPPED, EndKind.LAPSED, EndKind.ALONE])
+def test_only_failed_ends_count_as_attempts(kind):
+    bench = Bench(2)
+    job = bench.submit("a1", step(1))
+    for _ in range(5):
+        (run,) = bench.plan()
+        bench.end(run, kind)
+    assert not job.state.final
+
+
+def test_a_checkpoint_is_carried_to_the_next_run():
+    bench = Bench(1)
+    bench.submit("a1", step(1, checkpointing=True))
+    (run,) = bench.plan()
+    bench.end(run, EndKind.LAPSED, checkpoint="c7")
+    bench.planner.run(bench.now)
+    (start,) = [o for o in bench.board.take_orders() if hasattr(o, "order")]
+    assert start.order.checkpoint == "c7"
+
+
+def test_a_gang_starts_again_as_a_whole():
+    """Guards against members that wait alone for the others."""
+    bench = Bench(2)
+    _, runs = running(bench, step(4, cpu=7000, gang=True))
+    assert len({run.number for run in runs}) == 1
+    bench.end(runs[0], EndKind.FAILED)
+    assert len(bench.stops()) == 3
+    assert bench.plan() == []
+    for run in runs[1:]:
+        bench.end(run, EndKind.BROKEN)
+    again = bench.plan()
+    assert len(again) == 4
+    assert {run.number for run in again} == {runs[0].number + 1}
+
+
+def test_one_done_member_ends_the_gang():
+    bench = Bench(2)
+    job, runs = running(bench, step(3, cpu=5000, gang=True))
+    bench.end(runs[0])
+    assert job.state is StepJobState.COMPLETED
+
+
+def test_cancelling_stops_what_runs_and_places_nothing_more():
+    bench = Bench(1)
+    _, runs = running(bench, step(20, cpu=1000))
+    bench.board.cancel_job("a1", bench.now, bench.now)
+    assert len(bench.stops()) == len(runs)
+    bench.end(runs[0], EndKind.STOPPED)
+    assert bench.plan() == []
+
+
+def test_a_stop_without_effect_is_repeated():
+    bench = Bench(1)
+    _, runs = running(bench, step(1))
+    bench.board.cancel_job("a1", bench.now, bench.now)
+    assert len(bench.stops()) == 1
+    bench.board.repeat_stops(bench.now + 0.1)
+    assert bench.stops() == []
+    bench.board.repeat_stops(bench.now + 1.0)
+    assert len(bench.stops()) == 1
+
+
+def test_a_run_of_a_former_leader_is_adopted():
+    """Guards against work that a takeover throws away."""
+    bench = Bench(1, epoch=2)
+    job = bench.submit("a1", step(1), inherited=True)
+    bench.report("w0", [("a1.0.0.0", 3)])
+    assert job.steps[0, 0].live[0].number == 3
+    assert bench.plan() == [] and bench.stops() == []
+
+
+def test_a_run_of_a_later_step_is_adopted_before_its_predecessors_are_known():
+    """Guards against a stray that is stopped while its task starts elsewhere."""
+    bench = Bench(2, epoch=2)
+    job = bench.submit("a1", step(1), step(2, after=(0,)), inherited=True)
+    bench.report("w0", [("a1.0.1.0", 3)])
+    assert bench.stops() == []
+    bench.report("w1", [("a1.0.0.0", 1)])
+    run = job.steps[0, 0].live[0]
+    bench.end(run)
+    assert [r.task_id for r in bench.plan()] == ["a1.0.1.1"]
+
+
+def test_a_run_that_nobody_asked_for_is_stopped_and_blocks_its_worker():
+    bench = Bench(1)
+    bench.report("w0", [("ff.0.0.0", 1)])
+    assert bench.stops() == [("ff.0.0.0", 1)]
+    bench.submit("a1", step(1))
+    assert bench.plan() == []
+    bench.report("w0")
+    assert len(bench.plan()) == 1
+
+
+def test_inherited_work_waits_until_every_recorded_worker_is_settled():
+    """Guards against a second run while a cut-off worker still has the first."""
+    bench = Bench(1, epoch=2)
+    gone = WorkerEntry("w9", "s", "w9:1", "z", Resources(16_000, 64_000))
+    bench.board.expect_worker(gone, bench.now + 10)
+    bench.submit("a1", step(1), inherited=True)
+    bench.submit("b2", step(1))
+    assert [run.task_id for run in bench.plan()] == ["b2.0.0.0"]
+    worker = bench.worker("w9")
+    assert not bench.board.is_gone(worker, bench.now + 9)
+    assert bench.board.is_gone(worker, bench.now + 10)
+    bench.board.lose_runs(worker, bench.now + 10, "gone")
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_another_life_of_a_worker_has_none_of_its_runs():
+    """Guards against ends of a former life that are taken for new ones."""
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1))
+    worker = bench.worker("w0")
+    worker.processed = 7
+    token = worker.token
+    entry = WorkerEntry("w0", "s", "w0:2", "z", Resources(16_000, 64_000), born_ms=2)
+    bench.board.set_worker(entry, bench.now)
+    assert worker.runs == {} and worker.processed == 0
+    assert worker.token > token and not worker.settled
+    assert bench.plan() == []
+
+
+def test_a_lost_run_waits_for_the_worker_s_lease_on_its_own_slow_clock():
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1))
+    worker = bench.worker("w0")
+    assert not bench.board.is_gone(worker, bench.now + 5.1)
+    assert bench.board.is_gone(worker, bench.now + 5.0 / 0.97 + 0.3)
+
+
+def test_a_draining_worker_gets_no_new_work():
+    bench = Bench(1)
+    entry = bench.worker("w0").entry
+    draining = WorkerEntry(
+        "w0", "s", entry.address, "z", entry.capacity, draining=True, born_ms=1
+    )
+    bench.board.set_worker(draining, bench.now)
+    bench.submit("a1", step(1))
+    assert bench.plan() == []
--- /dev/null
+++ b/tests/test_queue_intake.py
@@ -0,0 +1,269 @@
+"""Guards what callers are told: accepted, refused, unknown."""
+
+import asyncio
+import random
+
+import pytest
+
+from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
+from flamingoway.model import Resources
+from flamingoway.platform.ingress import JobIngress, refuse
+from flamingoway.queues import records
+from flamingoway.queues.intake import Intake
+from flamingoway.queues.messages import Done, StateReply, SubmitRequest
+from flamingoway.queues.metrics import QueueMetrics
+from flamingoway.queues.mirror import Mirror
+from flamingoway.queues.model import (
+    DesiredState,
+    Queue,
+    Step,
+    StepJobSpec,
+    StepJobState,
+)
+from flamingoway.queues.records import MemberRecord, ProgressRecord
+from flamingoway.queues.relay import Relay
+from flamingoway.queues.table import JobTable
+from flamingoway.status import Code
+from flamingoway.store import Put
+from standins import kv
+from standins.memory import MemoryStore
+from tests.queue_board import NoLog
+from tests.virtual import run_virtual
+
+QUEUE = Queue("plans", "jobs.example", "/p/", "s", 1, 3, 2.0, 1.0)
+JOB = StepJobSpec("00aa", "plans", "x", (Step(1, Resources(1000, 1000)),))
+
+
+class Peers:
+    """Other processes, which answer with what a test sets."""
+
+    def __init__(self):
+        self.answer = Refused("the store is away", Code.STORE_UNAVAILABLE)
+        self.requests = []
+
+    async def call(self, address, request, timeout_s, reply):
+        self.requests.append(request)
+        if isinstance(self.answer, FlamingowayError):
+            raise self.answer
+        return self.answer
+
+
+class Cell:
+    """One process's intake and what surrounds it."""
+
+    def __init__(self):
+        loop = asyncio.get_running_loop()
+        self.engine = kv.Engine(loop.time)
+        self.store = MemoryStore(self.engine)
+        self.log = NoLog()
+        self.table = JobTable(self.log)
+        self.peers = Peers()
+        rng = random.Random(1)
+        self.mirror = Mirror(
+            self.store, records.ROOT, self.table, loop.time, self.log, rng
+        )
+        others = {"n2": MemberRecord("n2", "n2:1", "z")}
+        relay = Relay("n1", self.peers, lambda: others, rng, self.log)
+        lost = lambda: self.mirror.lost_s  # noqa: E731
+        self.intake = Intake(self.store, self.table, lost, relay, self.log)
+        self.intake.set_desired(DesiredState(1, (QUEUE,)))
+        self.task = asyncio.create_task(self.mirror.run())
+
+
+def play(body):
+    async def main():
+        cell = Cell()
+        await cell.mirror.synced()
+        await body(cell)
+        cell.task.cancel()
+
+    run_virtual(main)
+
+
+def stored(cell):
+    key = (records.JOB_PREFIX + JOB.job_id).encode()
+    return bool(cell.engine.range(kv.RangeOp(key)).entries)
+
+
+def test_a_job_is_accepted_when_it_is_stored():
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        assert stored(cell)
+
+    play(body)
+
+
+def test_the_same_job_again_stays_one_job():
+    """Guards against a job that runs twice because its caller asked again."""
+
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        revision = cell.engine.revision
+        await cell.intake.submit(JOB, 3.0)
+        assert cell.engine.revision == revision
+
+    play(body)
+
+
+def test_a_lost_answer_is_resolved():
+    async def body(cell):
+        cell.store.drop_answers(1)
+        await cell.intake.submit(JOB, 3.0)
+        assert stored(cell)
+
+    play(body)
+
+
+def test_a_refused_job_is_not_stored_and_never_will_be():
+    """Guards against "not accepted" for a job that runs."""
+
+    async def body(cell):
+        cell.store.down = True
+        with pytest.raises(Refused):
+            await cell.intake.submit(JOB, 3.0)
+        cell.store.down = False
+        await asyncio.sleep(10)
+        assert not stored(cell)
+
+    play(body)
+
+
+def test_a_write_that_may_come_late_is_not_called_refused():
+    """Guards against a refusal of a job that the store applies seconds later."""
+
+    async def body(cell):
+        for _ in range(50):
+            cell.store.apply_late(5.0)
+        with pytest.raises(OutcomeUnknown):
+            await cell.intake.submit(JOB, 3.0)
+
+    play(body)
+
+
+def test_a_refusal_comes_at_once_when_the_store_is_known_to_be_away():
+    """Guards against callers who are held until their deadline."""
+
+    async def body(cell):
+        cell.store.down = True
+        await asyncio.sleep(2.0)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(Refused) as refused:
+            await cell.intake.submit(JOB, 3.0)
+        assert loop.time() - began < 0.1
+        assert refused.value.details["retry_after"] > 0
+
+    play(body)
+
+
+def test_a_process_that_the_store_turns_away_has_the_job_stored_by_another():
+    async def body(cell):
+        cell.store.down = True
+        cell.peers.answer = Done()
+        await cell.intake.submit(JOB, 3.0)
+        assert isinstance(cell.peers.requests[0], SubmitRequest)
+
+    play(body)
+
+
+def test_a_stale_state_is_not_shown_while_another_process_knows_better():
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(0.5)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.QUEUED
+        cell.store.down = True
+        await asyncio.sleep(1.0)
+        cell.peers.answer = StateReply(StepJobState.COMPLETED)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.COMPLETED
+
+    play(body)
+
+
+def test_jobs_that_nobody_submitted_are_not_shown():
+    async def body(cell):
+        with pytest.raises(FlamingowayError) as error:
+            await cell.intake.state("00bb")
+        assert error.value.code is Code.NOT_FOUND
+
+    play(body)
+
+
+def test_a_cancelled_job_is_shown_as_cancelled_and_not_counted_as_waiting():
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(0.5)
+        assert cell.intake.waiting(QUEUE) == 1
+        await cell.intake.cancel(JOB.job_id, 3.0)
+        await asyncio.sleep(0.5)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.CANCELLED
+        assert cell.intake.waiting(QUEUE) == 0
+
+    play(body)
+
+
+def test_progress_is_shown():
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        value = records.encode(ProgressRecord(StepJobState.COMPLETED))
+        await cell.store.txn([], [Put(records.PROGRESS_PREFIX + JOB.job_id, value)])
+        await asyncio.sleep(0.5)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.COMPLETED
+
+    play(body)
+
+
+@pytest.mark.parametrize(
+    "code, status",
+    [
+        (Code.STORE_UNAVAILABLE, 503),
+        (Code.STARTING, 503),
+        (Code.WRITE_UNRESOLVED, 504),
+        (Code.BAD_REQUEST, 400),
+        (Code.BODY_TOO_LARGE, 413),
+        (Code.NOT_FOUND, 410),
+    ],
+)
+def test_statuses_of_refusals(code, status):
+    answer = refuse(code, "why")
+    assert answer.status == status
+    assert ("Retry-After" in answer.headers) == (status == 503)
+
+
+class Request:
+    """A caller's request."""
+
+    def __init__(self, method, path, body=b"", host="jobs.example"):
+        self.method, self.path, self.body = method, path, body
+        self.headers = {"Host": host, "Deadline-Ms": "3000"}
+
+
+@pytest.mark.parametrize(
+    "request_, status",
+    [
+        (Request("POST", "/p/00aa", b'{"spec":"x","steps":[{"count":1}]}'), 200),
+        (Request("POST", "/p/00aa", b"{"), 400),
+        (Request("POST", "/q/00aa", b"{}"), 404),
+        (Request("POST", "/p/00aa", b"{}", host="other"), 404),
+        (Request("GET", "/p/"), 200),
+        (Request("GET", "/p/00aa"), 410),
+        (Request("DELETE", "/p/00aa"), 410),
+        (Request("PUT", "/p/00aa"), 405),
+    ],
+)
+def test_statuses_of_answers(request_, status):
+    async def body(cell):
+        ingress = JobIngress(cell.intake, QueueMetrics())
+        assert (await ingress.handle(request_)).status == status
+
+    play(body)
+
+
+def test_there_is_no_answer_by_a_configuration_that_is_not_known():
+    """Guards against 404 for a queue that a process has not heard of yet."""
+
+    async def body(cell):
+        cell.intake._desired = None
+        ingress = JobIngress(cell.intake, QueueMetrics())
+        assert (await ingress.handle(Request("GET", "/p/"))).status == 503
+
+    play(body)
--- /dev/null
+++ b/tests/test_queue_planning.py
@@ -0,0 +1,175 @@
+"""Guards the order of the queue and the choice of workers under load."""
+
+import random
+
+from flamingoway.model import Resources
+from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
+from tests.queue_board import ADVISED, Bench, step
+
+
+def answer(bench, ask, good=None, valid_s=2.0):
+    ids = ask.workers if good is None else [w for w in ask.workers if w in good]
+    advice = Advice({w: f"t-{w}" for w in ids}, valid_s)
+    bench.board.on_advice(ask.step, ask.workers, advice, bench.now)
+
+
+def test_urgent_queues_come_first():
+    bench = Bench(1)
+    bench.submit("s1", step(16), queue="sorts")
+    bench.submit("c1", step(2), queue="checks")
+    runs = bench.plan()
+    assert [run.task_id for run in runs[:2]] == ["c1.0.0.0", "c1.0.0.1"]
+
+
+def test_work_that_is_late_gives_way_but_is_not_dropped():
+    """Guards against a flood in which everybody waits behind late work."""
+    bench = Bench(1, Resources(1000, 64_000))
+    bench.submit("a1", step(1))
+    bench.now += 30
+    bench.submit("b2", step(1))
+    (first,) = bench.plan()
+    assert first.task_id == "b2.0.0.0"
+    bench.end(first)
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_a_gang_is_placed_as_a_whole_or_not_at_all():
+    bench = Bench(2, Resources(8000, 64_000))
+    bench.submit("a1", step(3, cpu=5000, gang=True))
+    assert bench.plan() == []
+    bench.add_worker("w9", Resources(8000, 64_000))
+    assert len(bench.plan()) == 3
+
+
+def test_small_tasks_do_not_keep_a_gang_waiting():
+    """Plays a stream of small tasks that fills every gap beside a waiting gang."""
+    bench = Bench(4)
+    rng = random.Random(5)
+    alive = []
+    for index in range(60):
+        job = bench.submit(f"5{index:03}", step(1, cpu=1000), queue="sorts")
+        assert job is not None
+    alive += bench.plan()
+    bench.submit("aa", step(2, cpu=16_000, memory=1000, gang=True, estimate_s=5.0))
+    for index in range(200):
+        bench.now += 0.05
+        bench.submit(f"6{index:03}", step(1, cpu=1000), queue="sorts")
+        done = alive.pop(rng.randrange(len(alive)))
+        bench.board.on_start_reply(done, StartReply.RUNNING, bench.now)
+        bench.end(done)
+        started = bench.plan()
+        alive += started
+        if any(run.task_id.startswith("aa") for run in started):
+            return
+    raise AssertionError("the gang never started")
+
+
+def test_tasks_of_a_step_keep_to_their_limit_on_a_worker():
+    bench = Bench(2)
+    bench.submit("a1", step(6, per_worker=2))
+    runs = bench.plan()
+    assert len(runs) == 4
+    assert {run.worker.entry.worker_id for run in runs} == {"w0", "w1"}
+
+
+def test_a_label_rules_workers_out():
+    bench = Bench(1)
+    bench.submit("a1", step(1, label="r2"))
+    assert bench.plan() == []
+    bench.submit("b2", step(1, label="r1"))
+    assert len(bench.plan()) == 1
+
+
+def test_a_step_with_a_policy_starts_only_with_tickets():
+    bench = Bench(3)
+    bench.submit("a1", step(2, cpu=9000), queue="advised")
+    assert bench.plan() == []
+    (ask,) = bench.asks()
+    assert set(ask.workers) == {"w0", "w1", "w2"}
+    answer(bench, ask, {"w0", "w2"})
+    runs = bench.plan()
+    assert {run.worker.entry.worker_id for run in runs} == {"w0", "w2"}
+
+
+def test_room_is_kept_while_expired_tickets_are_renewed():
+    """Guards against a slow answer that finds its room taken."""
+    bench = Bench(1)
+    bench.submit("s1", step(16), queue="sorts")
+    blocking = bench.plan()
+    bench.submit("a1", step(1, cpu=1000), queue="advised")
+    bench.plan()
+    (ask,) = bench.asks()
+    answer(bench, ask)
+    assert bench.plan() == []
+    bench.now += 2.1
+    bench.submit("s2", step(1), queue="sorts")
+    bench.end(blocking[0])
+    assert bench.plan() == []
+    (ask,) = bench.asks()
+    assert bench.plan() == []
+    answer(bench, ask)
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_without_an_answer_the_room_is_given_back():
+    bench = Bench(1, Resources(1000, 64_000))
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (ask,) = bench.asks()
+    answer(bench, ask, valid_s=0.0)
+    bench.plan()
+    (ask,) = bench.asks()
+    bench.board.on_no_advice(ask.step, bench.now)
+    assert bench.worker("w0").used == Resources()
+
+
+def test_a_failed_task_moves_to_another_worker():
+    bench = Bench(2)
+    bench.submit("a1", step(1))
+    (first,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    (second,) = bench.plan()
+    assert second.worker is not first.worker
+
+
+def test_a_worker_that_fails_everything_is_tried_with_one_task_later():
+    """Plays a worker that fails all it starts while its entry looks sound."""
+    bench = Bench(1)
+    jobs = [bench.submit(f"a{i}", step(1)) for i in range(3)]
+    for run in bench.plan():
+        bench.end(run, EndKind.FAILED)
+    assert bench.plan() == []
+    assert not any(job.state.final for job in jobs)
+    bench.now += 2.5
+    (probe,) = bench.plan()
+    bench.end(probe)
+    assert len(bench.plan()) == 2
+
+
+def test_a_flood_keeps_urgent_work_prompt():
+    """Plays ten times more sorts than fit beside a stream of checks."""
+    bench = Bench(4)
+    rng = random.Random(7)
+    ends = []
+    for index in range(300):
+        bench.submit(f"5{index:03}", step(4), queue="sorts")
+    checks = []
+    for tick in range(400):
+        bench.now += 0.05
+        due = [entry for entry in ends if entry[0] <= bench.now]
+        ends = [entry for entry in ends if entry[0] > bench.now]
+        for _, run in due:
+            bench.end(run)
+        if tick % 4 == 0:
+            checks.append(bench.submit(f"c{tick:03}", step(1), queue="checks"))
+        for run in bench.plan():
+            bench.board.on_start_reply(run, StartReply.RUNNING, bench.now)
+            ends.append((bench.now + rng.uniform(0.5, 1.5), run))
+    started = [job for job in checks if job.state is not StepJobState.QUEUED]
+    assert len(started) >= len(checks) - 1
+    in_time = [job for job in checks if job.state is StepJobState.COMPLETED]
+    assert len(in_time) > 0.9 * (len(checks) - 10)
+
+
+def test_the_bench_knows_an_advised_queue():
+    assert ADVISED.advice.duration(10) == 0.2
