Tell the leader of accepted jobs at once, and move runs that stand still

Tasks on a hanging worker stood still until its fault ended.

Ruled out: the order of the queue (the first two seconds have no backlog).

Change: a process announces a job to the leader of the epoch that its write was conditional on; the leader shows its own progress at once, and a process whose mirror is quiet asks it. A run whose progress stands still for 1.5 s is stopped, and its worker rested.

--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -46,6 +46,9 @@
 # A task whose start was refused waits this long, so that a refusing worker does
 # not keep the planner busy.
 RESTART_DELAY_S = 0.1
+# A run that shows the same progress for this long stands still; even a task of 12 s
+# on a worker that is eight times slower moves by a percent a second.
+STALL_S = 1.5
 # Members of a gang that ended together list their ends within this time.
 GANG_END_S = 1.0
 
@@ -602,6 +605,30 @@
                 if run.phase is RunPhase.STOPPING:
                     self.stop_run(run, now)
 
+    def stop_stalled(self, now: float) -> None:
+        """Stop runs whose progress stands still, and give their workers a rest."""
+        for worker in self._workers.values():
+            for run in list(worker.runs.values()):
+                if run.phase is RunPhase.RUNNING and self._is_stalled(run, now):
+                    self._log.write(
+                        "run stalled",
+                        task=run.task_id,
+                        run=run.number,
+                        worker=worker.entry.worker_id,
+                        percent=run.percent,
+                        moved_age_s=round(now - run.moved_at, 2),
+                    )
+                    worker.health.block(now)
+                    self.stop_run(run, now)
+
+    def _is_stalled(self, run: Run, now: float) -> bool:
+        """Return whether looks kept showing the same progress.
+
+        A lasting task is at work all the time, and its progress means nothing.
+        """
+        seen = run.worker.heard_at - run.moved_at
+        return run.worker.settled and not run.step.spec.lasting and seen > STALL_S
+
     # Starts
 
     def start_run(
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -18,17 +18,22 @@
     StoreUnavailable,
 )
 from ..status import Code
-from ..store import Compare, Put, Store
+from ..store import Compare, KeyValue, Put, Store, WatchEvent
 from . import records
 from .decisions import DecisionLog
-from .messages import CancelRequest, StateRequest, SubmitRequest
+from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
 from .records import JobRecord
 from .relay import Relay
-from .table import JobTable
+from .session import read_epoch
+from .table import JobTable, TableJob
 
-# A transaction takes 32 entries, and a job needs a condition and a write.
+# A transaction takes 32 entries; a job needs a condition and a write, and one more
+# condition is the epoch.
 JOBS_PER_WRITE = 15
+# Without changes for this long the mirror may be behind; a busy cell has dozens a
+# second.
+QUIET_S = 0.4
 # Time kept back from a caller's deadline for the way of the answer.
 ANSWER_S = 0.3
 RETRY_S = 0.05
@@ -71,7 +76,9 @@
         store: The store.
         table: Mirror of the store.
         store_lost: Returns the seconds for which calls of the store have failed.
+        quiet: Returns the seconds since the mirror changed.
         relay: Has requests carried out by other processes.
+        name: Name of this process.
         log: Decision log.
     """
 
@@ -80,15 +87,21 @@
         store: Store,
         table: JobTable,
         store_lost: Callable[[], float],
+        quiet: Callable[[], float],
         relay: Relay,
+        name: str,
         log: DecisionLog,
     ):
         self._store = store
         self._table = table
         self._store_lost = store_lost
+        self._quiet = quiet
         self._relay = relay
+        self._name = name
+        self._announcing: set[asyncio.Task] = set()
         self._log = log
         self._desired: DesiredState | None = None
+        self._guarded = True
         self._pending: list[_Pending] = []
         self._writers: set[asyncio.Task] = set()
         self._accepted_here: set[str] = set()
@@ -199,10 +212,26 @@
                 # No process knows more; the newest known state is the best answer.
                 pass
         if job is not None and not (lost and not relay):
+            if relay and self._quiet() > QUIET_S:
+                return await self._ask_leader(job)
             return job.shown_state
         await self._require(job_id)
         return StepJobState.QUEUED
 
+    async def _ask_leader(self, job: TableJob) -> StepJobState:
+        """Return the state that the leader knows, or the known one."""
+        leader = self._table.leader
+        if leader is None or leader.name == self._name:
+            return job.shown_state
+        try:
+            reply = await self._relay.ask(leader.name, StateRequest(job.job_id))
+        except FlamingowayError as exc:
+            self._log.write(
+                "leader not asked", job=job.job_id, leader=leader.name, why=exc.message
+            )
+            return job.shown_state
+        return reply.state
+
     async def cancel(self, job_id: str, timeout_s: float, relay: bool = True) -> None:
         """Cancel a job; returns once that is stored.
 
@@ -281,9 +310,15 @@
     async def _write(self, batch: list[_Pending]) -> None:
         keys = [records.JOB_PREFIX + pending.job_id for pending in batch]
         compares = [Compare(key, "mod_revision", 0) for key in keys]
+        epoch = self._table.epoch_item if self._guarded else None
+        self._guarded = True
+        if epoch is not None:
+            compares.append(
+                Compare(records.EPOCH_KEY, "mod_revision", epoch.mod_revision)
+            )
         puts = [Put(key, p.value) for key, p in zip(keys, batch, strict=True)]
         try:
-            result = await self._store.txn(compares, puts, keys)
+            result = await self._store.txn(compares, puts, [c.key for c in compares])
         except StoreOutcomeUnknown:
             for pending in batch:
                 pending.failed = pending.uncertain = True
@@ -295,6 +330,11 @@
             self._log.write("job write refused", jobs=len(batch), why=exc.message)
             await asyncio.sleep(RETRY_S)
             return
+        if result.succeeded and epoch is not None:
+            self._announce(batch, read_epoch(epoch)[0], result.revision)
+        elif not result.succeeded and not any(key in result.reads for key in keys):
+            # Only the epoch differs: a leader was elected that is not known here.
+            self._guarded = False
         for key, pending in zip(keys, batch, strict=True):
             # A key that exists holds the same job, whoever wrote it.
             if (result.succeeded or key in result.reads) and not (
@@ -302,6 +342,41 @@
             ):
                 pending.accepted.set_result(None)
 
+    def _announce(self, batch: list[_Pending], epoch: int, revision: int) -> None:
+        """Tell the leader of stored jobs before its watch does.
+
+        The write held only while no later leader was elected, so every later one
+        knows that this leader may have started them.
+        """
+        leader = self._table.leader
+        if leader is None or leader.epoch != epoch:
+            return
+        for pending in batch:
+            request = AnnounceRequest(epoch, pending.job_id, pending.value, revision)
+            task = asyncio.create_task(self._send_announcement(leader.name, request))
+            self._announcing.add(task)
+            task.add_done_callback(self._announcing.discard)
+
+    async def _send_announcement(self, name: str, request: AnnounceRequest) -> None:
+        if name == self._name:
+            self.take_announcement(request)
+            return
+        try:
+            await self._relay.ask(name, request)
+        except FlamingowayError as exc:
+            # The leader's watch brings the job.
+            self._log.write("job not announced", job=request.job_id, why=exc.message)
+
+    def take_announcement(self, request: AnnounceRequest) -> None:
+        """Take in a job that was stored under this process's leadership."""
+        leader = self._table.leader
+        if leader is None or (leader.name, leader.epoch) != (self._name, request.epoch):
+            return
+        key = records.JOB_PREFIX + request.job_id
+        revision = request.revision
+        item = KeyValue(key, request.value, revision, revision)
+        self._table.change([WatchEvent(key, item)])
+
 
 def _fail(pending: _Pending) -> None:
     if pending.uncertain:
--- a/flamingoway/queues/messages.py
+++ b/flamingoway/queues/messages.py
@@ -27,6 +27,23 @@
     """The request was carried out."""
 
 
+class AnnounceRequest(Request):
+    """Tell the leader of a job at once that was stored while it led.
+
+    Attributes:
+        epoch: Epoch of the leadership that the job's write was conditional on.
+        value: Stored ``JobRecord``.
+        revision: Revision of the write.
+    """
+
+    reply: ClassVar[type[Message]] = Done
+
+    epoch: int
+    job_id: str
+    value: bytes
+    revision: int
+
+
 class SubmitRequest(Request):
     """Accept a job for a process that does not reach the store."""
 
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -25,8 +25,8 @@
 class Listener(Protocol):
     """Receives the content of a prefix and its changes."""
 
-    def replace(self, items: list[KeyValue]) -> None:
-        """Take the whole content."""
+    def replace(self, items: list[KeyValue], revision: int) -> None:
+        """Take the whole content as of a revision."""
 
     def change(self, events: list[WatchEvent]) -> None:
         """Take changes in the order in which they were made."""
@@ -66,6 +66,7 @@
         self._synced = asyncio.Event()
         self._reachable = True
         self._lost_at = 0.0
+        self._changed_at = float("-inf")
         self._backoff = Backoff(rng, FIRST_RETRY_S, LONGEST_RETRY_S)
 
     @property
@@ -83,6 +84,11 @@
         """Seconds for which every call has failed; 0 if the last one did not."""
         return 0.0 if self._reachable else self._clock() - self._lost_at
 
+    @property
+    def quiet_s(self) -> float:
+        """Seconds since the last change."""
+        return self._clock() - self._changed_at
+
     async def synced(self) -> None:
         """Wait until the content has been read once."""
         await self._synced.wait()
@@ -123,6 +129,7 @@
         if self._revision == after:
             self._revision = max(after, changes.revision)
             if changes.events:
+                self._changed_at = self._clock()
                 self._listener.change(changes.events)
         self._note_heard()
 
@@ -131,7 +138,8 @@
         if content.revision < self._revision:
             return
         self._revision = content.revision
-        self._listener.replace(content.items)
+        self._listener.replace(content.items, content.revision)
+        self._changed_at = self._clock()
         self._synced.set()
         self._note_heard()
 
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -15,6 +15,7 @@
 from .decisions import DecisionLog
 from .intake import Intake
 from .messages import (
+    AnnounceRequest,
     AskReply,
     AskRequest,
     CancelRequest,
@@ -100,7 +101,13 @@
         self._mirror = self._mirror_of(records.ROOT, self._table)
         self._relay = Relay(member.name, peers, lambda: self._table.members, rng, log)
         self._intake = Intake(
-            platform.store, self._table, self._store_lost, self._relay, log
+            platform.store,
+            self._table,
+            self._store_lost,
+            lambda: self._mirror.quiet_s,
+            self._relay,
+            member.name,
+            log,
         )
         self._session = Session(platform.store, self._table, member, clock, log)
         self._server = server
@@ -138,6 +145,7 @@
         config_mirror = self._mirror_of(self._platform.config_prefix, config)
         server = self._server
         server.handle(AskRequest, self._ask_for_leader)
+        server.handle(AnnounceRequest, self._take_announcement)
         server.handle(SubmitRequest, self._submit_for_peer)
         server.handle(CancelRequest, self._cancel_for_peer)
         server.handle(StateRequest, self._show_to_peer)
@@ -255,6 +263,10 @@
             raise Refused(str(exc), Code.NO_TARGET) from None
         return AskReply(advice.tickets, advice.valid_s)
 
+    async def _take_announcement(self, request: AnnounceRequest) -> Done:
+        self._intake.take_announcement(request)
+        return Done()
+
     async def _submit_for_peer(self, request: SubmitRequest) -> Done:
         await self._intake.submit(request.spec, request.timeout_s, relay=False)
         return Done()
--- a/flamingoway/queues/registry.py
+++ b/flamingoway/queues/registry.py
@@ -30,7 +30,7 @@
         """Readable entries by worker id."""
         return self._entries
 
-    def replace(self, items: list[KeyValue]) -> None:
+    def replace(self, items: list[KeyValue], revision: int) -> None:
         """Take all entries."""
         self._entries.clear()
         self.change([WatchEvent(item.key, item) for item in items])
@@ -76,7 +76,7 @@
         self._log = log
         self._version = -1
 
-    def replace(self, items: list[KeyValue]) -> None:
+    def replace(self, items: list[KeyValue], revision: int) -> None:
         """Take the content of the operator's keys."""
         for item in items:
             self._take(item)
--- a/flamingoway/queues/relay.py
+++ b/flamingoway/queues/relay.py
@@ -46,6 +46,20 @@
         self._rng = rng
         self._log = log
 
+    async def ask(self, name: str, request: Request) -> Any:
+        """Return the reply of one process.
+
+        Raises:
+            Refused: It did not carry the request out.
+            OutcomeUnknown: It may have carried the request out.
+        """
+        member = self._members().get(name)
+        if member is None:
+            raise Refused(f"{name} is not known", Code.OWNER_UNAVAILABLE)
+        return await self._peers.call(
+            member.peer_address, request, RELAY_TIMEOUT_S, type(request).reply
+        )
+
     async def call(self, request: Request) -> Any:
         """Return the reply of the first process that carries the request out.
 
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -121,10 +121,13 @@
             for job in self._jobs.values()
         )
 
-    def replace(self, items: list[KeyValue]) -> None:
-        """Take the whole content."""
+    def replace(self, items: list[KeyValue], revision: int) -> None:
+        """Take the whole content as of a revision.
+
+        Jobs that were announced after that revision stay.
+        """
         known = {item.key for item in items}
-        gone = [key for key in self._keys() if key not in known]
+        gone = [key for key in self._keys(revision) if key not in known]
         self.change([WatchEvent(key, None) for key in gone])
         self.change([WatchEvent(item.key, item) for item in items])
 
@@ -211,10 +214,15 @@
         if self.on_leader is not None:
             self.on_leader()
 
-    def _keys(self) -> list[str]:
+    def _keys(self, revision: int) -> list[str]:
+        """Return the keys of entries that are not newer than a revision."""
         keys = [records.MEMBER_PREFIX + name for name in self._members]
         keys += [records.WORKER_PREFIX + name for name in self._workers]
-        keys += [records.JOB_PREFIX + job_id for job_id in self._jobs]
+        keys += [
+            records.JOB_PREFIX + job.job_id
+            for job in self._jobs.values()
+            if job.revision <= revision
+        ]
         if self._leader is not None:
             keys.append(records.LEADER_KEY)
         return keys
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -12,7 +12,15 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from ..store import Compare, Delete, KeyValue, LeaseLapsed, Put, Store
+from ..store import (
+    Compare,
+    Delete,
+    KeyValue,
+    LeaseLapsed,
+    Put,
+    Store,
+    WatchEvent,
+)
 from . import records
 from .asking import AdviceDispatcher
 from .board import Board
@@ -477,6 +485,7 @@
             now = self._clock()
             self._board.open_due(now, time.time())
             self._board.repeat_stops(now)
+            self._board.stop_stalled(now)
             self._after_event()
 
     async def _handover_loop(self) -> None:
@@ -549,6 +558,7 @@
         puts += [Delete(records.WORKER_PREFIX + worker_id) for worker_id in removed]
         began = self._clock()
         await self._write(puts)
+        self._show(puts)
         self._metrics.flush_seconds.observe(self._clock() - began)
         for job, version in zip(jobs, versions, strict=True):
             job.stored_version = version
@@ -562,6 +572,16 @@
         if workers:
             self._plan_needed.set()
 
+    def _show(self, operations: list[Put | Delete]) -> None:
+        """Show stored progress here before the watch brings it."""
+        revision = self._leadership.revision
+        events = [
+            WatchEvent(put.key, KeyValue(put.key, put.value, 0, revision))
+            for put in operations
+            if isinstance(put, Put) and put.key.startswith(records.PROGRESS_PREFIX)
+        ]
+        self._table.change(events)
+
     async def _write(self, operations: list[Put | Delete]) -> None:
         """Write under the leader's key, which each write changes.
 
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -208,13 +208,18 @@
 
     def report(self):
         running = tuple(
-            RunningTask(run.task_id, run.number, run.checkpoint, 1.0)
+            RunningTask(run.task_id, run.number, run.checkpoint, self._percent(run))
             for run in self.runs.values()
         )
         return WorkerReport(
             self.clock_ms, 1_000_000 + self.life, running, tuple(self.ended)
         )
 
+    def _percent(self, run):
+        """Return the progress of a run, in whole percent."""
+        worked_s = self.world.now - run.began if run.began else 0.0
+        return float(int(100 * worked_s / run.left_s))
+
     def _extend(self, lease_ms):
         limit = self.clock_ms + int(LEASE_S / 0.95 * 1000)
         self.lease_ms = max(self.lease_ms, min(lease_ms, limit))
--- a/tests/test_queue_board.py
+++ b/tests/test_queue_board.py
@@ -295,3 +295,28 @@
     bench.board.set_worker(draining, bench.now)
     bench.submit("a1", step(1))
     assert bench.plan() == []
+
+
+def test_a_run_that_stands_still_is_stopped_and_its_worker_rested():
+    """Plays a worker whose tasks stand still while it answers looks."""
+    bench = Bench(2)
+    _, (run,) = running(bench, step(1))
+    worker = run.worker.entry.worker_id
+    for percent in (10, 20, 20, 20):
+        bench.now += 0.8
+        bench.report(worker, [(run.task_id, run.number, "", percent)])
+        bench.board.stop_stalled(bench.now)
+    assert bench.stops() == [(run.task_id, run.number)]
+    bench.end(run, EndKind.STOPPED)
+    (again,) = bench.plan()
+    assert again.worker is not run.worker
+
+
+def test_a_run_that_moves_is_left_alone():
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1))
+    for percent in range(1, 9):
+        bench.now += 0.9
+        bench.report("w0", [(run.task_id, run.number, "", percent)])
+        bench.board.stop_stalled(bench.now)
+    assert bench.stops() == []
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -10,7 +10,12 @@
 from flamingoway.platform.ingress import JobIngress, refuse
 from flamingoway.queues import records
 from flamingoway.queues.intake import Intake
-from flamingoway.queues.messages import Done, StateReply, SubmitRequest
+from flamingoway.queues.messages import (
+    AnnounceRequest,
+    Done,
+    StateReply,
+    SubmitRequest,
+)
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import Mirror
 from flamingoway.queues.model import (
@@ -20,7 +25,7 @@
     StepJobSpec,
     StepJobState,
 )
-from flamingoway.queues.records import MemberRecord, ProgressRecord
+from flamingoway.queues.records import LeaderRecord, MemberRecord, ProgressRecord
 from flamingoway.queues.relay import Relay
 from flamingoway.queues.table import JobTable
 from flamingoway.status import Code
@@ -65,7 +70,8 @@
         others = {"n2": MemberRecord("n2", "n2:1", "z")}
         relay = Relay("n1", self.peers, lambda: others, rng, self.log)
         lost = lambda: self.mirror.lost_s  # noqa: E731
-        self.intake = Intake(self.store, self.table, lost, relay, self.log)
+        quiet = lambda: self.mirror.quiet_s  # noqa: E731
+        self.intake = Intake(self.store, self.table, lost, quiet, relay, "n1", self.log)
         self.intake.set_desired(DesiredState(1, (QUEUE,)))
         self.task = asyncio.create_task(self.mirror.run())
 
@@ -179,6 +185,50 @@
     play(body)
 
 
+def test_the_leader_is_told_of_a_job_that_was_stored_under_its_epoch():
+    """Guards against a leader whose watch is silent and jobs that wait for it."""
+
+    async def body(cell):
+        leader = records.encode(LeaderRecord("n2", 4))
+        puts = [Put(records.LEADER_KEY, leader), Put(records.EPOCH_KEY, b"4")]
+        await cell.store.txn([], puts)
+        await asyncio.sleep(1.0)
+        cell.peers.answer = Done()
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(0.1)
+        (request,) = cell.peers.requests
+        assert isinstance(request, AnnounceRequest) and request.epoch == 4
+
+    play(body)
+
+
+def test_a_job_stored_after_another_election_is_not_announced():
+    """Guards against two leaders that both start a job."""
+
+    async def body(cell):
+        leader = records.encode(LeaderRecord("n2", 4))
+        puts = [Put(records.LEADER_KEY, leader), Put(records.EPOCH_KEY, b"4")]
+        await cell.store.txn([], puts)
+        await asyncio.sleep(1.0)
+        await cell.store.txn([], [Put(records.EPOCH_KEY, b"5")])
+        await cell.intake.submit(JOB, 3.0)
+        assert stored(cell) and cell.peers.requests == []
+
+    play(body)
+
+
+def test_a_quiet_mirror_asks_the_leader():
+    async def body(cell):
+        leader = records.encode(LeaderRecord("n2", 4))
+        await cell.store.txn([], [Put(records.LEADER_KEY, leader)])
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(1.5)
+        cell.peers.answer = StateReply(StepJobState.RUNNING)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.RUNNING
+
+    play(body)
+
+
 def test_jobs_that_nobody_submitted_are_not_shown():
     async def body(cell):
         with pytest.raises(FlamingowayError) as error:
