Read the whole prefix at a takeover and after a cut watch

Ruled out: lost writes (all jobs were in the store).

Change: a takeover reads the range instead of the watch; a cut watch is followed by a read. A silent worker without runs is gone at once. The horizon is 5 s, since leases last as long again.

--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -8,7 +8,7 @@
 
 # Workers are one to a few milliseconds away; a longer wait is a lost answer.
 ORDER_TIMEOUT_S = 0.6
-LOOK_SLACK_S = 0.7
+LOOK_SLACK_S = 0.4
 
 START_REASONS = {
     "fence": StartReply.FENCED,
--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -294,7 +294,8 @@
         until = self._unsettled.get(worker.entry.worker_id)
         if until is not None:
             return now >= until
-        return now >= worker.lapsed_at()
+        # Orders that were not answered count as runs.
+        return not worker.runs or now >= worker.lapsed_at()
 
     def lose_runs(self, worker: WorkerState, now: float, why: str) -> None:
         """Take all runs of a worker as ended without a verdict."""
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -64,6 +64,7 @@
         self._revision = 0
         self._heard_at = float("-inf")
         self._synced = asyncio.Event()
+        self._whole = False
         self._reachable = True
         self._lost_at = 0.0
         self._changed_at = float("-inf")
@@ -94,12 +95,14 @@
         await self._synced.wait()
 
     async def catch_up(self) -> None:
-        """Apply all changes that the store knows now.
+        """Read everything that the store knows now.
+
+        A watch may be silent while changes are made; a range read is not.
 
         Raises:
             StoreUnavailable: The store does not answer.
         """
-        await self._follow_once(0.0)
+        await self._read()
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
@@ -110,11 +113,13 @@
                 self._backoff.reset()
                 await asyncio.sleep(began + self.pace_s - self._clock())
             except StoreUnavailable as exc:
+                # A watch that was cut may have missed changes.
+                self._whole = False
                 self._note_lost(exc)
                 await asyncio.sleep(self._backoff.next())
 
     async def _follow_once(self, wait_s: float) -> None:
-        if not self._synced.is_set():
+        if not self._whole:
             await self._read()
             return
         after = self._revision
@@ -140,6 +145,7 @@
         self._revision = content.revision
         self._listener.replace(content.items, content.revision)
         self._changed_at = self._clock()
+        self._whole = True
         self._synced.set()
         self._note_heard()
 
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -48,10 +48,10 @@
 from .session import Leadership, epoch_put
 from .table import JobTable, TableJob
 
-# A leader that does not reach the store goes on for this time, which spans the
-# outages of the platform's store. A new leader waits as long, and a worker's lease
-# more, for workers that it cannot reach.
-HORIZON_S = 8.0
+# A leader that does not reach the store goes on for this time; leases last as long
+# again, which spans the outages of the platform's store. A new leader waits as long,
+# and a worker's lease more, for workers that it cannot reach.
+HORIZON_S = 5.0
 # A worker's answer waits at most this long for an end; the lease is renewed with
 # each look.
 LOOK_WAIT_S = 1.0
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -36,6 +36,7 @@
 
     Attributes:
         calls: Number of calls by method name, including failed ones.
+        silent_watches: Whether watches hear nothing of the changes that are made.
     """
 
     def __init__(
@@ -53,6 +54,8 @@
         self._open.set()
         self._watches: set[asyncio.Queue] = set()
         self._late: list[float] = []
+        self.silent_watches = False
+        self._cut: set[str] = set()
 
     @property
     def down(self) -> bool:
@@ -173,6 +176,14 @@
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes under ``prefix`` that followed a revision."""
         await self._begin("changes")
+        if self.silent_watches:
+            # Changes made meanwhile are skipped, and the watch is cut afterwards.
+            self._cut.add(prefix)
+            await asyncio.sleep(wait_s)
+            return Changes(self.engine.revision, [])
+        if prefix in self._cut:
+            self._cut.discard(prefix)
+            raise StoreUnavailable("the watch was cut")
         queue: asyncio.Queue[kv.Changes | None] = asyncio.Queue()
         first, end = prefix.encode(), prefix_end(prefix).encode()
         try:
--- a/tests/test_queue_board.py
+++ b/tests/test_queue_board.py
@@ -264,6 +264,14 @@
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
 
+def test_a_worker_without_runs_is_gone_at_once():
+    """Guards against a takeover that waits for a worker that left long ago."""
+    bench = Bench(1)
+    assert bench.board.is_gone(bench.worker("w0"), bench.now)
+    running(bench, step(1))
+    assert not bench.board.is_gone(bench.worker("w0"), bench.now)
+
+
 def test_another_life_of_a_worker_has_none_of_its_runs():
     """Guards against ends of a former life that are taken for new ones."""
     bench = Bench(1)
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -152,6 +152,18 @@
         await asyncio.sleep(1.0)
 
 
+@fault
+async def watches_silent(world, rng):
+    stores = list(world.stores.values())
+    for store in stores:
+        store.silent_watches = True
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    world.engine.compact()
+    for store in stores:
+        store.silent_watches = False
+        store.break_watches()
+
+
 @fault
 async def orders_late(world, rng):
     for port in world.ports.values():
@@ -259,6 +271,14 @@
     assert all(line[3]["heard_age_s"] < LEASE_S / 0.97 + 1.5 for line in lost)
 
 
+def test_a_takeover_knows_the_jobs_that_its_watch_did_not_show():
+    """Guards against running work that a new leader stops as unknown."""
+    for seed in range(4):
+        world = history(seed, ["watches_silent", "cut_leader_from_store"] * 2)
+        assert world.checker.broken == [], seed
+        assert not [line for line in world.lines if line[2] == "stray stopped"], seed
+
+
 def test_a_calm_history_completes_every_job():
     world = history(1, [])
     assert world.checker.broken == []
