Refuse at once what waits behind a write that the store does not answer

Ruled out: the relay of a single refused machine, which answers in milliseconds.

Change: jobs behind a write that takes longer than 0.4 s are refused unsent, and so are new ones until the store is heard again; failed renewals of the session count as a lost store; a relay gives up after two silent processes. Callers are told to come back after 1 s, since they wait 3 s in all.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -40,9 +40,11 @@
 # Calls that fail for this long mean that the store turns this process away; a slow
 # store answers late, but it answers.
 STORE_LOST_S = 0.3
-# Time after which a caller should return when the store is away; outages take
-# seconds, and a caller has a handful of retries.
-RETRY_AFTER_STORE_S = 2
+# A write that takes longer may never be answered; a slow store takes 240 ms.
+WRITE_SLOW_S = 0.4
+# Time after which a caller should return when the store is away: callers wait 3 s in
+# all, and most outages leave room for a second try.
+RETRY_AFTER_STORE_S = 1
 
 
 @dataclass(slots=True)
@@ -76,6 +78,7 @@
         store: The store.
         table: Mirror of the store.
         store_lost: Returns the seconds for which calls of the store have failed.
+        store_age: Returns the seconds since the store was last heard.
         quiet: Returns the seconds since the mirror changed.
         relay: Has requests carried out by other processes.
         name: Name of this process.
@@ -87,6 +90,7 @@
         store: Store,
         table: JobTable,
         store_lost: Callable[[], float],
+        store_age: Callable[[], float],
         quiet: Callable[[], float],
         relay: Relay,
         name: str,
@@ -95,6 +99,9 @@
         self._store = store
         self._table = table
         self._store_lost = store_lost
+        self._store_age = store_age
+        self._sent_at: float | None = None
+        self._failed_at = float("-inf")
         self._quiet = quiet
         self._relay = relay
         self._name = name
@@ -182,7 +189,7 @@
             raise exc from None
 
     async def _store_job(self, spec: StepJobSpec, timeout_s: float) -> None:
-        if self._store_lost() > STORE_LOST_S:
+        if self._store_is_away():
             raise Refused("the store is away", Code.STORE_UNAVAILABLE)
         value = records.encode(JobRecord(spec, time.time()))
         loop = asyncio.get_running_loop()
@@ -204,7 +211,7 @@
         job = self._table.find(job_id)
         if job is not None and job.state.final:
             return job.shown_state
-        lost = self._store_lost() > STORE_LOST_S
+        lost = self._store_is_away()
         if lost and relay:
             try:
                 return (await self._relay.call(StateRequest(job_id))).state
@@ -253,7 +260,7 @@
         self._log.write("job cancelled", job=job_id)
 
     async def _store_cancel(self, job_id: str, unknown: bool, timeout_s: float) -> None:
-        if self._store_lost() > STORE_LOST_S:
+        if self._store_is_away():
             raise Refused("the store is away", Code.STORE_UNAVAILABLE, retry_after=1)
         if unknown:
             await self._require(job_id)
@@ -276,6 +283,15 @@
         """Return the number of jobs of a queue for which no task has started."""
         return self._table.waiting(queue.name)
 
+    def _store_is_away(self) -> bool:
+        """Return whether a call of the store would probably fail."""
+        now = asyncio.get_running_loop().time()
+        if self._store_lost() > STORE_LOST_S:
+            return True
+        if self._sent_at is not None and now - self._sent_at >= WRITE_SLOW_S:
+            return True
+        return self._store_age() > now - self._failed_at
+
     async def _require(self, job_id: str) -> None:
         """Return if the store has a job that the mirror does not show yet."""
         try:
@@ -300,13 +316,25 @@
         loop = asyncio.get_running_loop()
         while self._pending:
             batch = self._pending[:JOBS_PER_WRITE]
-            await self._write(batch)
+            self._sent_at = loop.time()
+            write = asyncio.create_task(self._write(batch))
+            await asyncio.wait({write}, timeout=WRITE_SLOW_S)
+            if not write.done():
+                self._refuse_unsent(batch)
+            await write
+            self._sent_at = None
             now = loop.time()
             for pending in batch:
                 if not pending.accepted.done() and pending.is_given_up(now):
                     _fail(pending)
             self._pending = [p for p in self._pending if not p.accepted.done()]
 
+    def _refuse_unsent(self, batch: list[_Pending]) -> None:
+        """Refuse jobs that wait behind a write that is not answered."""
+        for pending in self._pending:
+            if pending not in batch and not pending.accepted.done():
+                _fail(pending)
+
     async def _write(self, batch: list[_Pending]) -> None:
         keys = [records.JOB_PREFIX + pending.job_id for pending in batch]
         compares = [Compare(key, "mod_revision", 0) for key in keys]
@@ -322,11 +350,13 @@
         except StoreOutcomeUnknown:
             for pending in batch:
                 pending.failed = pending.uncertain = True
+            self._failed_at = asyncio.get_running_loop().time()
             await asyncio.sleep(RETRY_S)
             return
         except (StoreUnavailable, BadRequest) as exc:
             for pending in batch:
                 pending.failed = True
+            self._failed_at = asyncio.get_running_loop().time()
             self._log.write("job write refused", jobs=len(batch), why=exc.message)
             await asyncio.sleep(RETRY_S)
             return
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -104,6 +104,7 @@
             platform.store,
             self._table,
             self._store_lost,
+            self._store_age,
             lambda: self._mirror.quiet_s,
             self._relay,
             member.name,
@@ -183,7 +184,7 @@
         return self._mirror.age_s
 
     def _store_lost(self) -> float:
-        return self._mirror.lost_s
+        return max(self._mirror.lost_s, self._session.lost_s)
 
     def _configure(self, desired: DesiredState) -> None:
         self._intake.set_desired(desired)
--- a/flamingoway/queues/relay.py
+++ b/flamingoway/queues/relay.py
@@ -18,7 +18,7 @@
 # does better by coming back.
 RELAY_ATTEMPTS = 3
 # A process that reaches the store answers within a few of the store's answers.
-RELAY_TIMEOUT_S = 0.8
+RELAY_TIMEOUT_S = 0.5
 
 
 class Relay:
@@ -77,10 +77,15 @@
                 reply = await self._peers.call(
                     member.peer_address, request, RELAY_TIMEOUT_S, type(request).reply
                 )
-            except (Refused, OutcomeUnknown) as exc:
-                lost = lost or isinstance(exc, OutcomeUnknown)
+            except Refused as exc:
                 self._note(request, member, exc)
                 continue
+            except OutcomeUnknown as exc:
+                self._note(request, member, exc)
+                if lost:
+                    break
+                lost = True
+                continue
             self._note(request, member, None)
             return reply
         if lost:
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -72,6 +72,12 @@
         self._log = log
         self._lease = 0
         self._valid_until = float("-inf")
+        self._lost_at: float | None = None
+
+    @property
+    def lost_s(self) -> float:
+        """Seconds for which renewals have failed; 0 if the last one did not."""
+        return 0.0 if self._lost_at is None else self._clock() - self._lost_at
 
     @property
     def lease(self) -> int:
@@ -91,9 +97,12 @@
                     await self._open()
                 else:
                     await self._renew()
+                self._lost_at = None
                 await asyncio.sleep(RENEW_INTERVAL_S)
             except (StoreUnavailable, StoreOutcomeUnknown):
                 # The mirrors log the store's absence.
+                if self._lost_at is None:
+                    self._lost_at = self._clock()
                 await asyncio.sleep(RETRY_S)
 
     async def close(self) -> None:
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -71,7 +71,10 @@
         relay = Relay("n1", self.peers, lambda: others, rng, self.log)
         lost = lambda: self.mirror.lost_s  # noqa: E731
         quiet = lambda: self.mirror.quiet_s  # noqa: E731
-        self.intake = Intake(self.store, self.table, lost, quiet, relay, "n1", self.log)
+        age = lambda: self.mirror.age_s  # noqa: E731
+        self.intake = Intake(
+            self.store, self.table, lost, age, quiet, relay, "n1", self.log
+        )
         self.intake.set_desired(DesiredState(1, (QUEUE,)))
         self.task = asyncio.create_task(self.mirror.run())
 
@@ -162,6 +165,32 @@
     play(body)
 
 
+def test_jobs_behind_an_unanswered_write_are_refused_in_time():
+    """Guards against callers who wait for a store that went silent."""
+
+    async def body(cell):
+        loop = asyncio.get_running_loop()
+        cell.store.pause()
+        began = loop.time()
+        first = asyncio.create_task(cell.intake.submit(JOB, 3.0))
+        await asyncio.sleep(0.05)
+        other = StepJobSpec("00bb", "plans", "x", JOB.steps)
+        with pytest.raises(Refused):
+            await cell.intake.submit(other, 3.0)
+        assert loop.time() - began < 0.6
+        third = StepJobSpec("00cc", "plans", "x", JOB.steps)
+        with pytest.raises(Refused):
+            await cell.intake.submit(third, 3.0)
+        assert loop.time() - began < 0.6
+        cell.store.resume()
+        await first
+        await asyncio.sleep(5)
+        key = (records.JOB_PREFIX + "00bb").encode()
+        assert not cell.engine.range(kv.RangeOp(key)).entries
+
+    play(body)
+
+
 def test_a_process_that_the_store_turns_away_has_the_job_stored_by_another():
     async def body(cell):
         cell.store.down = True
