Wait for a slow store before refusing jobs

Change: a write counts as unanswered when it takes three times as long as the one before and 0.4 s at least; a call may take 1.2 s.

Before: test_a_slow_store_is_waited_for fails. After: it passes.

--- a/flamingoway/platform/store.py
+++ b/flamingoway/platform/store.py
@@ -24,8 +24,8 @@
 # silent is noticed within a fraction of the bound for new configuration (2 s).
 WATCH_WAIT_S = 1.0
 WATCH_SLACK_S = 0.5
-# The store takes 4 ms for an answer and 240 ms when it is slow.
-ANSWER_TIMEOUT_S = 0.8
+# The store takes 4 ms for an answer and up to half a second when it is slow.
+ANSWER_TIMEOUT_S = 1.2
 # Pages of a range read can be large (1 MB).
 RANGE_TIMEOUT_S = 3.0
 
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -43,8 +43,10 @@
 # Calls that fail for this long mean that the store turns this process away; a slow
 # store answers late, but it answers.
 STORE_LOST_S = 0.3
-# A write that takes longer may never be answered; a slow store takes 240 ms.
+# A write that takes longer, and much longer than the one before, may never be
+# answered; a slow store takes a quarter to half a second.
 WRITE_SLOW_S = 0.4
+WRITE_SLOW_FACTOR = 3.0
 # Time after which a caller should return when the store is away: callers wait 3 s in
 # all, and most outages leave room for a second try.
 RETRY_AFTER_STORE_S = 1
@@ -104,6 +106,7 @@
         self._store_lost = store_lost
         self._store_age = store_age
         self._write_is_slow = False
+        self._write_s = 0.0
         self._failed_at = float("-inf")
         self._quiet = quiet
         self._relay = relay
@@ -320,7 +323,8 @@
         while self._pending:
             batch = self._pending[:JOBS_PER_WRITE]
             write = asyncio.create_task(self._write(batch))
-            await asyncio.wait({write}, timeout=WRITE_SLOW_S)
+            limit_s = max(WRITE_SLOW_S, WRITE_SLOW_FACTOR * self._write_s)
+            await asyncio.wait({write}, timeout=limit_s)
             if not write.done():
                 self._refuse_unsent(batch)
             await write
@@ -348,6 +352,7 @@
                 Compare(records.EPOCH_KEY, "mod_revision", epoch.mod_revision)
             )
         puts = [Put(key, p.value) for key, p in zip(keys, batch, strict=True)]
+        began = asyncio.get_running_loop().time()
         try:
             result = await self._store.txn(compares, puts, [c.key for c in compares])
         except StoreOutcomeUnknown:
@@ -363,6 +368,7 @@
             self._log.write("job write refused", jobs=len(batch), why=exc.message)
             await asyncio.sleep(RETRY_S)
             return
+        self._write_s = asyncio.get_running_loop().time() - began
         if result.succeeded and epoch is not None:
             self._announce(batch, read_epoch(epoch)[0], result.revision)
         elif not result.succeeded and not any(key in result.reads for key in keys):
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -191,6 +191,29 @@
     play(body)
 
 
+def test_a_slow_store_is_waited_for():
+    """Guards against refusals of jobs that a slow store would take."""
+
+    async def body(cell):
+        txn = cell.store.txn
+
+        async def slow(*args):
+            await asyncio.sleep(0.45)
+            return await txn(*args)
+
+        cell.store.txn = slow
+        await cell.intake.submit(JOB, 3.0)
+        jobs = [StepJobSpec(f"0{i}bb", "plans", "x", JOB.steps) for i in range(4)]
+        tasks = []
+        for job in jobs:
+            tasks.append(asyncio.create_task(cell.intake.submit(job, 3.0)))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*tasks)
+        assert cell.peers.requests == []
+
+    play(body)
+
+
 def test_a_process_that_the_store_turns_away_has_the_job_stored_by_another():
     async def body(cell):
         cell.store.down = True
