--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -36,6 +36,7 @@
 QUIET_S = 0.4
 # Time kept back from a caller's deadline for the way of the answer.
 ANSWER_S = 0.3
+# A failed write is repeated after this time, for as long as ``STORE_LOST_S``.
 RETRY_S = 0.05
 # Jobs accepted here that the mirror may not show yet; without this list a repeated
 # request costs one more write, which finds the job.
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -13,6 +13,8 @@
 # A waiting watch is repeated after this time, so that a connection that went
 # silent is noticed within a fraction of the bound for a new configuration (2 s).
 WATCH_WAIT_S = 0.8
+# Delays after failed calls; the longest is a fifth of the bound for a new
+# configuration.
 FIRST_RETRY_S = 0.05
 # Each call of a watch is priced; changes within this time share one. Callers ask
 # for a job's state a few times a second.
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -18,6 +18,7 @@
 RENEW_INTERVAL_S = 0.3
 # Kept back from the lease for the drift of clocks and the way of an order.
 VALIDITY_MARGIN_S = 0.2
+# A failed renewal is repeated often enough to succeed within the lease.
 RETRY_S = 0.1
 # Spreads the attempts of several processes to become leader.
 ELECTION_JITTER_S = 0.05
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -55,10 +55,13 @@
 # A worker's answer waits at most this long for an end; the lease is renewed with
 # each look.
 LOOK_WAIT_S = 1.0
+# A worker that does not answer is asked again soon, then at half the interval of its
+# looks.
 LOOK_RETRY_S = 0.1
 LOOK_RETRY_MAX_S = 0.5
 # Events within this time share one pass of the planner.
 PLAN_DELAY_S = 0.005
+# Due occurrences, repeated stops and lost leaderships are noticed within this time.
 TICK_S = 0.1
 # Changes that no caller waits for are stored together after this time.
 FLUSH_DELAY_S = 0.05
@@ -66,6 +69,7 @@
 FLUSH_INTERVAL_S = 0.025
 # A transaction takes 32 entries; two are the leader's key.
 FLUSH_ENTRIES = 29
+# A refused write is repeated after this time, ten times a second at most.
 STORE_RETRY_S = 0.1
 # A leader whose calls of the store fail for this long asks a process that reaches
 # the store to lead; new jobs reach the leader through the store only.
