--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from .decisions import DecisionLog
 from .model import (
@@ -281,7 +282,6 @@
         worker = self._workers.get(worker_id)
         if worker is not None and worker.listed:
             worker.listed = False
-            worker.unlisted_at = now
             self._log.write("worker unlisted", worker=worker_id, runs=len(worker.runs))
 
     def forget_worker(self, worker: WorkerState) -> None:
@@ -357,7 +357,7 @@
         if report.born_ms and report.born_ms != worker.entry.born_ms:
             if worker.entry.born_ms and worker.clock_at > float("-inf"):
                 self._begin_new_life(worker, worker.entry, now)
-            worker.entry = _with_birth(worker.entry, report.born_ms)
+            worker.entry = replace(worker.entry, born_ms=report.born_ms)
         worker.clock_ms, worker.clock_at = report.clock_ms, now
         worker.heard_at = now
         for ended in report.ended:
@@ -756,19 +756,6 @@
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
 
-def _with_birth(entry: WorkerEntry, born_ms: int) -> WorkerEntry:
-    return WorkerEntry(
-        worker_id=entry.worker_id,
-        service=entry.service,
-        address=entry.address,
-        zone=entry.zone,
-        capacity=entry.capacity,
-        labels=entry.labels,
-        draining=entry.draining,
-        born_ms=born_ms,
-    )
-
-
 def _restore(step: StepRun, progress: StepProgress) -> None:
     step.done = set(progress.done)
     step.failed_runs = {k: set(v) for k, v in progress.failed_runs.items()}
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -238,7 +238,6 @@
     acknowledged: int = 0
     unstored: deque[tuple[int, OpenJob, int]] = field(default_factory=deque)
     heard_at: float = float("-inf")
-    unlisted_at: float = 0.0
 
     @property
     def free(self) -> Resources:
