Tell a write without a connection from one without an answer

Cause of test_a_closed_port_means_not_sent_and_is_found_again (known red): a channel counts as ready until the GOAWAY of the server arrives. gRPC then fails the call with 'failed to connect to all addresses' without sending it, and the adapter reported an unknown outcome. Ruled out: a call that was sent; gRPC ends those with other details. Before: the new test fails for these details. After: it passes, and so do the 34 others of its file.

--- a/flamingoway/store/etcd.py
+++ b/flamingoway/store/etcd.py
@@ -60,6 +60,9 @@
 METADATA = (("hasleader", "true"),)
 NO_LEADER = "etcdserver: no leader"
 LEASE_NOT_FOUND = "etcdserver: requested lease not found"
+# Beginning of the details with which gRPC itself fails a call that it could not
+# assign to a connection; such a call has not left the process.
+NOT_CONNECTED = "failed to connect to all addresses"
 
 COMPARE_TARGETS = {
     "create_revision": pb.Compare.CREATE,
@@ -285,6 +288,8 @@
         return StoreUnavailable(f"the store refused the write: {text}")
     if code == grpc.StatusCode.UNAVAILABLE and exc.details() == NO_LEADER:
         return StoreUnavailable(f"the store refused the write: {text}")
+    if code == grpc.StatusCode.UNAVAILABLE and _was_not_sent(exc):
+        return StoreUnavailable(f"the write was not sent: {text}")
     if code == grpc.StatusCode.NOT_FOUND and exc.details() == LEASE_NOT_FOUND:
         return LeaseLapsed("the lease has lapsed")
     if code == grpc.StatusCode.INVALID_ARGUMENT:
@@ -292,6 +297,10 @@
     return StoreOutcomeUnknown(f"no answer to a write: {text}")
 
 
+def _was_not_sent(exc: grpc.aio.AioRpcError) -> bool:
+    return (exc.details() or "").startswith(NOT_CONNECTED)
+
+
 def _to_item(kv: pb.KeyValue) -> KeyValue:
     return KeyValue(
         kv.key.decode(), kv.value, kv.create_revision, kv.mod_revision, kv.lease
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -7,6 +7,7 @@
 import sys
 from contextlib import asynccontextmanager
 
+import grpc
 import pytest
 import tornado.httpclient
 import tornado.httpserver
@@ -213,6 +214,42 @@
     run(body)
 
 
+@pytest.mark.parametrize(
+    ("details", "error"),
+    [
+        ("failed to connect to all addresses; last error: refused", StoreUnavailable),
+        ("Socket closed", StoreOutcomeUnknown),
+        (None, StoreOutcomeUnknown),
+    ],
+)
+def test_a_write_that_found_no_connection_was_not_sent(details, error):
+    """Guards against an unknown outcome for a connection lost before the call.
+
+    The channel may still count as ready while the server's GOAWAY is on its way.
+    """
+
+    async def body():
+        store = EtcdStore("127.0.0.1:1")
+        store._connect = _connected
+
+        async def txn(request, timeout, metadata):
+            no_metadata = grpc.aio.Metadata()
+            raise grpc.aio.AioRpcError(
+                grpc.StatusCode.UNAVAILABLE, no_metadata, no_metadata, details
+            )
+
+        store._kv.Txn = txn
+        with pytest.raises(error):
+            await store.txn([], [Put("k", b"v")])
+        await store.close()
+
+    run(body)
+
+
+async def _connected():
+    return None
+
+
 @pytest.mark.parametrize("fault", ["broken", "closed port"])
 def test_a_broken_watch_ends_and_a_new_one_misses_nothing(fault):
     """Guards against changes lost while a watch was broken."""
