Keep passes of the planner short with hundreds of waiting steps

Cause: the planner tried every waiting step on every worker in each pass. Ruled out: the advice service and too few workers; 44% of the processors were in use. Change: a pass works on one view of free room, and a step that found none is tried only on workers whose room grew. A gang also asks about further workers if the allowed ones could not hold it.

--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -121,6 +121,8 @@
             queue = desired.queue(job.queue.name)
             if queue is not None:
                 job.queue = queue
+        for step in self._waiting.values():
+            step.blocked = False
 
     def add_job(self, entry: TableJob, now: float, wall: float, inherited: bool):
         """Take in an accepted job.
@@ -705,6 +707,7 @@
         step.good = ((step.good or set()) - set(asked)) | allowed
         step.tickets = dict(advice.tickets)
         step.tickets_until = now + advice.valid_s
+        step.blocked = False
 
     def on_no_advice(self, step: StepRun, now: float) -> None:
         """Note that the advice service did not answer."""
--- a/flamingoway/queues/placing.py
+++ b/flamingoway/queues/placing.py
@@ -5,82 +5,133 @@
 """
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 from ..model import Resources
-from .model import Step
+from .model import Step, WorkerEntry
 from .runs import StepRun, WorkerState
 
 Placement = tuple[int, WorkerState]
+# Tasks on a worker whose health sets no limit; more than fit into any.
+UNLIMITED = 10_000
 
 
-class Room:
-    """Free resources of the candidate workers while one step is being placed.
+@dataclass(slots=True, eq=False)
+class Spot:
+    """What is free on one worker during one pass of the planner.
 
-    Args:
-        step: The step.
-        workers: Candidates; their state is not changed.
-        now: Time of the decision.
+    Attributes:
+        cores: Free processors, in thousandths of a core.
+        memory: Free memory in MB.
+        accelerators: Free accelerators.
+        tasks: Further tasks that the worker's health allows.
     """
 
-    def __init__(self, step: StepRun, workers: Iterable[WorkerState], now: float):
-        self._needs = needed(step.spec)
-        self._slots: dict[str, int] = {}
-        self._free: dict[str, Resources] = {}
-        self._workers: dict[str, WorkerState] = {}
-        mine: dict[str, int] = {}
-        for run in step.live.values():
-            worker_id = run.worker.entry.worker_id
-            mine[worker_id] = mine.get(worker_id, 0) + 1
-        for worker in workers:
-            worker_id = worker.entry.worker_id
-            slots = slots_in(worker.free, self._needs)
-            if step.spec.per_worker:
-                slots = min(slots, step.spec.per_worker - mine.get(worker_id, 0))
-            limit = worker.health.limit(now)
-            if limit is not None:
-                slots = min(slots, limit - len(worker.runs))
-            if slots > 0:
-                self._slots[worker_id] = slots
-                self._free[worker_id] = worker.free
-                self._workers[worker_id] = worker
+    worker: WorkerState
+    cores: int
+    memory: int
+    accelerators: int
+    tasks: int
 
     @property
-    def total(self) -> int:
-        """Number of tasks that can be placed."""
-        return sum(self._slots.values())
-
-    def of_rack(self, rack: str) -> int:
-        """Return the number of tasks that can be placed on a rack."""
-        return sum(
-            slots
-            for worker_id, slots in self._slots.items()
-            if rack in self._workers[worker_id].entry.labels
+    def worker_id(self) -> str:
+        """Id of the worker."""
+        return self.worker.entry.worker_id
+
+    def slots(self, needs: Resources) -> int:
+        """Return how many tasks fit."""
+        return min(
+            _times(self.cores, self.memory, self.accelerators, needs), self.tasks
         )
 
-    def take(self, rack: str = "", only: bool = False) -> WorkerState | None:
-        """Return the worker for one task and use its room.
+    def take(self, needs: Resources, count: int) -> None:
+        """Use the room of some tasks."""
+        self.cores -= needs.cores_milli * count
+        self.memory -= needs.memory_mb * count
+        self.accelerators -= needs.accelerators * count
+        self.tasks -= count
 
-        Args:
-            rack: Preferred rack; empty for none.
-            only: Whether other racks are ruled out.
-        """
-        best, best_rank = None, None
-        for worker_id, slots in self._slots.items():
-            if slots <= 0:
-                continue
-            away = bool(rack) and rack not in self._workers[worker_id].entry.labels
-            if away and only:
+    def mark(self) -> tuple[int, int, int, int, WorkerEntry]:
+        """Return what later passes compare with."""
+        entry = self.worker.entry
+        return self.cores, self.memory, self.accelerators, self.tasks, entry
+
+
+def _times(cores: int, memory: int, accelerators: int, needs: Resources) -> int:
+    slots = UNLIMITED
+    if needs.cores_milli > 0:
+        slots = cores // needs.cores_milli
+    if needs.memory_mb > 0:
+        slots = min(slots, memory // needs.memory_mb)
+    if needs.accelerators > 0:
+        slots = min(slots, accelerators // needs.accelerators)
+    return max(0, slots)
+
+
+class Floor:
+    """Room on all usable workers during one pass of the planner.
+
+    Args:
+        workers: The workers.
+        before: Marks that the pass before ended with, by worker id.
+        now: Time of the pass.
+
+    Attributes:
+        spots: Usable workers by id.
+        grown: Ids of the workers with more room than at the end of the pass before.
+    """
+
+    def __init__(
+        self, workers: Iterable[WorkerState], before: dict[str, tuple], now: float
+    ):
+        self.spots: dict[str, Spot] = {}
+        self.grown: set[str] = set()
+        for worker in workers:
+            if not worker.usable:
                 continue
-            free = self._free[worker_id]
-            left = free.cores_milli - self._needs.cores_milli
-            rank = (away, left, free.memory_mb)
-            if best_rank is None or rank < best_rank:
-                best, best_rank = worker_id, rank
-        if best is None:
-            return None
-        self._slots[best] -= 1
-        self._free[best] = self._free[best] - self._needs
-        return self._workers[best]
+            limit = worker.health.limit(now)
+            tasks = UNLIMITED if limit is None else max(0, limit - len(worker.runs))
+            used, capacity = worker.used, worker.entry.capacity
+            spot = Spot(
+                worker,
+                capacity.cores_milli - used.cores_milli,
+                capacity.memory_mb - used.memory_mb,
+                capacity.accelerators - used.accelerators,
+                tasks,
+            )
+            worker_id = worker.entry.worker_id
+            self.spots[worker_id] = spot
+            mark = before.get(worker_id)
+            if mark is None or mark[4] is not worker.entry or _exceeds(spot, mark):
+                self.grown.add(worker_id)
+
+    def marks(self) -> dict[str, tuple]:
+        """Return what is free at the end of the pass, by worker id."""
+        return {worker_id: spot.mark() for worker_id, spot in self.spots.items()}
+
+    def eligible(self, step: StepRun) -> list[Spot]:
+        """Return the workers on which tasks of a step may run."""
+        spots = self.spots
+        if step.good is None:
+            found: Iterable[Spot] = spots.values()
+        else:
+            found = [spots[w] for w in step.good if w in spots]
+        service, label = step.job.queue.service, step.spec.label
+        return [
+            spot
+            for spot in found
+            if spot.worker.entry.service == service
+            and (not label or label in spot.worker.entry.labels)
+        ]
+
+
+def _exceeds(spot: Spot, mark: tuple) -> bool:
+    return (
+        spot.cores > mark[0]
+        or spot.memory > mark[1]
+        or spot.accelerators > mark[2]
+        or spot.tasks > mark[3]
+    )
 
 
 def needed(step: Step) -> Resources:
@@ -90,81 +141,101 @@
     return Resources(0, step.resources.memory_mb, step.resources.accelerators)
 
 
-def slots_in(free: Resources, needs: Resources) -> int:
-    """Return how many times ``needs`` fits into ``free``."""
-    slots = 10_000
-    if needs.cores_milli > 0:
-        slots = min(slots, free.cores_milli // needs.cores_milli)
-    if needs.memory_mb > 0:
-        slots = min(slots, free.memory_mb // needs.memory_mb)
-    if needs.accelerators > 0:
-        slots = min(slots, free.accelerators // needs.accelerators)
-    return max(0, slots)
-
-
 def place_tasks(
-    step: StepRun, indexes: Sequence[int], workers: Iterable[WorkerState], now: float
+    step: StepRun, indexes: Sequence[int], spots: Iterable[Spot]
 ) -> list[Placement]:
-    """Place as many tasks as there is room for."""
-    room = Room(step, workers, now)
-    placed: list[Placement] = []
-    for index in indexes:
-        worker = room.take(step.spec.data_rack)
-        if worker is None:
-            break
-        placed.append((index, worker))
-    return placed
+    """Place as many tasks as there is room for, on the fullest workers."""
+    return _fill(step, indexes, _rooms(step, spots), step.spec.data_rack)
 
 
-def place_gang(
-    step: StepRun, workers: Sequence[WorkerState], now: float
-) -> list[Placement]:
+def place_gang(step: StepRun, spots: Iterable[Spot]) -> list[Placement]:
     """Place all tasks of a gang, or none."""
     count = step.spec.count
-    room = Room(step, workers, now)
-    if room.total < count:
+    rooms = _rooms(step, spots)
+    if sum(slots for slots, _ in rooms) < count:
         return []
-    rack = _gang_rack(step, workers, room)
-    placed = []
-    for index in range(count):
-        worker = room.take(rack)
-        if worker is None:
-            return []
-        placed.append((index, worker))
+    rack = _gang_rack(step, rooms)
+    return _fill(step, range(count), rooms, rack)
+
+
+def _rooms(step: StepRun, spots: Iterable[Spot]) -> list[tuple[int, Spot]]:
+    """Return how many tasks of a step fit on each worker, where any do."""
+    needs, per_worker = needed(step.spec), step.spec.per_worker
+    mine: dict[str, int] = {}
+    if per_worker:
+        for run in step.live.values():
+            worker_id = run.worker.entry.worker_id
+            mine[worker_id] = mine.get(worker_id, 0) + 1
+    cores, memory = needs.cores_milli, needs.memory_mb
+    rooms = []
+    for spot in spots:
+        if spot.cores < cores or spot.memory < memory:
+            continue
+        slots = spot.slots(needs)
+        if per_worker:
+            slots = min(slots, per_worker - mine.get(spot.worker_id, 0))
+        if slots > 0:
+            rooms.append((slots, spot))
+    return rooms
+
+
+def _fill(
+    step: StepRun, indexes: Sequence[int], rooms: list[tuple[int, Spot]], rack: str
+) -> list[Placement]:
+    needs = needed(step.spec)
+
+    def tightness(room: tuple[int, Spot]) -> tuple:
+        spot = room[1]
+        away = bool(rack) and rack not in spot.worker.entry.labels
+        return (away, spot.cores, spot.memory, spot.worker_id)
+
+    placed: list[Placement] = []
+    for slots, spot in sorted(rooms, key=tightness):
+        chosen = indexes[len(placed) : len(placed) + slots]
+        if not chosen:
+            break
+        spot.take(needs, len(chosen))
+        placed += [(index, spot.worker) for index in chosen]
     return placed
 
 
-def _gang_rack(step: StepRun, workers: Sequence[WorkerState], room: Room) -> str:
+def _gang_rack(step: StepRun, rooms: list[tuple[int, Spot]]) -> str:
     """Return the rack that a gang should keep to; empty for any."""
     if not step.spec.same_rack:
         return step.spec.data_rack
-    racks = {label for worker in workers for label in worker.entry.labels}
-    fitting = sorted(rack for rack in racks if room.of_rack(rack) >= step.spec.count)
+    room_of_rack: dict[str, int] = {}
+    for slots, spot in rooms:
+        for label in spot.worker.entry.labels:
+            room_of_rack[label] = room_of_rack.get(label, 0) + slots
+    fitting = sorted(r for r, slots in room_of_rack.items() if slots >= step.spec.count)
     if step.spec.data_rack in fitting or not fitting:
         return step.spec.data_rack
     return fitting[0]
 
 
-def gang_workers(step: StepRun, workers: Iterable[WorkerState]) -> list[WorkerState]:
+def gang_workers(step: StepRun, spots: Iterable[Spot]) -> list[Spot]:
     """Return the fewest workers that could hold a gang once they are empty.
 
     Workers with the most room now come first, so that the gang can start soon.
     """
     needs = needed(step.spec)
     ranked = sorted(
-        workers, key=lambda w: slots_in(w.free, needs) * 2 + _capacity(w, step, needs)
+        ((spot.slots(needs) * 2 + capacity_of(step, spot), spot.worker_id, spot))
+        for spot in spots
     )
-    chosen: list[WorkerState] = []
+    chosen: list[Spot] = []
     slots = 0
     while ranked and slots < step.spec.count:
-        worker = ranked.pop()
-        capacity = _capacity(worker, step, needs)
+        spot = ranked.pop()[2]
+        capacity = capacity_of(step, spot)
         if capacity:
-            chosen.append(worker)
+            chosen.append(spot)
             slots += capacity
     return chosen if slots >= step.spec.count else []
 
 
-def _capacity(worker: WorkerState, step: StepRun, needs: Resources) -> int:
-    slots = slots_in(worker.entry.capacity, needs)
+def capacity_of(step: StepRun, spot: Spot) -> int:
+    """Return how many tasks of a step fit on a worker that is empty."""
+    has = spot.worker.entry.capacity
+    slots = _times(has.cores_milli, has.memory_mb, has.accelerators, needed(step.spec))
     return min(slots, step.spec.per_worker) if step.spec.per_worker else slots
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -10,15 +10,27 @@
 keep a gang of large ones waiting for ever.
 
 Advice. A start on a queue with a policy needs a ticket that the advice service
-gives out slowly. The first call names all workers; when the tickets have expired, the
+gives out slowly. The first call names many workers; when the tickets have expired, the
 room for a step is reserved while new ones are fetched for just the chosen workers.
+
+Backlog. A step that found no room is tried again only on workers whose room has
+grown since, so that a pass over hundreds of waiting steps stays short.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from .board import Board
 from .decisions import DecisionLog
-from .placing import Placement, gang_workers, needed, place_gang, place_tasks
+from .placing import (
+    Floor,
+    Placement,
+    Spot,
+    capacity_of,
+    gang_workers,
+    needed,
+    place_gang,
+    place_tasks,
+)
 from .runs import AskAdvice, StepRun, WorkerState
 
 # A ticket must still be valid when the worker receives the start.
@@ -43,12 +55,19 @@
     def __init__(self, board: Board, log: DecisionLog):
         self._board = board
         self._log = log
+        self._floor = Floor((), {}, 0.0)
+        self._marks: dict[str, tuple] = {}
+        # Workers held by gangs, by step; kept from pass to pass.
+        self._holds: dict[str, list[Spot]] = {}
         self._held: dict[str, StepRun] = {}
+        self._released: set[str] = set()
         self._strays: set[str] = set()
 
     def run(self, now: float) -> int:
         """Start what can start; return the number of starts ordered."""
         board = self._board
+        floor = self._floor = Floor(board.workers.values(), self._marks, now)
+        floor.grown |= self._take_released()
         self._held = {}
         self._strays = board.stray_tasks()
         started = 0
@@ -57,6 +76,7 @@
             if step.retry_at > now or (step.job.inherited and board.unsettled):
                 continue
             started += self._plan(step, now)
+        self._marks = floor.marks()
         return started
 
     def rank(self, step: StepRun, now: float) -> tuple:
@@ -67,79 +87,124 @@
         return (late, job.queue.priority, job.objective_at, step.id)
 
     def _plan(self, step: StepRun, now: float) -> int:
-        workers = list(self._board.eligible(step))
-        if step.job.queue.advice is not None:
-            return self._plan_advised(step, workers, now)
-        placements = self._place(step, self._open_to(step, workers), now)
-        if not placements:
-            self._hold(step, workers)
-        return self._start(step, placements, now)
-
-    def _plan_advised(
-        self, step: StepRun, workers: Sequence[WorkerState], now: float
-    ) -> int:
-        if step.asking:
+        if step.job.queue.advice is not None and not self._may_use_advice(step, now):
             return 0
-        unknown = [w for w in workers if w.entry.worker_id not in step.asked_workers]
-        if step.good is None or (unknown and not step.good):
-            self._ask(step, unknown or workers, now)
-            return 0
-        good = [w for w in workers if w.entry.worker_id in step.good]
-        placements = self._place(step, self._open_to(step, good), now)
+        spots = self._candidates(step)
+        placements = self._place(step, spots) if spots else []
+        step.blocked = len(placements) < len(step.pending) and not self._strays
         if not placements:
-            self._hold(step, good)
-            self._refresh(step, good, now)
+            self._hold(step, now)
             return 0
-        if self._tickets_hold(step, placements, now):
+        if step.job.queue.advice is None or self._tickets_hold(step, placements, now):
             return self._start(step, placements, now)
-        step.reserved = [(w, needed(step.spec)) for _, w in placements]
-        for worker, amount in step.reserved:
-            worker.used = worker.used + amount
-        self._ask(step, list({id(w): w for _, w in placements}.values()), now)
+        self._reserve(step, placements, now)
         return 0
 
-    def _open_to(
-        self, step: StepRun, workers: Sequence[WorkerState]
-    ) -> list[WorkerState]:
+    # Room
+
+    def _candidates(self, step: StepRun) -> list[Spot]:
+        """Return the workers that may have room for a step now."""
+        grown = self._floor.grown
+        if not step.blocked:
+            return self._open_to(step, self._floor.eligible(step))
+        if step.good is not None and grown.isdisjoint(step.good):
+            return []
+        spots = self._open_to(step, self._floor.eligible(step))
+        if step.spec.gang:
+            return spots if any(s.worker_id in grown for s in spots) else []
+        return [spot for spot in spots if spot.worker_id in grown]
+
+    def _open_to(self, step: StepRun, spots: Iterable[Spot]) -> list[Spot]:
         """Return the workers that no earlier gang holds."""
-        return [
-            worker
-            for worker in workers
-            if self._held.get(worker.entry.worker_id, step) is step
-        ]
-
-    def _place(
-        self, step: StepRun, workers: Sequence[WorkerState], now: float
-    ) -> list[Placement]:
+        if not self._held:
+            return list(spots)
+        held = self._held
+        return [spot for spot in spots if held.get(spot.worker_id, step) is step]
+
+    def _place(self, step: StepRun, spots: Sequence[Spot]) -> list[Placement]:
         indexes = step.pending
         if self._strays:
             # The former run of a task must be gone before the next one.
             indexes = [i for i in indexes if step.task_id(i) not in self._strays]
         if step.spec.gang:
             whole = len(indexes) == step.spec.count
-            return place_gang(step, workers, now) if whole else []
-        sound = [w for w in workers if w.entry.worker_id not in step.avoid]
-        return place_tasks(step, indexes, sound or workers, now)
+            return place_gang(step, spots) if whole else []
+        if step.avoid:
+            spots = [s for s in spots if s.worker_id not in step.avoid] or spots
+        return place_tasks(step, indexes, spots)
 
-    def _hold(self, step: StepRun, workers: Sequence[WorkerState]) -> None:
+    # Holds
+
+    def _hold(self, step: StepRun, now: float) -> None:
         """Keep workers free for a gang that does not fit yet."""
         if not step.spec.gang:
             return
-        chosen = gang_workers(step, self._open_to(step, workers))
         limit = MAX_HELD_SHARE * len(self._board.workers)
-        if chosen and len(self._held) + len(chosen) <= limit:
-            for worker in chosen:
-                self._held[worker.entry.worker_id] = step
+        former = self._holds.pop(step.id, ())
+        chosen = self._still_open(former)
+        if not chosen and len(self._held) < limit:
+            chosen = gang_workers(
+                step, self._open_to(step, self._floor.eligible(step))
+            )
+        if not chosen or len(self._held) + len(chosen) > limit:
+            chosen = []
+        kept = {spot.worker_id for spot in chosen}
+        self._released.update(s.worker_id for s in former if s.worker_id not in kept)
+        if not chosen:
+            return
+        self._holds[step.id] = chosen
+        for worker_id in kept:
+            self._held[worker_id] = step
+        if step.job.queue.advice is not None and not step.asking:
+            self._refresh(step, chosen, now)
 
-    def _refresh(
-        self, step: StepRun, workers: Sequence[WorkerState], now: float
-    ) -> None:
+    def _still_open(self, spots: Sequence[Spot]) -> list[Spot]:
+        """Return this pass's spots of workers that a gang held, or none."""
+        found = []
+        for spot in spots:
+            current = self._floor.spots.get(spot.worker_id)
+            if current is None or spot.worker_id in self._held:
+                return []
+            found.append(current)
+        return found
+
+    def _take_released(self) -> set[str]:
+        """Return workers that are not held any more since the pass before."""
+        released, self._released = self._released, set()
+        for step_id in list(self._holds):
+            if step_id not in self._board.waiting:
+                released.update(s.worker_id for s in self._holds.pop(step_id))
+        return released
+
+    # Advice
+
+    def _may_use_advice(self, step: StepRun, now: float) -> bool:
+        """Return whether a step's allowed workers are known; ask if they are not."""
+        if step.asking:
+            if step.id in self._holds:
+                self._hold(step, now)
+            return False
+        if step.good is not None and (step.enough or self._is_enough(step)):
+            return True
+        workers = self._board.eligible(step)
+        unknown = [w for w in workers if w.entry.worker_id not in step.asked_workers]
+        if not unknown and step.good:
+            step.enough = True
+            return True
+        self._ask(step, unknown or list(self._board.eligible(step)), now)
+        return False
+
+    def _is_enough(self, step: StepRun) -> bool:
+        """Return whether the allowed workers could hold a step if they were empty."""
+        room = sum(capacity_of(step, spot) for spot in self._floor.eligible(step))
+        step.enough = room >= step.spec.count
+        return step.enough
+
+    def _refresh(self, step: StepRun, spots: Sequence[Spot], now: float) -> None:
         """Renew the tickets of a gang that holds workers, before it fits."""
-        if step not in self._held.values():
-            return
-        duration = step.job.queue.advice.duration(len(workers))
+        duration = step.job.queue.advice.duration(len(spots))
         if now + duration + TICKET_MARGIN_S >= step.tickets_until:
-            self._ask(step, workers, now)
+            self._ask(step, [spot.worker for spot in spots], now)
 
     def _tickets_hold(
         self, step: StepRun, placements: list[Placement], now: float
@@ -148,17 +213,28 @@
             return False
         return all(w.entry.worker_id in step.tickets for _, w in placements)
 
+    def _reserve(
+        self, step: StepRun, placements: list[Placement], now: float
+    ) -> None:
+        """Keep the room for a step while its tickets are renewed."""
+        step.reserved = [(w, needed(step.spec)) for _, w in placements]
+        for worker, amount in step.reserved:
+            worker.used = worker.used + amount
+        self._ask(step, list({id(w): w for _, w in placements}.values()), now)
+
     def _ask(self, step: StepRun, workers: Sequence[WorkerState], now: float) -> None:
         if not workers:
             return
+        if len(workers) > MAX_ADVISED_WORKERS:
+            workers = sorted(workers, key=lambda w: -w.free.cores_milli)
         ids = tuple(w.entry.worker_id for w in workers[:MAX_ADVISED_WORKERS])
         step.asking = True
         duration = step.job.queue.advice.duration(len(ids))
         self._board.orders.append(AskAdvice(step, ids, self.rank(step, now), duration))
 
+    # Starts
+
     def _start(self, step: StepRun, placements: list[Placement], now: float) -> int:
-        if not placements:
-            return 0
         board = self._board
         gang_number = 0
         if step.spec.gang:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -88,6 +88,8 @@
         retry_at: No start before this time.
         reserved: Resources kept on workers while tickets are being renewed.
         avoid: Workers on which tasks of this step failed.
+        enough: Whether the allowed workers could hold the step if they were empty.
+        blocked: Whether there was no room in the last pass of the planner.
     """
 
     job: "OpenJob"
@@ -110,11 +112,12 @@
     retry_at: float = float("-inf")
     reserved: list[tuple["WorkerState", Resources]] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
+    enough: bool = False
+    blocked: bool = False
+    id: str = field(init=False)
 
-    @property
-    def id(self) -> str:
-        """Id of the step."""
-        return f"{self.job.spec.job_id}.{self.occurrence}.{self.number}"
+    def __post_init__(self):
+        self.id = f"{self.job.spec.job_id}.{self.occurrence}.{self.number}"
 
     @property
     def complete(self) -> bool:
