Let processes with more processor time lead

Change: a process waits 0.4 s for one with more than 1.5 times its own, and a leader hands over to such a process. The planner rests for twice the time of a pass. Gangs that cannot hold enough workers are skipped early.

--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -61,7 +61,7 @@
 
     def draw(self, rng: random.Random) -> float:
         """Return one amount."""
-        mu = -self.spread**2 / 2
+        mu = -(self.spread**2) / 2
         return min(self.maximum, self.mean * rng.lognormvariate(mu, self.spread))
 
 
@@ -361,9 +361,7 @@
 
     def _schedule_arrivals(self, kind: Kind) -> None:
         at = 0.0
-        peak = kind.rate * max(
-            (b.factor for b in self._bursts(kind)), default=1.0
-        )
+        peak = kind.rate * max((b.factor for b in self._bursts(kind)), default=1.0)
         while True:
             at += self.rng.expovariate(peak)
             if at >= self.scenario.seconds:
@@ -390,9 +388,7 @@
         for number in range(max(1, round(kind.steps.draw(rng)))):
             count = max(1, round(kind.width.draw(rng)))
             base = kind.duration.draw(rng)
-            lengths = [
-                base * rng.lognormvariate(0, kind.uneven) for _ in range(count)
-            ]
+            lengths = [base * rng.lognormvariate(0, kind.uneven) for _ in range(count)]
             if gang:
                 lengths = [max(lengths)] * count
             steps.append(
@@ -565,8 +561,9 @@
             return None
         if ask.duration_s <= LONG_CALL_S:
             return idle[0]
-        busy = sum(a is not None and a.duration_s > LONG_CALL_S
-                   for a in self._lanes.values())
+        busy = sum(
+            a is not None and a.duration_s > LONG_CALL_S for a in self._lanes.values()
+        )
         count = len(self._lanes)
         lanes = max(1, count - max(1, count // PROCESSES_PER_SHORT_LANE))
         return idle[-1] if busy < lanes else None
--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -67,7 +67,9 @@
         self._client = HttpClient(boot_time)
         self._store = PlatformStore(settings.platform.address, self._client)
         self._advice = PlatformAdvice(settings.advice or "", self._client)
-        member = MemberRecord(settings.node_name, settings.peer_address, settings.zone)
+        member = MemberRecord(
+            settings.node_name, settings.peer_address, settings.zone, settings.power
+        )
         platform = Platform(
             store=self._store,
             workers=PlatformWorkers(self._client),
--- a/flamingoway/platform/settings.py
+++ b/flamingoway/platform/settings.py
@@ -30,6 +30,18 @@
     grace_s: float = 6.0
 
 
+class Limits(Field):
+    """What the process may use of its VM.
+
+    Attributes:
+        cpu_share: Part of a core's time that the process gets.
+        cores: Speed of that core, as a multiple of a usual one.
+    """
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class StoreFields(Field):
     """The metadata store."""
 
@@ -46,6 +58,7 @@
     port_range: list[int]
     platform: StoreFields
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     advice: str | None = None
 
     @property
@@ -53,6 +66,11 @@
         """``IP:port`` for calls of other entry processes."""
         return f"{self.ip}:{self.port_range[0]}"
 
+    @property
+    def power(self) -> float:
+        """Processor time that the process gets, in usual cores."""
+        return self.limits.cpu_share * self.limits.cores
+
     @property
     def metrics_port(self) -> int:
         """Port of the metrics."""
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -116,7 +116,7 @@
         self._server = server
         self._peers = peers
         self._election = Election(
-            platform.store, self._table, self._session, member.name, log, rng
+            platform.store, self._table, self._session, member, log, rng
         )
         self._term: Term | None = None
         self._leading: asyncio.Task | None = None
@@ -212,7 +212,7 @@
                     registry_mirror=mirror,
                     dispatcher=self._dispatcher,
                     relay=self._relay,
-                    name=self._member.name,
+                    member=self._member,
                     lease_s=self._platform.lease_s,
                     retention_s=self._platform.retention_s,
                     clock=self._clock,
--- a/flamingoway/queues/placing.py
+++ b/flamingoway/queues/placing.py
@@ -213,29 +213,43 @@
     return fitting[0]
 
 
-def gang_workers(step: StepRun, spots: Iterable[Spot]) -> list[Spot]:
+def gang_workers(step: StepRun, spots: Sequence[Spot], most: int) -> list[Spot]:
     """Return the fewest workers that could hold a gang once they are empty.
 
     Workers with the most room now come first, so that the gang can start soon.
+
+    Args:
+        step: A step whose tasks work only together.
+        spots: Workers to choose from.
+        most: Largest number of workers; nothing is returned if more are needed.
     """
+    capacities = [capacity_of(step, spot) for spot in spots]
+    largest = max(capacities, default=0)
+    if largest * most < step.spec.count:
+        return []
     needs = needed(step.spec)
     ranked = sorted(
-        ((spot.slots(needs) * 2 + capacity_of(step, spot), spot.worker_id, spot))
-        for spot in spots
+        (spot.slots(needs) * 2 + capacity, spot.worker_id, capacity, spot)
+        for capacity, spot in zip(capacities, spots, strict=True)
+        if capacity
     )
     chosen: list[Spot] = []
     slots = 0
     while ranked and slots < step.spec.count:
-        spot = ranked.pop()[2]
-        capacity = capacity_of(step, spot)
-        if capacity:
-            chosen.append(spot)
-            slots += capacity
+        _, _, capacity, spot = ranked.pop()
+        chosen.append(spot)
+        slots += capacity
     return chosen if slots >= step.spec.count else []
 
 
 def capacity_of(step: StepRun, spot: Spot) -> int:
     """Return how many tasks of a step fit on a worker that is empty."""
     has = spot.worker.entry.capacity
-    slots = _times(has.cores_milli, has.memory_mb, has.accelerators, needed(step.spec))
-    return min(slots, step.spec.per_worker) if step.spec.per_worker else slots
+    slots = step.slots_when_empty.get(has)
+    if slots is None:
+        needs = needed(step.spec)
+        slots = _times(has.cores_milli, has.memory_mb, has.accelerators, needs)
+        if step.spec.per_worker:
+            slots = min(slots, step.spec.per_worker)
+        step.slots_when_empty[has] = slots
+    return slots
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -139,14 +139,13 @@
         """Keep workers free for a gang that does not fit yet."""
         if not step.spec.gang:
             return
-        limit = MAX_HELD_SHARE * len(self._board.workers)
+        left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
         former = self._holds.pop(step.id, ())
         chosen = self._still_open(former)
-        if not chosen and len(self._held) < limit:
-            chosen = gang_workers(
-                step, self._open_to(step, self._floor.eligible(step))
-            )
-        if not chosen or len(self._held) + len(chosen) > limit:
+        if not chosen and left > 0:
+            spots = self._open_to(step, self._floor.eligible(step))
+            chosen = gang_workers(step, spots, left)
+        if len(chosen) > left:
             chosen = []
         kept = {spot.worker_id for spot in chosen}
         self._released.update(s.worker_id for s in former if s.worker_id not in kept)
@@ -213,9 +212,7 @@
             return False
         return all(w.entry.worker_id in step.tickets for _, w in placements)
 
-    def _reserve(
-        self, step: StepRun, placements: list[Placement], now: float
-    ) -> None:
+    def _reserve(self, step: StepRun, placements: list[Placement], now: float) -> None:
         """Keep the room for a step while its tickets are renewed."""
         step.reserved = [(w, needed(step.spec)) for _, w in placements]
         for worker, amount in step.reserved:
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -13,6 +13,9 @@
 WORKER_PREFIX = "fw/worker/"
 LEADER_KEY = "fw/leader"
 EPOCH_KEY = "fw/epoch"
+# A leadership moves for a process with this many times the processor time; less is
+# not worth the pause.
+STRONGER_FACTOR = 1.5
 
 
 class JobRecord(msgspec.Struct, frozen=True):
@@ -58,11 +61,17 @@
 
     Attributes:
         peer_address: ``IP:port`` for calls of other entry processes.
+        power: Processor time that the process gets, in cores.
     """
 
     name: str
     peer_address: str
     zone: str
+    power: float = 1.0
+
+    def is_stronger(self, other: "MemberRecord") -> bool:
+        """Return whether this process should lead rather than another one."""
+        return self.power > other.power * STRONGER_FACTOR
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
--- a/flamingoway/queues/relay.py
+++ b/flamingoway/queues/relay.py
@@ -60,9 +60,13 @@
             member.peer_address, request, RELAY_TIMEOUT_S, type(request).reply
         )
 
-    async def call(self, request: Request) -> Any:
+    async def call(self, request: Request, strongest: bool = False) -> Any:
         """Return the reply of the first process that carries the request out.
 
+        Args:
+            request: What is asked.
+            strongest: Whether processes with more processor time are asked first.
+
         Raises:
             Refused: No process carried it out.
             OutcomeUnknown: A process may have carried it out.
@@ -71,6 +75,8 @@
         members = sorted(self._members().items())
         others = [member for name, member in members if name != self._name]
         self._rng.shuffle(others)
+        if strongest:
+            others.sort(key=lambda member: -member.power)
         lost = False
         for member in others[:RELAY_ATTEMPTS]:
             try:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -90,6 +90,7 @@
         avoid: Workers on which tasks of this step failed.
         enough: Whether the allowed workers could hold the step if they were empty.
         blocked: Whether there was no room in the last pass of the planner.
+        slots_when_empty: How many tasks fit on an empty worker of some capacity.
     """
 
     job: "OpenJob"
@@ -114,6 +115,7 @@
     avoid: set[str] = field(default_factory=set)
     enough: bool = False
     blocked: bool = False
+    slots_when_empty: dict[Resources, int] = field(default_factory=dict)
     id: str = field(init=False)
 
     def __post_init__(self):
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -22,6 +22,9 @@
 RETRY_S = 0.1
 # Spreads the attempts of several processes to become leader.
 ELECTION_JITTER_S = 0.05
+# A process waits this long for a stronger one to become leader first; an election
+# takes one answer of the store, a quarter of a second when it is slow.
+YIELD_S = 0.4
 # Mark of a leadership whose leader stopped acting before it gave up its key.
 RESIGNED = "resigned"
 
@@ -158,7 +161,7 @@
         store: The store.
         table: Mirror of the store.
         session: Session of this process.
-        name: Name of this process.
+        member: This process as others see it.
         log: Decision log.
         rng: Source of the jitter of attempts.
     """
@@ -168,14 +171,15 @@
         store: Store,
         table: JobTable,
         session: Session,
-        name: str,
+        member: MemberRecord,
         log: DecisionLog,
         rng: random.Random,
     ):
         self._store = store
         self._table = table
         self._session = session
-        self._name = name
+        self._member = member
+        self._name = member.name
         self._log = log
         self._changed = asyncio.Event()
         self._rng = rng
@@ -187,7 +191,7 @@
         """Wait until this process is the leader."""
         while True:
             if self._vacant and self._session.valid:
-                await asyncio.sleep(self._rng.uniform(0, ELECTION_JITTER_S))
+                await asyncio.sleep(self._delay_s())
                 won = await self._try()
                 if won is not None:
                     self._used_epochs.add(won.epoch)
@@ -212,6 +216,16 @@
         self._changed.set()
         return True
 
+    def _delay_s(self) -> float:
+        """Return the wait before an attempt; the strongest processes go first."""
+        leader = self._table.leader
+        jitter_s = self._rng.uniform(0, ELECTION_JITTER_S)
+        if leader is not None and leader.epoch == self._handed_over:
+            return 0.0
+        members = self._table.members.values()
+        yields = any(member.is_stronger(self._member) for member in members)
+        return jitter_s + YIELD_S * yields
+
     @property
     def _vacant(self) -> bool:
         """Whether no other process leads; a former life of this one does not."""
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -32,7 +32,7 @@
 from .model import Advice, StartReply, WorkerEntry
 from .planning import Planner
 from .ports import OrderRefused, Workers, WorkerSilent
-from .records import LeaderRecord, WorkerRecord
+from .records import LeaderRecord, MemberRecord, WorkerRecord
 from .registry import WorkerRegistry
 from .relay import Relay
 from .runs import (
@@ -61,6 +61,9 @@
 LOOK_RETRY_MAX_S = 0.5
 # Events within this time share one pass of the planner.
 PLAN_DELAY_S = 0.005
+# After a pass the planner rests for this many times its duration, so that a long
+# backlog leaves processor time for orders and reports.
+PLAN_REST_FACTOR = 2.0
 # Due occurrences, repeated stops and lost leaderships are noticed within this time.
 TICK_S = 0.1
 # Changes that no caller waits for are stored together after this time.
@@ -75,6 +78,9 @@
 # the store to lead; new jobs reach the leader through the store only.
 HANDOVER_S = 0.35
 HANDOVER_RETRY_S = 0.5
+# A leader looks this often for a process with far more processor time that could
+# lead; a leadership of that age has settled its workers.
+PROMOTION_INTERVAL_S = 3.0
 RESIGN_ATTEMPTS = 3
 # Ended jobs are looked for at this interval; a write deletes a few of them.
 EXPIRY_INTERVAL_S = 5.0
@@ -100,7 +106,7 @@
         registry_mirror: Mirror that feeds ``registry``.
         dispatcher: Makes the dispatcher for advice, given what to call when done.
         relay: Has requests carried out by other processes.
-        name: Name of this process.
+        member: This process as others see it.
         lease_s: Length of the leases given to workers.
         retention_s: How long ended jobs are kept.
         clock: Monotonic clock that counts suspended time, in seconds.
@@ -121,7 +127,7 @@
         registry_mirror: Mirror,
         dispatcher: Callable[..., AdviceDispatcher],
         relay: Relay,
-        name: str,
+        member: MemberRecord,
         lease_s: float,
         retention_s: float,
         clock: Callable[[], float],
@@ -139,7 +145,8 @@
         self._registry_mirror = registry_mirror
         self._dispatcher = dispatcher(self._on_advice)
         self._relay = relay
-        self._name = name
+        self._member = member
+        self._name = member.name
         self._lease_s = lease_s
         self._retention_s = retention_s
         self._clock = clock
@@ -178,6 +185,7 @@
             self._spawn(self._flush_loop())
             self._spawn(self._tick_loop())
             self._spawn(self._handover_loop())
+            self._spawn(self._promotion_loop())
             self._spawn(self._expiry_loop())
             await self._failed
 
@@ -476,9 +484,11 @@
             self._plan_needed.clear()
             if not self.may_act:
                 continue
+            began = self._clock()
             with self._metrics.plan_seconds.time():
-                self._planner.run(self._clock())
+                self._planner.run(began)
             self._carry_out()
+            await asyncio.sleep(PLAN_REST_FACTOR * (self._clock() - began))
 
     async def _tick_loop(self) -> None:
         acting = True
@@ -506,18 +516,43 @@
             lost_s = self._mirror.lost_s
             if lost_s < HANDOVER_S:
                 continue
-            # The successor relies on it that no order is sent after it has agreed.
-            self._handing_over = True
-            try:
-                await self._relay.call(TakeOverRequest(self._leadership.epoch))
-            except Refused:
-                # The store is away for all; this process goes on.
-                self._handing_over = False
-                await asyncio.sleep(HANDOVER_RETRY_S)
-                continue
-            except OutcomeUnknown as exc:
-                self._fail(f"handed over without an answer: {exc.message}")
-            self._fail(f"handed over, the store is away for {lost_s:.2f} s")
+            # A refusal means that the store is away for all; this process goes on.
+            await self._hand_over(f"the store is away for {lost_s:.2f} s")
+            await asyncio.sleep(HANDOVER_RETRY_S)
+
+    async def _promotion_loop(self) -> None:
+        """Hand over to a process with far more processor time."""
+        while True:
+            await asyncio.sleep(PROMOTION_INTERVAL_S)
+            members = self._table.members.values()
+            stronger = [m for m in members if m.is_stronger(self._member)]
+            if stronger and not self._board.unsettled:
+                best = max(stronger, key=lambda member: member.power)
+                await self._hand_over("a stronger process can lead", best.name)
+
+    async def _hand_over(self, why: str, name: str = "") -> None:
+        """Ask another process to lead; returns if none can.
+
+        Args:
+            why: Reason for the log.
+            name: The process; any that reaches the store by default.
+        """
+        if self._handing_over:
+            return
+        # The successor relies on it that no order is sent after it has agreed.
+        self._handing_over = True
+        request = TakeOverRequest(self._leadership.epoch)
+        try:
+            if name:
+                await self._relay.ask(name, request)
+            else:
+                await self._relay.call(request, strongest=True)
+        except Refused:
+            self._handing_over = False
+            return
+        except OutcomeUnknown as exc:
+            why = f"{why}; {exc.message}"
+        self._fail(f"handed over: {why}")
 
     # Progress
 
