Start the smallest work first among jobs in time

Cause: in a flood, earliest objective first starts jobs that will just miss, and a grace of 30% lets late ones pass for punctual. A job's lateness counts the chain of steps that is left; useless jobs come last. A late gang's held room counts as new for work in time.

--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -7,7 +7,7 @@
 orders of lower tokens that arrive later.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
 from .decisions import DecisionLog
@@ -20,6 +20,7 @@
     RunningTask,
     RunOrder,
     StartReply,
+    Step,
     StepJobState,
     WorkerEntry,
     WorkerReport,
@@ -149,7 +150,7 @@
         )
         job.objective_at = (
             job.accepted_at
-            + queue.stretch * _longest_chain(record.spec.steps)
+            + queue.stretch * max(_chains_from(record.spec.steps), default=0.0)
             + queue.objective_s
         )
         progress = entry.decode_progress()
@@ -185,8 +186,11 @@
                 self._scheduled.pop(job.spec.job_id, None)
 
     def _open_occurrence(self, job: OpenJob, occurrence: int, now: float) -> None:
+        chains = _chains_from(job.spec.steps)
         for number, spec in enumerate(job.spec.steps):
-            step = StepRun(job, occurrence, number, spec, due_at=now)
+            step = StepRun(
+                job, occurrence, number, spec, due_at=now, chain_s=chains[number]
+            )
             old = job.old_progress.pop(f"{occurrence}.{number}", None)
             if old is not None:
                 _restore(step, old)
@@ -765,13 +769,18 @@
     step.checkpoints = dict(progress.checkpoints)
 
 
-def _longest_chain(steps) -> float:
-    """Return the declared duration of the longest chain of steps, in seconds."""
-    ends: list[float] = []
-    for step in steps:
-        begin = max((ends[n] for n in step.after if n < len(ends)), default=0.0)
-        ends.append(begin + step.estimate_s)
-    return max(ends, default=0.0)
+def _chains_from(steps: Sequence[Step]) -> list[float]:
+    """Return the longest declared duration of a chain from each step on, in seconds.
+
+    A step names only earlier ones as its predecessors.
+    """
+    chains = [step.estimate_s for step in steps]
+    for number in reversed(range(len(steps))):
+        for before in steps[number].after:
+            if before < number:
+                chain_s = steps[before].estimate_s + chains[number]
+                chains[before] = max(chains[before], chain_s)
+    return chains
 
 
 def _orphan(name: str) -> Queue:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -1,9 +1,10 @@
 """Which waiting step starts next, and where.
 
 Order. Steps whose job can still meet its latency objective come first, by the
-queue's priority and then by the objective's time; jobs that are late already follow
-and take what is left. This answers a flood: each core-second goes to work that is
-still of full use, and nobody waits behind work that is late anyhow.
+queue's priority and then the smallest work; jobs that are late already follow by the
+objective's time, and those that are too late to be of use come last. This answers a
+flood: each core-second goes to work that is still of full use, nobody waits behind work
+that is late anyhow, and as many jobs as possible are in time.
 
 Gangs. A gang that does not fit holds the fewest workers that could take it, and
 later steps leave their room alone. This answers a stream of small tasks that would
@@ -39,9 +40,9 @@
 MAX_ADVISED_WORKERS = 100
 # Gangs that hold workers may hold this part of them together.
 MAX_HELD_SHARE = 0.5
-# A late job counts as able to meet its objective again if it misses by less, since
-# declared durations are off.
-LATE_GRACE = 0.3
+# A job that ends later than this many times its objective is of no use to its caller
+# any more, as the users' rules state.
+USELESS_FACTOR = 3.0
 
 
 class Planner:
@@ -59,16 +60,16 @@
         self._marks: dict[str, tuple] = {}
         # Workers held by gangs, by step; kept from pass to pass.
         self._holds: dict[str, list[Spot]] = {}
-        self._held: dict[str, StepRun] = {}
-        self._released: set[str] = set()
+        # Gangs by the worker that they hold, with the first part of their rank.
+        self._held: dict[str, tuple[StepRun, int]] = {}
         self._strays: set[str] = set()
 
     def run(self, now: float) -> int:
         """Start what can start; return the number of starts ordered."""
         board = self._board
+        self._forget_holds()
         floor = self._floor = Floor(board.workers.values(), self._marks, now)
-        floor.grown |= self._take_released()
-        self._held = {}
+        held_before, self._held = self._held, {}
         self._strays = board.stray_tasks()
         started = 0
         steps = sorted(board.waiting.values(), key=lambda s: self.rank(s, now))
@@ -79,14 +80,22 @@
                 continue
             started += self._plan(step, now)
         self._marks = floor.marks()
+        # Room that a gang gave up, or that now comes before it, counts as new.
+        for worker_id in held_before.keys() | self._held.keys():
+            if held_before.get(worker_id) != self._held.get(worker_id):
+                self._marks.pop(worker_id, None)
         return started
 
     def rank(self, step: StepRun, now: float) -> tuple:
         """Return the sorting key of a waiting step."""
-        job = step.job
-        allowance = LATE_GRACE * (job.objective_at - job.accepted_at)
-        late = now + step.spec.estimate_s > job.objective_at + allowance
-        return (late, job.queue.priority, job.objective_at, step.id)
+        job, spec = step.job, step.spec
+        end = now + step.chain_s
+        if end <= job.objective_at:
+            work = spec.count * spec.resources.cores_milli * spec.estimate_s
+            return (0, job.queue.priority, work, step.id)
+        objective_s = job.objective_at - job.accepted_at
+        useless = end > job.accepted_at + USELESS_FACTOR * objective_s
+        return (1 + useless, job.queue.priority, job.objective_at, step.id)
 
     def _plan(self, step: StepRun, now: float) -> int:
         if step.job.queue.advice is not None and not self._may_use_advice(step, now):
@@ -122,7 +131,11 @@
         if not self._held:
             return list(spots)
         held = self._held
-        return [spot for spot in spots if held.get(spot.worker_id, step) is step]
+        return [
+            spot
+            for spot in spots
+            if spot.worker_id not in held or held[spot.worker_id][0] is step
+        ]
 
     def _place(self, step: StepRun, spots: Sequence[Spot]) -> list[Placement]:
         indexes = step.pending
@@ -143,23 +156,25 @@
         if not step.spec.gang:
             return
         left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
-        former = self._holds.pop(step.id, ())
-        chosen = self._still_open(former)
+        chosen = self._still_open(self._holds.pop(step.id, ()))
         if not chosen and left > 0:
             spots = self._open_to(step, self._floor.eligible(step))
             chosen = gang_workers(step, spots, left)
-        if len(chosen) > left:
-            chosen = []
-        kept = {spot.worker_id for spot in chosen}
-        self._released.update(s.worker_id for s in former if s.worker_id not in kept)
-        if not chosen:
+        if not chosen or len(chosen) > left:
             return
         self._holds[step.id] = chosen
-        for worker_id in kept:
-            self._held[worker_id] = step
+        holder = (step, self.rank(step, now)[0])
+        for spot in chosen:
+            self._held[spot.worker_id] = holder
         if step.job.queue.advice is not None and not step.asking:
             self._refresh(step, chosen, now)
 
+    def _forget_holds(self) -> None:
+        """Drop the holds of gangs that do not wait any more."""
+        for step_id in self._holds.keys() - self._board.waiting.keys():
+            for spot in self._holds.pop(step_id):
+                self._marks.pop(spot.worker_id, None)
+
     def _still_open(self, spots: Sequence[Spot]) -> list[Spot]:
         """Return this pass's spots of workers that a gang held, or none."""
         found = []
@@ -170,14 +185,6 @@
             found.append(current)
         return found
 
-    def _take_released(self) -> set[str]:
-        """Return workers that are not held any more since the pass before."""
-        released, self._released = self._released, set()
-        for step_id in list(self._holds):
-            if step_id not in self._board.waiting:
-                released.update(s.worker_id for s in self._holds.pop(step_id))
-        return released
-
     # Advice
 
     def _may_use_advice(self, step: StepRun, now: float) -> bool:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -90,6 +90,7 @@
         avoid: Workers on which tasks of this step failed.
         enough: Whether the allowed workers could hold the step if they were empty.
         blocked: Whether there was no room in the last pass of the planner.
+        chain_s: Declared duration of the longest chain of steps from this one on.
         slots_when_empty: How many tasks fit on an empty worker of some capacity.
     """
 
@@ -115,6 +116,7 @@
     avoid: set[str] = field(default_factory=set)
     enough: bool = False
     blocked: bool = False
+    chain_s: float = 0.0
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
     id: str = field(init=False)
 
