Add a soak of real processes behind faulty links

Cause: nothing played overlapping faults from outside against real processes. Workers of the stand-in keep leases, run numbers and a clock of their own rate; a proxy delays, resets, silences and refuses.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import time
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
@@ -181,26 +182,52 @@
     Args:
         worker_id: Id in the registry.
         task_s: Duration of a task.
+        lease_max_s: Longest lease that it grants.
+        clock_rate: Speed of its clock, as a part of the true one.
+        observe: Called with ``start`` or how a run ended, the task and the worker.
     """
 
-    def __init__(self, worker_id: str, task_s: float = 0.05):
+    def __init__(
+        self,
+        worker_id: str,
+        task_s: float = 0.05,
+        lease_max_s: float = 6.0,
+        clock_rate: float = 1.0,
+        observe: Callable[[str, str, "WorkerStandin"], None] = lambda *event: None,
+    ):
         self.worker_id = worker_id
         self.faults = WorkerFaults()
         self.starts: list[dict] = []
-        self.born_ms = int(time.time() * 1000)
         self._task_s = task_s
+        self._lease_max_s = lease_max_s
+        self._clock_rate = clock_rate
+        self._observe = observe
+        self._clock_zero = 0.0
+        self._begin_life()
+        self._server = HttpServer(self._handle, _refuse, MAX_BODY_BYTES)
+
+    def _begin_life(self) -> None:
+        self.born_ms = int(time.time() * 1000)
         self._token = 0
+        self._lease_ms = 0
         self._tasks: dict[str, _Task] = {}
+        self._highest: dict[str, int] = {}
         self._ended: list[list] = []
         self._sequence = 0
         self._changed = asyncio.Event()
-        self._server = HttpServer(self._handle, _refuse, MAX_BODY_BYTES)
 
     @property
     def running(self) -> list[str]:
         """Ids of the running tasks."""
         return list(self._tasks)
 
+    def crash(self) -> None:
+        """Lose all runs and begin another life."""
+        for task in list(self._tasks):
+            self._end(task, "lost")
+        self._clock_zero = time.monotonic()
+        self._begin_life()
+
     @asynccontextmanager
     async def listen(self):
         """Serve until the block ends; yields ``IP:port``."""
@@ -239,8 +266,10 @@
         if request.path == "/run-start":
             return self._start(body)
         if request.path == "/run-stop":
-            if body["task"] in self._tasks:
-                self._end(body["task"], "stopped")
+            task, number = body["task"], body["run"]
+            self._highest[task] = max(number, self._highest.get(task, 0))
+            if task in self._tasks and self._tasks[task].number <= number:
+                self._end(task, "stopped")
             return self._answer(200)
         return await self._hold(body)
 
@@ -249,15 +278,36 @@
             return _json(self.faults.status, {})
         if body["untilMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
-        task = body["task"]
-        if task not in self._tasks:
-            self.starts.append(body)
-            loop = asyncio.get_running_loop()
-            ends = loop.call_later(self._task_s, self._end, task, "done")
-            self._tasks[task] = _Task(body["run"], ends)
+        self._extend(body["untilMs"])
+        task, number = body["task"], body["run"]
+        known = self._tasks.get(task)
+        if known is not None and known.number == number:
+            return self._answer(200)
+        if known is not None or number <= self._highest.get(task, 0):
+            return self._answer(409, reason="old")
+        self.starts.append(body)
+        self._highest[task] = number
+        loop = asyncio.get_running_loop()
+        ends = loop.call_later(self._task_s, self._end, task, "done")
+        self._tasks[task] = _Task(number, ends)
+        self._observe("start", task, self)
         return self._answer(200)
 
+    def _extend(self, until_ms: int) -> None:
+        """Prolong the lease of everything that runs here."""
+        most = self._clock_ms() + int(self._lease_max_s * 1000)
+        self._lease_ms = max(self._lease_ms, min(until_ms, most))
+        left_s = (self._lease_ms - self._clock_ms()) / 1000 / self._clock_rate
+        asyncio.get_running_loop().call_later(left_s, self._lapse, self.born_ms)
+
+    def _lapse(self, born_ms: int) -> None:
+        if born_ms == self.born_ms and self._clock_ms() >= self._lease_ms:
+            for task in list(self._tasks):
+                self._end(task, "lapsed")
+
     async def _hold(self, body: dict) -> HttpAnswer:
+        if body.get("untilMs"):
+            self._extend(body["untilMs"])
         self._ended = [row for row in self._ended if row[0] > body["lastSeen"]]
         if not self._ended and body.get("waitMs"):
             self._changed.clear()
@@ -275,13 +325,15 @@
         self._sequence += 1
         self._ended.append([self._sequence, task, ended.number, how, ""])
         self._changed.set()
+        self._observe(how, task, self)
 
     def _answer(self, status: int, **fields) -> HttpAnswer:
         clock = {"clockMs": self._clock_ms(), "born": self.born_ms}
         return _json(status, clock | fields)
 
     def _clock_ms(self) -> int:
-        return int(time.monotonic() * 1000)
+        elapsed_s = time.monotonic() - self._clock_zero
+        return int(elapsed_s * 1000 * self._clock_rate)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,366 @@
+"""Soak of real entry processes under faults that come from outside them.
+
+``python -m tests.soak FIRST COUNT`` plays seeds by hand. Faults overlap and come in
+series: links of a proxy, signals to processes, trouble of the store, workers that
+crash, and changed configurations. The promises are checked from what callers and
+workers see.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from flamingoway.store import Put
+from standins.platform import WorkerStandin, config
+from standins.proxy import Link, Proxy
+from tests.platform_cell import SERVICE, Cell, Unreachable, call
+
+ENTRIES = 4
+WORKERS = 5
+FAULT_S = 12.0
+# Longer than the horizon of a leader, a lease and a takeover together.
+RECOVERY_S = 30.0
+CORES = 16_000
+ATTEMPTS = 4
+QUEUES = {"plans": "/p/", "sorts": "/s/"}
+FAULTS = {}
+
+
+def fault(function):
+    """Register a fault; it lasts until its coroutine ends."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+@dataclass
+class Submitted:
+    """A job as its caller knows it.
+
+    Attributes:
+        accepted: Whether an attempt was answered with success.
+        refused: Whether every attempt was refused.
+        shown: States that were shown, in order.
+    """
+
+    path: str
+    body: dict
+    accepted: bool = False
+    refused: bool = False
+    shown: list = field(default_factory=list)
+
+
+class Ledger:
+    """What ran where, and the promises that were broken."""
+
+    def __init__(self):
+        self.broken = []
+        self.jobs = {}
+        self.running = {}
+        self.done = set()
+
+    def observe(self, kind, task, worker):
+        if kind != "start":
+            self.running.get(task, {}).pop(worker.worker_id, None)
+            if kind == "done":
+                self.done.update(self.stands_for(task))
+            return
+        job_id, _, number, _ = task.split(".")
+        job = self.jobs.get(job_id)
+        if job is None:
+            self.broken.append(f"UNASKED {task}")
+            return
+        places = self.running.setdefault(task, {})
+        step = job.body["steps"][int(number)]
+        if places:
+            self.broken.append(f"TWICE {task} on {worker.worker_id} and {places}")
+        places[worker.worker_id] = step["cpu"]
+        for before in step.get("after", ()):
+            wide = range(job.body["steps"][before]["count"])
+            if any(f"{job_id}.0.{before}.{i}" not in self.done for i in wide):
+                self.broken.append(f"ORDER {task}")
+        used = sum(p.get(worker.worker_id, 0) for p in self.running.values())
+        if used > CORES:
+            self.broken.append(f"LIMIT {worker.worker_id} has {used}")
+
+    def stands_for(self, task):
+        """Return the tasks that are done by one's end: a gang ends as a whole."""
+        job_id, _, number, _ = task.split(".")
+        step = self.jobs[job_id].body["steps"][int(number)]
+        members = range(step["count"]) if step.get("gang") else ()
+        return {task} | {f"{job_id}.0.{number}.{index}" for index in members}
+
+    def tasks_of(self, job_id):
+        steps = self.jobs[job_id].body["steps"]
+        return [
+            f"{job_id}.0.{number}.{index}"
+            for number, step in enumerate(steps)
+            for index in range(step["count"])
+        ]
+
+
+class Soak(Cell):
+    """A cell behind proxies, its callers and its faults."""
+
+    def __init__(self, folder, stack, seed):
+        super().__init__(folder, stack)
+        self.rng = random.Random(seed)
+        self.ledger = Ledger()
+        self.version = 1
+        self.store_links = []
+        self.worker_links = []
+        self.workers = [
+            WorkerStandin(
+                f"w{index}",
+                task_s=0.2 + 0.2 * index,
+                clock_rate=0.98 if index % 2 else 1.0,
+                observe=self.ledger.observe,
+            )
+            for index in range(WORKERS)
+        ]
+
+    async def reach_store(self, address):
+        proxy = Proxy(address)
+        self.store_links.append(proxy)
+        return await self.stack.enter_async_context(proxy.listen())
+
+    async def reach_worker(self, address):
+        proxy = Proxy(address)
+        self.worker_links.append(proxy)
+        return await self.stack.enter_async_context(proxy.listen())
+
+    # Callers
+
+    def draw_job(self):
+        rng = self.rng
+        steps = [{"count": rng.randint(1, 4), "cpu": rng.choice([1000, 4000, 7000])}]
+        if rng.random() < 0.3:
+            steps.append({"count": rng.randint(1, 3), "cpu": 2000, "after": [0]})
+        if rng.random() < 0.2:
+            steps[0]["gang"] = True
+        return {"spec": "x", "steps": [{"estRuntimeMs": 500} | s for s in steps]}
+
+    async def submit(self, job_id):
+        prefix = self.rng.choice(list(QUEUES.values()))
+        job = Submitted(prefix + job_id, self.draw_job())
+        self.ledger.jobs[job_id] = job
+        answers = []
+        for _ in range(ATTEMPTS):
+            entry = self.rng.choice(self.entries)
+            answer = await call("POST", job.path, entry.front, job.body)
+            answers.append(answer.code)
+            if answer.code == 200:
+                job.accepted = True
+                return
+            await asyncio.sleep(0.3)
+        # A connection that was refused or broken may have carried the request.
+        job.refused = all(code in (429, 503) for code in answers)
+
+    async def poll(self, job):
+        """Ask for a job's state until it has ended."""
+        until = time.monotonic() + RECOVERY_S
+        while time.monotonic() < until:
+            entry = self.rng.choice(self.entries)
+            answer = await call("GET", job.path, entry.front)
+            if answer is not Unreachable and answer.code == 200:
+                job.shown.append(json.loads(answer.body)["state"])
+                if job.shown[-1] == "completed":
+                    return
+            await asyncio.sleep(0.4)
+
+    async def call_for(self, seconds):
+        calls = []
+        until = time.monotonic() + seconds
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            calls.append(asyncio.create_task(self.submit(f"{number:016x}")))
+            await asyncio.sleep(self.rng.expovariate(12.0))
+        await asyncio.gather(*calls)
+
+    # Faults
+
+    async def trouble(self, names):
+        until = time.monotonic() + FAULT_S
+        running = []
+        while time.monotonic() < until:
+            name = self.rng.choice(names)
+            running.append(asyncio.create_task(FAULTS[name](self)))
+            await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        await asyncio.gather(*running)
+
+    def heal(self):
+        for proxy in self.store_links + self.worker_links:
+            proxy.link, proxy.delay_s = Link.OPEN, 0.0
+        self.standin.faults.status = 0
+        self.standin.faults.silent = False
+        self.standin.faults.lost_answers = 0
+
+    def check(self):
+        ledger = self.ledger
+        for job_id, job in ledger.jobs.items():
+            tasks = ledger.tasks_of(job_id)
+            done = [task in ledger.done for task in tasks]
+            if job.accepted and (not all(done) or job.shown[-1:] != ["completed"]):
+                ledger.broken.append(f"LOST {job_id}: {sum(done)} of {len(done)} done")
+            if job.refused and any(task in ledger.running for task in tasks):
+                ledger.broken.append(f"REFUSED {job_id} ran")
+            if "completed" in job.shown and not all(done):
+                ledger.broken.append(f"MIXED {job_id} is shown as completed")
+        return ledger.broken
+
+
+@fault
+async def kill(soak):
+    entry = soak.rng.choice(soak.entries)
+    if entry.process.returncode is None:
+        await entry.stop(signal.SIGKILL)
+        await asyncio.sleep(soak.rng.uniform(0, 2))
+        await entry.start()
+
+
+@fault
+async def kill_leader(soak):
+    entry = soak.leader()
+    if entry is not None and entry.process.returncode is None:
+        await entry.stop(signal.SIGKILL)
+        await entry.start()
+
+
+@fault
+async def kill_all(soak):
+    entries = [e for e in soak.entries if e.process.returncode is None]
+    await asyncio.gather(*(e.stop(signal.SIGKILL) for e in entries))
+    await asyncio.gather(*(e.start() for e in entries))
+
+
+@fault
+async def terminate(soak):
+    entry = soak.rng.choice(soak.entries)
+    if entry.process.returncode is None:
+        await entry.stop(signal.SIGTERM)
+        await entry.start()
+
+
+@fault
+async def pause(soak):
+    entry = soak.leader() if soak.rng.random() < 0.5 else None
+    entry = entry or soak.rng.choice(soak.entries)
+    if entry.process.returncode is None:
+        entry.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(soak.rng.uniform(0.5, 4))
+        if entry.process.returncode is None:
+            entry.process.send_signal(signal.SIGCONT)
+
+
+@fault
+async def reload(soak):
+    entry = soak.rng.choice(soak.entries)
+    if entry.process.returncode is None:
+        entry.process.send_signal(signal.SIGHUP)
+
+
+@fault
+async def cut_store(soak):
+    proxies = soak.rng.sample(soak.store_links, soak.rng.randint(1, ENTRIES))
+    link = soak.rng.choice([Link.SILENT, Link.NO_ANSWERS, Link.REFUSE])
+    for proxy in proxies:
+        proxy.link = link
+        if link is Link.REFUSE:
+            proxy.reset()
+    await asyncio.sleep(soak.rng.uniform(0.5, 4))
+    for proxy in proxies:
+        proxy.link = Link.OPEN
+        # Bytes that were lost leave a connection that never answers again.
+        proxy.reset()
+
+
+@fault
+async def slow_store(soak):
+    for proxy in soak.store_links:
+        proxy.delay_s = 0.12
+    await asyncio.sleep(soak.rng.uniform(1, 4))
+    for proxy in soak.store_links:
+        proxy.delay_s = 0.0
+
+
+@fault
+async def refuse_in_store(soak):
+    soak.standin.faults.status = soak.rng.choice([429, 503])
+    await asyncio.sleep(soak.rng.uniform(0.5, 3))
+    soak.standin.faults.status = 0
+
+
+@fault
+async def lose_answers(soak):
+    soak.standin.faults.lost_answers = soak.rng.randint(1, 6)
+
+
+@fault
+async def cut_worker(soak):
+    proxy = soak.rng.choice(soak.worker_links)
+    proxy.link = soak.rng.choice([Link.SILENT, Link.NO_ANSWERS, Link.REFUSE])
+    await asyncio.sleep(soak.rng.uniform(0.5, 8))
+    proxy.link = Link.OPEN
+    proxy.reset()
+
+
+@fault
+async def reset_worker(soak):
+    soak.rng.choice(soak.worker_links).reset()
+
+
+@fault
+async def crash_worker(soak):
+    worker = soak.rng.choice(soak.workers)
+    worker.crash()
+    await soak.register(worker)
+
+
+@fault
+async def configure(soak):
+    for _ in range(soak.rng.randint(1, 4)):
+        soak.version += 1
+        value = config(soak.version, SERVICE, QUEUES)
+        await soak.operator.txn([], [Put("op/config", value)])
+        await asyncio.sleep(0.2)
+
+
+async def play(seed, names=None):
+    """Play one seed; return the broken promises and the log lines."""
+    names = names or sorted(FAULTS)
+    with tempfile.TemporaryDirectory() as folder:
+        async with AsyncExitStack() as stack:
+            soak = Soak(Path(folder), stack, seed)
+            await soak.begin(ENTRIES)
+            calls = asyncio.create_task(soak.call_for(FAULT_S + 2))
+            await soak.trouble(names)
+            soak.heal()
+            await calls
+            accepted = [job for job in soak.ledger.jobs.values() if job.accepted]
+            await asyncio.gather(*(soak.poll(job) for job in accepted))
+            broken = soak.check()
+            lines = [entry.log.read_bytes() for entry in soak.entries]
+            return broken, lines, len(accepted)
+
+
+def main(first, count):
+    failed = 0
+    for seed in range(first, first + count):
+        broken, lines, accepted = asyncio.run(play(seed))
+        print(seed, f"{accepted} jobs accepted", broken[:5] or "kept", flush=True)
+        if broken:
+            failed += 1
+            path = Path(tempfile.gettempdir()) / f"soak-{seed}.log"
+            path.write_bytes(b"".join(lines))
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
