Hold less for gangs while room stands empty

Change: below 60% in use only the first gang holds workers. Ruled out: no holds at all below 60%; small tasks then starve a large gang, as test_small_tasks_do_not_keep_a_gang_waiting shows.

--- a/flamingoway/queues/placing.py
+++ b/flamingoway/queues/placing.py
@@ -79,6 +79,7 @@
     Attributes:
         spots: Usable workers by id.
         grown: Ids of the workers with more room than at the end of the pass before.
+        used_share: Part of the processors that are in use or reserved.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
     ):
         self.spots: dict[str, Spot] = {}
         self.grown: set[str] = set()
+        cores = free = 0
         for worker in workers:
             if not worker.usable:
                 continue
@@ -99,11 +101,14 @@
                 capacity.accelerators - used.accelerators,
                 tasks,
             )
+            cores += capacity.cores_milli
+            free += spot.cores
             worker_id = worker.entry.worker_id
             self.spots[worker_id] = spot
             mark = before.get(worker_id)
             if mark is None or mark[4] is not worker.entry or _exceeds(spot, mark):
                 self.grown.add(worker_id)
+        self.used_share = 1.0 - free / cores if cores else 0.0
 
     def marks(self) -> dict[str, tuple]:
         """Return what is free at the end of the pass, by worker id."""
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -8,7 +8,9 @@
 
 Gangs. A gang that does not fit holds the fewest workers that could take it, and
 later steps leave their room alone. This answers a stream of small tasks that would
-keep a gang of large ones waiting for ever.
+keep a gang of large ones waiting for ever. While much of the room is free, only the
+first gang holds some: a backlog of gangs after a flood would otherwise keep each other
+waiting.
 
 Advice. A start on a queue with a policy needs a ticket that the advice service
 gives out slowly. The first call names many workers; when the tickets have expired, the
@@ -40,6 +42,9 @@
 MAX_ADVISED_WORKERS = 100
 # Gangs that hold workers may hold this part of them together.
 MAX_HELD_SHARE = 0.5
+# Only the first gang holds workers while less of the processors is in use: other work
+# should not wait for room that stands empty.
+MIN_USED_SHARE = 0.6
 # A job that ends later than this many times its objective is of no use to its caller
 # any more, as the users' rules state.
 USELESS_FACTOR = 3.0
@@ -156,6 +161,8 @@
         if not step.spec.gang:
             return
         left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
+        if self._held and self._floor.used_share < MIN_USED_SHARE:
+            return
         chosen = self._still_open(self._holds.pop(step.id, ()))
         if not chosen and left > 0:
             spots = self._open_to(step, self._floor.eligible(step))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -332,6 +332,12 @@
         await asyncio.sleep(0.2)
 
 
+def unexpected(logs):
+    """Return what processes wrote beside their decision log, such as tracebacks."""
+    lines = [line for log in logs for line in log.splitlines()]
+    return [f"OUTPUT {line[:200]!r}" for line in lines if not line.startswith(b"{")]
+
+
 async def play(seed, names=None):
     """Play one seed; return the broken promises and the log lines."""
     names = names or sorted(FAULTS)
@@ -347,6 +353,7 @@
             await asyncio.gather(*(soak.poll(job) for job in accepted))
             broken = soak.check()
             lines = [entry.log.read_bytes() for entry in soak.entries]
+            broken += unexpected(lines)
             return broken, lines, len(accepted)
 
 
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -263,3 +263,17 @@
     started = [run.task_id for _ in range(2) for run in bench.plan()]
     assert started == ["b2.0.0.0"]
     assert len(filling) == 3
+
+
+def test_gangs_do_not_keep_each_other_from_free_room():
+    """Plays the end of a flood: gangs that wait while half of the room is free."""
+    bench = Bench(8)
+    filling = fill(bench, 8)
+    for index in range(4):
+        bench.submit(f"a{index}", step(3, cpu=16_000, gang=True))
+    assert bench.plan() == []
+    started = set()
+    for run in filling[:6]:
+        bench.end(run)
+        started |= {run.task_id.partition(".")[0] for run in bench.plan()}
+    assert len(started) == 2
