--- a/tests/queue_board.py
+++ b/tests/queue_board.py
@@ -60,9 +60,9 @@
         for index in range(workers):
             self.add_worker(f"w{index}", capacity)
 
-    def add_worker(self, worker_id, capacity=LARGE, **fields):
+    def add_worker(self, worker_id, capacity=LARGE, labels=("r1",)):
         entry = WorkerEntry(
-            worker_id, "s", f"{worker_id}:1", "z", capacity, ("r1",), born_ms=1
+            worker_id, "s", f"{worker_id}:1", "z", capacity, labels, born_ms=1
         )
         worker = self.board.set_worker(entry, self.now)
         worker.recorded = True
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -266,14 +266,15 @@
 
 
 def test_gangs_do_not_keep_each_other_from_free_room():
-    """Plays the end of a flood: gangs that wait while half of the room is free."""
+    """Plays the end of a flood: a gang waits while half of the room stands empty."""
     bench = Bench(8)
-    filling = fill(bench, 8)
-    for index in range(4):
-        bench.submit(f"a{index}", step(3, cpu=16_000, gang=True))
-    assert bench.plan() == []
-    started = set()
-    for run in filling[:6]:
-        bench.end(run)
-        started |= {run.task_id.partition(".")[0] for run in bench.plan()}
-    assert len(started) == 2
+    for index in range(12):
+        bench.add_worker(f"x{index}", labels=("r2",) if index < 2 else ("r3",))
+    bench.submit("f1", step(3, cpu=16_000, label="r1", estimate_s=9.0))
+    bench.submit("f2", step(1, cpu=16_000, label="r2", estimate_s=9.0))
+    assert len(bench.plan()) == 4
+    big = {"cpu": 16_000, "gang": True, "estimate_s": 5.0}
+    bench.submit("a0", step(2, label="r2", **big), queue="checks")
+    bench.submit("a1", step(6, label="r1", **big))
+    bench.submit("a2", step(2, label="r1", **big), queue="sorts")
+    assert {run.step.job.spec.job_id for run in bench.plan()} == {"a2"}
