Count a call for advice that was cut off as missing

Cause: a process that left between the choice and the call raised KeyError, and a channel that was closed raised CancelledError; both ended the task without a result, so the step counted as asking for ever and kept what it held. Before: both new tests wait in vain. After: they pass; the planner asks again.

--- a/flamingoway/queues/asking.py
+++ b/flamingoway/queues/asking.py
@@ -9,8 +9,9 @@
 import heapq
 from collections.abc import Callable
 
-from ..errors import FlamingowayError
+from ..errors import FlamingowayError, Refused
 from ..peer import PeerClient
+from ..status import Code
 from .decisions import DecisionLog
 from .messages import AskReply, AskRequest
 from .model import Advice
@@ -119,23 +120,38 @@
         try:
             advice = await self._call(name, ask, timeout_s)
         except (FlamingowayError, WorkerSilent) as exc:
-            self._silent_until[name] = self._clock() + SILENT_S
-            self._log.write(
-                "advice missing",
-                step=ask.step.id,
-                asked_by=name,
-                after_s=round(self._clock() - sent_at, 3),
-                why=str(exc),
-            )
+            self._note_missing(name, ask, sent_at, str(exc))
+        except asyncio.CancelledError:
+            # gRPC cancels the calls of a channel that is closed, which is not the end
+            # of this task.
+            if asyncio.current_task().cancelling():
+                raise
+            self._note_missing(name, ask, sent_at, "the channel was closed")
         finally:
             self._busy.pop(name, None)
         self._done(ask, advice)
         self._pump()
 
+    def _note_missing(
+        self, name: str, ask: AskAdvice, sent_at: float, why: str
+    ) -> None:
+        now = self._clock()
+        self._silent_until[name] = now + SILENT_S
+        self._log.write(
+            "advice missing",
+            step=ask.step.id,
+            asked_by=name,
+            after_s=round(now - sent_at, 3),
+            why=why,
+        )
+
     async def _call(self, name: str, ask: AskAdvice, timeout_s: float) -> Advice:
         if name == self._name:
             return await self._service.ask(ask.step.id, list(ask.workers), timeout_s)
-        address = self._members()[name].peer_address
+        member = self._members().get(name)
+        if member is None:
+            raise Refused(f"{name} has left", Code.OWNER_UNAVAILABLE)
+        address = member.peer_address
         request = AskRequest(ask.step.id, list(ask.workers), timeout_s)
         try:
             reply = await self._peers.call(
--- /dev/null
+++ b/tests/test_queue_asking.py
@@ -0,0 +1,82 @@
+"""Guards calls for advice that another process makes for the leader."""
+
+import asyncio
+import time
+
+import pytest
+
+from flamingoway.queues.asking import AdviceDispatcher
+from flamingoway.queues.model import Advice
+from flamingoway.queues.records import MemberRecord
+from flamingoway.queues.runs import AskAdvice
+from tests.queue_board import Bench, NoLog, step
+
+
+class Peers:
+    """Peers that fail each call in the same way."""
+
+    def __init__(self, error):
+        self.error = error
+
+    async def call(self, address, request, timeout_s, reply):
+        raise self.error
+
+    async def forget(self, address):
+        pass
+
+
+class Service:
+    """An advice service that answers after a while."""
+
+    async def ask(self, step_id, workers, timeout_s):
+        await asyncio.sleep(0.01)
+        return Advice({}, 1.0)
+
+
+def ask_of(job_id):
+    bench = Bench(1)
+    bench.submit(job_id, step(1), queue="advised")
+    bench.plan()
+    (ask,) = bench.asks()
+    return AskAdvice(ask.step, ask.workers, ask.rank, 0.01)
+
+
+def dispatch(members, peers):
+    """Return the results of two calls, of which a peer gets the second."""
+
+    async def main():
+        results = []
+        dispatcher = AdviceDispatcher(
+            "n0",
+            Service(),
+            peers,
+            members,
+            lambda ask, advice: results.append(advice),
+            time.monotonic,
+            NoLog(),
+        )
+        dispatcher.submit(ask_of("a1"))
+        dispatcher.submit(ask_of("b2"))
+        async with asyncio.timeout(5):
+            while len(results) < 2:
+                await asyncio.sleep(0.01)
+        return results
+
+    return asyncio.run(main())
+
+
+def test_a_peer_that_has_left_is_a_missing_answer():
+    """Guards against a step that waits for ever for advice nobody asked for."""
+    seen = []
+
+    def members():
+        seen.append(1)
+        return {"n1": MemberRecord("n1", "n1:1", "z")} if len(seen) < 3 else {}
+
+    assert None in dispatch(members, Peers(AssertionError("called")))
+
+
+@pytest.mark.parametrize("error", [asyncio.CancelledError()], ids=["closed channel"])
+def test_a_call_on_a_closed_channel_is_a_missing_answer(error):
+    members = {"n1": MemberRecord("n1", "n1:1", "z")}
+    assert None in dispatch(lambda: members, Peers(error))
