Keep failed tasks off their failing worker while the step is blocked

Cause: a blocked step is tried only on workers whose room grew, and if those were just the ones on which it had failed, the rule 'sound workers or all' chose them. Before: the new test fails, the task goes back to the failing worker. After: it waits for the sound one.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -122,15 +122,22 @@
     def _candidates(self, step: StepRun) -> list[Spot]:
         """Return the workers that may have room for a step now."""
         grown = self._floor.grown
-        if not step.blocked:
-            return self._open_to(step, self._floor.eligible(step))
-        if step.good is not None and grown.isdisjoint(step.good):
+        if step.blocked and step.good is not None and grown.isdisjoint(step.good):
             return []
-        spots = self._open_to(step, self._floor.eligible(step))
+        spots = self._open_to(step, self._sound(step))
+        if not step.blocked:
+            return spots
         if step.spec.gang:
             return spots if any(s.worker_id in grown for s in spots) else []
         return [spot for spot in spots if spot.worker_id in grown]
 
+    def _sound(self, step: StepRun) -> list[Spot]:
+        """Return the workers on which no task of a step failed, or all of them."""
+        spots = self._floor.eligible(step)
+        if not step.avoid or step.spec.gang:
+            return spots
+        return [s for s in spots if s.worker_id not in step.avoid] or spots
+
     def _open_to(self, step: StepRun, spots: Iterable[Spot]) -> list[Spot]:
         """Return the workers that no earlier gang holds."""
         if not self._held:
@@ -150,8 +157,6 @@
         if step.spec.gang:
             whole = len(indexes) == step.spec.count
             return place_gang(step, spots) if whole else []
-        if step.avoid:
-            spots = [s for s in spots if s.worker_id not in step.avoid] or spots
         return place_tasks(step, indexes, spots)
 
     # Holds
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -278,3 +278,22 @@
     bench.submit("a1", step(6, label="r1", **big))
     bench.submit("a2", step(2, label="r1", **big), queue="sorts")
     assert {run.step.job.spec.job_id for run in bench.plan()} == {"a2"}
+
+
+def test_a_failed_task_waits_for_a_sound_worker_rather_than_fail_again():
+    """Guards against a failing worker that has room while the sound one is full."""
+    bench = Bench(2)
+    bench.submit("a1", step(1, cpu=16_000))
+    (first,) = bench.plan()
+    bench.submit("b2", step(1, cpu=16_000))
+    (second,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert bench.plan() == []
+    bench.now += 0.1
+    bench.submit("c3", step(1, cpu=1000))
+    (small,) = bench.plan()
+    assert small.worker is first.worker
+    bench.end(small)
+    assert bench.plan() == []
+    bench.end(second)
+    assert [run.worker for run in bench.plan()] == [second.worker]
