--- a/flamingoway/queues/placing.py
+++ b/flamingoway/queues/placing.py
@@ -68,7 +68,7 @@
     return max(0, slots)
 
 
-class Floor:
+class FreeCapacity:
     """Room on all usable workers during one pass of the planner.
 
     Args:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -25,7 +25,7 @@
 from .board import Board
 from .decisions import DecisionLog
 from .placing import (
-    Floor,
+    FreeCapacity,
     Placement,
     Spot,
     capacity_of,
@@ -61,7 +61,7 @@
     def __init__(self, board: Board, log: DecisionLog):
         self._board = board
         self._log = log
-        self._floor = Floor((), {}, 0.0)
+        self._free = FreeCapacity((), {}, 0.0)
         self._marks: dict[str, tuple] = {}
         # Workers held by gangs, by step; kept from pass to pass.
         self._holds: dict[str, list[Spot]] = {}
@@ -73,7 +73,7 @@
         """Start what can start; return the number of starts ordered."""
         board = self._board
         self._forget_holds()
-        floor = self._floor = Floor(board.workers.values(), self._marks, now)
+        free = self._free = FreeCapacity(board.workers.values(), self._marks, now)
         held_before, self._held = self._held, {}
         self._strays = board.stray_tasks()
         started = 0
@@ -84,7 +84,7 @@
                 step.blocked = False
                 continue
             started += self._plan(step, now)
-        self._marks = floor.marks()
+        self._marks = free.marks()
         # Room that a gang gave up, or that now comes before it, counts as new.
         for worker_id in held_before.keys() | self._held.keys():
             if held_before.get(worker_id) != self._held.get(worker_id):
@@ -121,7 +121,7 @@
 
     def _candidates(self, step: StepRun) -> list[Spot]:
         """Return the workers that may have room for a step now."""
-        grown = self._floor.grown
+        grown = self._free.grown
         if step.blocked and step.good is not None and grown.isdisjoint(step.good):
             return []
         spots = self._open_to(step, self._sound(step))
@@ -133,7 +133,7 @@
 
     def _sound(self, step: StepRun) -> list[Spot]:
         """Return the workers on which no task of a step failed, or all of them."""
-        spots = self._floor.eligible(step)
+        spots = self._free.eligible(step)
         if not step.avoid or step.spec.gang:
             return spots
         return [s for s in spots if s.worker_id not in step.avoid] or spots
@@ -166,11 +166,11 @@
         if not step.spec.gang:
             return
         left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
-        if self._held and self._floor.used_share < MIN_USED_SHARE:
+        if self._held and self._free.used_share < MIN_USED_SHARE:
             return
         chosen = self._still_open(self._holds.pop(step.id, ()))
         if not chosen and left > 0:
-            spots = self._open_to(step, self._floor.eligible(step))
+            spots = self._open_to(step, self._free.eligible(step))
             chosen = gang_workers(step, spots, left)
         if not chosen or len(chosen) > left:
             return
@@ -191,7 +191,7 @@
         """Return this pass's spots of workers that a gang held, or none."""
         found = []
         for spot in spots:
-            current = self._floor.spots.get(spot.worker_id)
+            current = self._free.spots.get(spot.worker_id)
             if current is None or spot.worker_id in self._held:
                 return []
             found.append(current)
@@ -217,7 +217,7 @@
 
     def _is_enough(self, step: StepRun) -> bool:
         """Return whether the allowed workers could hold a step if they were empty."""
-        room = sum(capacity_of(step, spot) for spot in self._floor.eligible(step))
+        room = sum(capacity_of(step, spot) for spot in self._free.eligible(step))
         step.enough = room >= step.spec.count
         return step.enough
 
