--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,7 +1,7 @@
 """Starts stand-ins and entry processes for demonstrations and process tests."""
 
 import json
-import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +25,8 @@
 POLL_S = 0.05
 LOG_TAIL_CHARS = 4000
 OPERATOR_KEY = "key-operator"
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
 # A part of the targets can be stopped while the others serve.
 TARGET_GROUPS = 2
 
@@ -38,8 +40,14 @@
 
 
 def free_ports(count: int) -> int:
-    """Return the first of ``count`` consecutive free TCP ports on loopback."""
-    for first in range(20000 + os.getpid() % 5000, 32000, count):
+    """Return the first of ``count`` consecutive free TCP ports on loopback.
+
+    The range lies below the ports that the system gives to outgoing connections. It
+    is searched from a random start, because the ports stay free until a process
+    listens there and another test run must not find the same ones.
+    """
+    starts = range(FIRST_PORT, LAST_PORT - count, count)
+    for first in random.sample(starts, len(starts)):
         if all(_is_free(first + index) for index in range(count)):
             return first
     raise OSError("no free port range")
--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -3,9 +3,7 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import sys
 from pathlib import Path
 
@@ -14,6 +12,7 @@
 
 from flamingoway.store import Put
 from standins import kv
+from standins.cluster import free_ports
 from standins.memory import MemoryStore
 from standins.platform import AdviceStandin, StoreStandin, WorkerStandin, config
 
@@ -23,32 +22,13 @@
 WAIT_S = 20.0
 
 
-# Below the ports that the system gives to outgoing connections, which could take the
-# port of a process while it restarts.
-PORTS = range(20_000, 32_000)
-_RNG = random.SystemRandom()
-
-
-def free_port():
-    while True:
-        port = _RNG.choice(PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                # Another process of the tests has it.
-                continue
-            return port
-
-
 class Entry:
     """A real entry process."""
 
     def __init__(self, folder, name, store, advice):
         self.name = name
-        self.front, self.ready, self.peer, self.metrics = (
-            free_port() for _ in range(4)
-        )
+        first = free_ports(4)
+        self.front, self.ready, self.peer, self.metrics = range(first, first + 4)
         self.path = folder / f"{name}.yaml"
         self.log = folder / f"{name}.log"
         self.settings = {
