--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -17,7 +17,7 @@
 from flamingoway.model import Resources
 from flamingoway.output.table import render_table
 from flamingoway.queues import records
-from flamingoway.queues.asking import LONG_CALL_S, PROCESSES_PER_SHORT_LANE
+from flamingoway.queues.asking import choose_process
 from flamingoway.queues.board import Board
 from flamingoway.queues.model import (
     Advice,
@@ -322,9 +322,8 @@
         self._running: dict[str, dict[tuple[str, int], Run]] = {}
         self._ends: dict[str, int] = {}
         self._gangs: dict[tuple[str, int], _Gang] = {}
-        self._lanes: dict[str, AskAdvice | None] = {
-            f"n{i}": None for i in range(scenario.processes)
-        }
+        self._names = [f"n{i}" for i in range(scenario.processes)]
+        self._busy: dict[str, AskAdvice] = {}
         self._asks: list[tuple[tuple, int, AskAdvice]] = []
         self._good: dict[str, set[str]] = {}
         self._slow: set[str] = set()
@@ -557,13 +556,13 @@
         postponed = []
         while self._asks:
             entry = heapq.heappop(self._asks)
-            lane = self._lane(entry[2])
+            lane = choose_process(self._names, self._busy, entry[2])
             if lane is None:
                 postponed.append(entry)
-                if all(self._lanes.values()):
+                if len(self._busy) >= len(self._names):
                     break
                 continue
-            self._lanes[lane] = entry[2]
+            self._busy[lane] = entry[2]
             self._after(
                 entry[2].duration_s + ORDER_S,
                 lambda lane=lane, ask=entry[2]: self._answer(lane, ask),
@@ -571,22 +570,8 @@
         for entry in postponed:
             heapq.heappush(self._asks, entry)
 
-    def _lane(self, ask: AskAdvice) -> str | None:
-        """Choose a process as ``AdviceDispatcher`` does."""
-        idle = [name for name, busy in self._lanes.items() if busy is None]
-        if not idle:
-            return None
-        if ask.duration_s <= LONG_CALL_S:
-            return idle[0]
-        busy = sum(
-            a is not None and a.duration_s > LONG_CALL_S for a in self._lanes.values()
-        )
-        count = len(self._lanes)
-        lanes = max(1, count - max(1, count // PROCESSES_PER_SHORT_LANE))
-        return idle[-1] if busy < lanes else None
-
     def _answer(self, lane: str, ask: AskAdvice) -> None:
-        self._lanes[lane] = None
+        del self._busy[lane]
         step = ask.step
         kind = self.jobs[step.job.spec.job_id].kind
         good = self._good.get(step.id)
--- a/flamingoway/queues/asking.py
+++ b/flamingoway/queues/asking.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 from ..errors import FlamingowayError, Refused
 from ..peer import PeerClient
@@ -32,6 +32,26 @@
 Done = Callable[[AskAdvice, Advice | None], None]
 
 
+def choose_process(
+    names: Sequence[str], busy: Mapping[str, AskAdvice], ask: AskAdvice
+) -> str | None:
+    """Return the process that should make a call, ``None`` if it has to wait.
+
+    Args:
+        names: Processes in the order of preference for short calls.
+        busy: Calls on their way, by process.
+        ask: The call.
+    """
+    idle = [name for name in names if name not in busy]
+    if not idle:
+        return None
+    if ask.duration_s <= LONG_CALL_S:
+        return idle[0]
+    long_calls = sum(a.duration_s > LONG_CALL_S for a in busy.values())
+    lanes = max(1, len(names) - max(1, len(names) // PROCESSES_PER_SHORT_LANE))
+    return idle[-1] if long_calls < lanes else None
+
+
 class AdviceDispatcher:
     """Carries out calls for advice.
 
@@ -84,7 +104,7 @@
         postponed = []
         while self._queue:
             entry = heapq.heappop(self._queue)
-            name = self._choose(entry[2])
+            name = choose_process(self._names(), self._busy, entry[2])
             if name is None:
                 postponed.append(entry)
                 if len(self._busy) >= len(self._names()):
@@ -102,17 +122,6 @@
         names = [self._name, *sorted(set(self._members()) - {self._name})]
         return [n for n in names if self._silent_until.get(n, 0.0) <= now] or names
 
-    def _choose(self, ask: AskAdvice) -> str | None:
-        names = self._names()
-        idle = [name for name in names if name not in self._busy]
-        if not idle:
-            return None
-        if ask.duration_s <= LONG_CALL_S:
-            return idle[0]
-        long_calls = sum(a.duration_s > LONG_CALL_S for a in self._busy.values())
-        lanes = max(1, len(names) - max(1, len(names) // PROCESSES_PER_SHORT_LANE))
-        return idle[-1] if long_calls < lanes else None
-
     async def _ask(self, name: str, ask: AskAdvice) -> None:
         timeout_s = ask.duration_s * CALL_SLACK_FACTOR + CALL_SLACK_S
         advice = None
@@ -120,25 +129,20 @@
         try:
             advice = await self._call(name, ask, timeout_s)
         except (FlamingowayError, WorkerSilent) as exc:
-            self._note_missing(name, ask, sent_at, str(exc))
+            now = self._clock()
+            self._silent_until[name] = now + SILENT_S
+            self._log.write(
+                "advice missing",
+                step=ask.step.id,
+                asked_by=name,
+                after_s=round(now - sent_at, 3),
+                why=str(exc),
+            )
         finally:
             self._busy.pop(name, None)
         self._done(ask, advice)
         self._pump()
 
-    def _note_missing(
-        self, name: str, ask: AskAdvice, sent_at: float, why: str
-    ) -> None:
-        now = self._clock()
-        self._silent_until[name] = now + SILENT_S
-        self._log.write(
-            "advice missing",
-            step=ask.step.id,
-            asked_by=name,
-            after_s=round(now - sent_at, 3),
-            why=why,
-        )
-
     async def _call(self, name: str, ask: AskAdvice, timeout_s: float) -> Advice:
         if name == self._name:
             return await self._service.ask(ask.step.id, list(ask.workers), timeout_s)
--- a/flamingoway/queues/board.py
+++ b/flamingoway/queues/board.py
@@ -743,13 +743,9 @@
 
     def eligible(self, step: StepRun) -> Iterable[WorkerState]:
         """Yield the workers on which tasks of a step may run."""
-        spec, service = step.spec, step.job.queue.service
         for worker in self._workers.values():
-            entry = worker.entry
-            if worker.usable and entry.service == service:
-                allowed = not spec.label or spec.label in entry.labels
-                if allowed:
-                    yield worker
+            if worker.usable and step.may_run_on(worker.entry):
+                yield worker
 
 
 def _surely_absent(run: Run, sent_at: float, token: int) -> bool:
--- a/flamingoway/queues/placing.py
+++ b/flamingoway/queues/placing.py
@@ -121,13 +121,7 @@
             found: Iterable[Spot] = spots.values()
         else:
             found = [spots[w] for w in step.good if w in spots]
-        service, label = step.job.queue.service, step.spec.label
-        return [
-            spot
-            for spot in found
-            if spot.worker.entry.service == service
-            and (not label or label in spot.worker.entry.labels)
-        ]
+        return [spot for spot in found if step.may_run_on(spot.worker.entry)]
 
 
 def _exceeds(spot: Spot, mark: tuple) -> bool:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -165,9 +165,9 @@
         """Keep workers free for a gang that does not fit yet."""
         if not step.spec.gang:
             return
-        left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
         if self._held and self._free.used_share < MIN_USED_SHARE:
             return
+        left = int(MAX_HELD_SHARE * len(self._board.workers)) - len(self._held)
         chosen = self._still_open(self._holds.pop(step.id, ()))
         if not chosen and left > 0:
             spots = self._open_to(step, self._free.eligible(step))
@@ -207,12 +207,12 @@
             return False
         if step.good is not None and (step.enough or self._is_enough(step)):
             return True
-        workers = self._board.eligible(step)
+        workers = list(self._board.eligible(step))
         unknown = [w for w in workers if w.entry.worker_id not in step.asked_workers]
         if not unknown and step.good:
             step.enough = True
             return True
-        self._ask(step, unknown or list(self._board.eligible(step)), now)
+        self._ask(step, unknown or workers, now)
         return False
 
     def _is_enough(self, step: StepRun) -> bool:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -136,6 +136,12 @@
         """Return the key under which attempts of a task are counted."""
         return GANG if self.spec.gang else index
 
+    def may_run_on(self, entry: WorkerEntry) -> bool:
+        """Return whether a worker's service and labels allow tasks of the step."""
+        if entry.service != self.job.queue.service:
+            return False
+        return not self.spec.label or self.spec.label in entry.labels
+
     def next_number(self, index: int, epoch: int) -> int:
         """Return a run number above all that were used."""
         key = self.attempt_key(index)
