Log why a step waits and how its calls for advice went

Callers of the grown deployments saw accepted jobs that never ended.

The planner now logs every 2 s why a waiting step did not start, with the inputs of the decision, and each answer of the advice service with its duration. No decision changes.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -25,6 +25,7 @@
 from .cluster import ClusterState
 from .decisions import DecisionLog
 from .placement import (
+    UNLIMITED_TASKS,
     Candidate,
     FreeCapacity,
     Placement,
@@ -48,6 +49,8 @@
 # By the users' rules, a job that takes more than this many times its objective is of
 # no use to its caller.
 USELESS_FACTOR = 3.0
+# Interval at which the log tells why a step waits, for as long as it does.
+WAIT_LOG_S = 2.0
 
 
 class Planner:
@@ -83,6 +86,7 @@
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
+                self._log_wait(step, "retry delayed or takeover unfinished", now)
                 continue
             started += self._plan(step, now)
         self._snapshots = free.snapshots()
@@ -106,18 +110,49 @@
     def _plan(self, step: StepRun, now: float) -> int:
         if step.job.queue.advice is not None and not self._ensure_advice(step, now):
             step.blocked = False
+            self._log_wait(step, "advice pending", now)
             return 0
         candidates = self._candidates(step)
         placements = self._place(step, candidates) if candidates else []
         step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
         if not placements:
             self._reserve_workers(step, now)
+            self._log_wait(step, "no worker fits" if candidates else "not tried", now)
             return 0
         if step.job.queue.advice is None or self._tickets_valid(step, placements, now):
             return self._start(step, placements, now)
+        self._log_wait(step, "tickets missing", now)
         self._reserve_resources(step, placements, now)
         return 0
 
+    def _log_wait(self, step: StepRun, why: str, now: float) -> None:
+        """Log at intervals why a step waits, with the inputs of the decision."""
+        since = max(step.due_at, step.wait_logged_at)
+        if now - since < WAIT_LOG_S:
+            return
+        step.wait_logged_at = now
+        eligible = self._free.eligible(step)
+        needs = allocated_resources(step.spec)
+        self._log.write(
+            "step waits",
+            step=step.id,
+            why=why,
+            waited_s=round(now - step.due_at, 3),
+            tasks=len(step.pending),
+            slots_free=sum(c.slots(needs) for c in eligible),
+            slots_unreserved=sum(
+                c.slots(needs) for c in self._unreserved(step, eligible)
+            ),
+            slots_empty=sum(slots_on_empty_worker(step, c) for c in eligible),
+            workers_limited=sum(c.tasks < UNLIMITED_TASKS for c in eligible),
+            workers_allowed=len(eligible),
+            workers_reserved=len(self._reserved_by),
+            resources_reserved=len(step.reserved),
+            used_share=round(self._free.used_share, 3),
+            advice_age_s=_age(now, step.advice_asked_at),
+            ticket_left_s=_ticket_left_s(step, now),
+        )
+
     # Placement
 
     def _candidates(self, step: StepRun) -> list[Candidate]:
@@ -277,6 +312,7 @@
             workers = sorted(workers, key=lambda w: -w.free.cores_milli)
         ids = tuple(w.entry.worker_id for w in workers[:MAX_ADVISED_WORKERS])
         step.advice_pending = True
+        step.advice_asked_at = now
         duration_s = step.job.queue.advice.duration(len(ids))
         self._cluster.orders.append(
             AdviceCall(step, ids, self.rank(step, now), duration_s)
@@ -312,4 +348,9 @@
 def _ticket_left_s(step: StepRun, now: float) -> float | None:
     if step.job.queue.advice is None:
         return None
-    return round(step.tickets_until - now, 3)
+    return None if not step.tickets else round(step.tickets_until - now, 3)
+
+
+def _age(now: float, at: float) -> float | None:
+    """Return the age of an event in seconds, ``None`` if it has not happened."""
+    return None if at == float("-inf") else round(now - at, 3)
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -95,6 +95,8 @@
         blocked: Whether some tasks did not fit in the planner's last pass.
         critical_path_s: Declared duration of the critical path from this step on.
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
+        wait_logged_at: Time at which the log last told why the step waits.
+        advice_asked_at: Time of the last call to the advice service.
     """
 
     job: "OpenJob"
@@ -121,6 +123,8 @@
     blocked: bool = False
     critical_path_s: float = 0.0
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
+    wait_logged_at: float = float("-inf")
+    advice_asked_at: float = float("-inf")
     id: str = field(init=False)
 
     def __post_init__(self):
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -477,6 +477,15 @@
             self._cluster.on_no_advice(call.step, now)
         else:
             self._cluster.on_advice(call.step, call.workers, advice, now)
+            self._log.write(
+                "advice answered",
+                step=call.step.id,
+                asked=len(call.workers),
+                allowed=len(advice.tickets),
+                asked_age_s=round(now - call.step.advice_asked_at, 3),
+                expected_s=round(call.duration_s, 3),
+                valid_s=advice.valid_s,
+            )
         self._plan_needed.set()
 
     def _wake_poll(self, worker: WorkerState) -> None:
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -300,3 +300,16 @@
     assert bench.plan() == []
     bench.end(second)
     assert [run.worker for run in bench.plan()] == [second.worker]
+
+
+def test_the_log_tells_why_a_step_waits():
+    """Guards against a job that waits for long without a line that says why."""
+    bench = Bench(2)
+    fill(bench, 2, cpu=12_000)
+    bench.submit("a1", step(2, cpu=8000, gang=True))
+    for _ in range(30):
+        bench.now += 0.1
+        bench.plan()
+    (line,) = [fields for event, fields in bench.log.lines if event == "step waits"]
+    assert (line["step"], line["why"]) == ("a1.0.0", "not tried")
+    assert (line["slots_free"], line["slots_empty"]) == (0, 4)
