Start a step on the workers whose tickets it has renewed

Callers of the grown deployments saw accepted jobs of gangs that never ended.

Cause: a step whose tickets had expired held resources on workers while it asked the advice service about them. With the answer it gave these resources back and was placed anew, on the tightest workers of that moment. These were often others, for which it had no tickets, so it held resources there and asked again. Dozens of gangs held up to half of the cluster this way without running anything.

A step now starts on the workers that it held, as far as they are still usable and the service allowed them, before others are placed. A gang that has valid tickets is first tried on the workers that they name.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -226,6 +226,7 @@
         if step.ready and step.pending and startable and not step.job.state.final:
             self._waiting[step.id] = step
         else:
+            step.release_reservation()
             self._waiting.pop(step.id, None)
 
     def _end_if_complete(self, job: OpenJob, now: float, wall: float) -> None:
@@ -252,7 +253,6 @@
             objective_s=round(job.objective_at - job.accepted_at, 3),
         )
         for step in job.steps.values():
-            step.release_reservation()
             step.pending.clear()
             self.update_waiting(step)
             for run in list(step.live.values()):
@@ -717,7 +717,6 @@
     def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
         """Store which of the requested workers may run a step, with their tickets."""
         step.advice_pending = False
-        step.release_reservation()
         allowed = set(advice.tickets)
         step.asked_workers.update(asked)
         step.allowed_workers = ((step.allowed_workers or set()) - set(asked)) | allowed
--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -33,6 +33,20 @@
     accelerators: int
     tasks: int
 
+    @classmethod
+    def of(cls, worker: WorkerState, now: float) -> "Candidate":
+        """Return the free resources of a worker."""
+        limit = worker.health.limit(now)
+        tasks = UNLIMITED_TASKS if limit is None else max(0, limit - len(worker.runs))
+        used, capacity = worker.used, worker.entry.capacity
+        return cls(
+            worker,
+            capacity.cores_milli - used.cores_milli,
+            capacity.memory_mb - used.memory_mb,
+            capacity.accelerators - used.accelerators,
+            tasks,
+        )
+
     @property
     def worker_id(self) -> str:
         """Id of the worker."""
@@ -92,19 +106,8 @@
         for worker in workers:
             if not worker.usable:
                 continue
-            limit = worker.health.limit(now)
-            tasks = (
-                UNLIMITED_TASKS if limit is None else max(0, limit - len(worker.runs))
-            )
-            used, capacity = worker.used, worker.entry.capacity
-            candidate = Candidate(
-                worker,
-                capacity.cores_milli - used.cores_milli,
-                capacity.memory_mb - used.memory_mb,
-                capacity.accelerators - used.accelerators,
-                tasks,
-            )
-            cores += capacity.cores_milli
+            candidate = Candidate.of(worker, now)
+            cores += worker.entry.capacity.cores_milli
             free += candidate.cores
             worker_id = worker.entry.worker_id
             self.candidates[worker_id] = candidate
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -76,10 +76,10 @@
         """Order all starts that are possible now; return their number."""
         cluster = self._cluster
         self._drop_stale_reservations()
+        self._orphaned_tasks = cluster.orphaned_tasks()
+        started = self._start_reserved(now)
         free = self._free = FreeCapacity(cluster.workers.values(), self._snapshots, now)
         reserved_before, self._reserved_by = self._reserved_by, {}
-        self._orphaned_tasks = cluster.orphaned_tasks()
-        started = 0
         steps = sorted(cluster.waiting.values(), key=lambda s: self.rank(s, now))
         for step in steps:
             if step.retry_at > now or (step.job.inherited and cluster.unsettled):
@@ -113,7 +113,9 @@
             self._log_wait(step, "advice pending", now)
             return 0
         candidates = self._candidates(step)
-        placements = self._place(step, candidates) if candidates else []
+        placements = self._place_with_tickets(step, candidates, now)
+        if not placements and candidates:
+            placements = self._place(step, candidates)
         step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
         if not placements:
             self._reserve_workers(step, now)
@@ -196,13 +198,25 @@
             if c.worker_id not in reserved_by or reserved_by[c.worker_id][0] is step
         ]
 
+    def _place_with_tickets(
+        self, step: StepRun, candidates: Sequence[Candidate], now: float
+    ) -> list[Placement]:
+        """Place a gang on the workers for which it has valid tickets, if it fits."""
+        if step.job.queue.advice is None or not step.spec.gang:
+            return []
+        if now + TICKET_MARGIN_S >= step.tickets_until:
+            return []
+        return self._place(step, [c for c in candidates if c.worker_id in step.tickets])
+
+    def _startable(self, step: StepRun) -> list[int]:
+        """Return the tasks to start, except those of which an orphan may exist."""
+        orphaned = self._orphaned_tasks
+        if not orphaned:
+            return step.pending
+        return [i for i in step.pending if step.task_id(i) not in orphaned]
+
     def _place(self, step: StepRun, candidates: Sequence[Candidate]) -> list[Placement]:
-        indexes = step.pending
-        if self._orphaned_tasks:
-            # A task is not started again while an orphaned run of it may exist.
-            indexes = [
-                i for i in indexes if step.task_id(i) not in self._orphaned_tasks
-            ]
+        indexes = self._startable(step)
         if step.spec.gang:
             complete = len(indexes) == step.spec.count
             return place_gang(step, candidates) if complete else []
@@ -296,8 +310,9 @@
         self, step: StepRun, placements: list[Placement], now: float
     ) -> None:
         """Reserve resources for a step while its tickets are renewed."""
-        step.reserved = [(w, allocated_resources(step.spec)) for _, w in placements]
-        for worker, amount in step.reserved:
+        amount = allocated_resources(step.spec)
+        step.reserved = [(index, worker, amount) for index, worker in placements]
+        for _, worker in placements:
             worker.used = worker.used + amount
         self._request_advice(
             step, list({id(w): w for _, w in placements}.values()), now
@@ -320,6 +335,49 @@
 
     # Starts
 
+    def _start_reserved(self, now: float) -> int:
+        """Start steps on their reserved workers once their tickets are renewed.
+
+        Placing them anew could choose other workers, for which they have no tickets.
+        """
+        answered = [
+            step
+            for step in self._cluster.waiting.values()
+            if step.reserved and not step.advice_pending
+        ]
+        started = 0
+        for step in sorted(answered, key=lambda s: self.rank(s, now)):
+            reserved = [(index, worker) for index, worker, _ in step.reserved]
+            step.release_reservation()
+            placements = self._still_valid(step, reserved, now)
+            if placements:
+                started += self._start(step, placements, now)
+        return started
+
+    def _still_valid(
+        self, step: StepRun, reserved: list[Placement], now: float
+    ) -> list[Placement]:
+        """Return the reserved placements that can start now, for a gang all or none."""
+        if now + TICKET_MARGIN_S >= step.tickets_until:
+            return []
+        needs = allocated_resources(step.spec)
+        startable = set(self._startable(step))
+        candidates: dict[str, Candidate] = {}
+        valid = []
+        for index, worker in reserved:
+            worker_id = worker.entry.worker_id
+            if index not in startable or not worker.usable:
+                continue
+            if worker_id not in candidates:
+                candidates[worker_id] = Candidate.of(worker, now)
+            candidate = candidates[worker_id]
+            if worker_id in step.tickets and candidate.slots(needs):
+                candidate.take(needs, 1)
+                valid.append((index, worker))
+        if step.spec.gang and len(valid) < step.spec.count:
+            return []
+        return valid
+
     def _start(self, step: StepRun, placements: list[Placement], now: float) -> int:
         cluster = self._cluster
         gang_number = 0
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -88,7 +88,8 @@
         advice_pending: Whether a call to the advice service is in flight.
         asked_workers: Ids of all workers named in calls to the advice service.
         retry_at: Time before which no task is started.
-        reserved: Resources reserved on workers while tickets are being renewed.
+        reserved: Task indexes, workers and amounts reserved while tickets are being
+            renewed.
         failed_workers: Ids of the workers on which tasks of this step failed.
         allowed_suffice: Whether the allowed workers, if empty, have resources for all
             tasks of the step, or no other worker is left to ask about.
@@ -117,7 +118,7 @@
     advice_pending: bool = False
     asked_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
-    reserved: list[tuple["WorkerState", Resources]] = field(default_factory=list)
+    reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
     allowed_suffice: bool = False
     blocked: bool = False
@@ -159,7 +160,7 @@
 
     def release_reservation(self) -> None:
         """Free the resources that are reserved for this step."""
-        for worker, amount in self.reserved:
+        for _, worker, amount in self.reserved:
             worker.used = worker.used - amount
         self.reserved.clear()
 
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -313,3 +313,65 @@
     (line,) = [fields for event, fields in bench.log.lines if event == "step waits"]
     assert (line["step"], line["why"]) == ("a1.0.0", "not tried")
     assert (line["slots_free"], line["slots_empty"]) == (0, 4)
+
+
+def expire_tickets(bench, step_number):
+    """Get first tickets for a step that does not fit, and let them expire."""
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert call.step.id == step_number
+    give_advice(bench, call)
+    assert bench.plan() == []
+    bench.now += 3.0
+
+
+def test_a_step_starts_with_renewed_tickets_although_other_workers_became_tighter():
+    """Guards against a step that renews tickets again and again and never starts."""
+    bench = Bench(4)
+    filling = fill(bench, 4, cpu=12_000)
+    bench.submit("a1", step(2, cpu=6000), queue="advised")
+    expire_tickets(bench, "a1.0.0")
+    for run in filling[:2]:
+        bench.end(run)
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    assert set(call.workers) == {"w0"}
+    bench.submit("s1", step(1, cpu=9000), queue="checks")
+    assert [run.worker.entry.worker_id for run in bench.plan()] == ["w1"]
+    give_advice(bench, call)
+    assert {run.worker.entry.worker_id for run in bench.plan()} == {"w0"}
+
+
+def test_a_gang_starts_on_the_workers_of_its_renewed_tickets():
+    """Guards against a gang that moves to other workers with each renewal."""
+    bench = Bench(6)
+    filling = fill(bench, 6, cpu=12_000)
+    bench.submit("a1", step(4, cpu=6000, gang=True), queue="advised")
+    expire_tickets(bench, "a1.0.0")
+    bench.advice_calls()
+    (waiting,) = bench.cluster.waiting.values()
+    bench.cluster.on_no_advice(waiting, bench.now)
+    bench.now += 3.0
+    for run in filling[:4]:
+        bench.end(run)
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    bench.submit("s1", step(2, cpu=5000), queue="checks")
+    bench.plan()
+    give_advice(bench, call)
+    gang = [run for run in bench.plan() if run.step.spec.gang]
+    assert {run.worker.entry.worker_id for run in gang} == set(call.workers)
+
+
+def test_renewed_tickets_are_not_used_on_a_worker_that_was_lost_meanwhile():
+    bench = Bench(2, Resources(4000, 64_000))
+    bench.submit("a1", step(2, cpu=4000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, valid_s=0.0)
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.worker("w1").health.quarantine(bench.now)
+    give_advice(bench, call)
+    assert bench.plan() == []
+    assert bench.worker("w0").used == bench.worker("w1").used == Resources()
