Do not stop a gang whose complete tasks wait for slower ones

Each stop discarded the work of the whole gang and quarantined a healthy worker.

Cause: a worker reports the progress of its own task, which stays at 100 while the tasks of the gang on slower workers still work. stop_stalled read this as a stall. It also judged a gang task whose gang was not complete yet, because a start was not answered, or one of whose workers did not answer polls.

A gang task is now judged only while all tasks of its gang are present on workers that answer, from the moment the last one was confirmed. Below 100 it is stopped and its worker is quarantined, whether the others move or wait. At 100 it waits; only if all tasks of the gang stand at 100 is the gang stopped, and then no worker is quarantined because it is unknown which one is at fault. Runs outside gangs are judged as before, at 100 too.

Six of the eight new tests failed before; those of a single run at 100 and of a gang task that stands still beside moving ones passed before and guard what must still be stopped.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -51,6 +51,9 @@
 # A run without progress for this long is stalled: even a 12 s task on a worker that is
 # eight times slower advances by one percent a second.
 STALL_S = 1.5
+# Progress of a task that has nothing left to do. A task of a gang shows it while the
+# tasks on slower workers still work.
+COMPLETE_PERCENT = 100.0
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
@@ -625,28 +628,46 @@
                     self.stop_run(run, now)
 
     def stop_stalled(self, now: float) -> None:
-        """Stop runs that make no progress, and quarantine their workers."""
+        """Stop runs that make no progress, and quarantine the workers at fault."""
+        hung: dict[str, StepRun] = {}
         for worker in self._workers.values():
             for run in list(worker.runs.values()):
-                if run.phase is RunPhase.RUNNING and self._is_stalled(run, now):
-                    self._log.write(
-                        "run stalled",
-                        task=run.task_id,
-                        run=run.number,
-                        worker=worker.entry.worker_id,
-                        percent=run.percent,
-                        moved_age_s=round(now - run.moved_at, 2),
-                    )
-                    worker.health.quarantine(now)
-                    self.stop_run(run, now)
+                if run.phase is not RunPhase.RUNNING or not _is_stalled(run):
+                    continue
+                if run.step.spec.gang and run.percent >= COMPLETE_PERCENT:
+                    hung[run.step.id] = run.step
+                    continue
+                self._log_stalled(run, now)
+                worker.health.quarantine(now)
+                self.stop_run(run, now)
+        for step in hung.values():
+            self._stop_if_hung(step, now)
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
-        """Return whether polls have shown the same progress for too long.
+    def _stop_if_hung(self, step: StepRun, now: float) -> None:
+        """Stop a gang whose tasks all show complete progress but do not end.
 
-        The progress of a lasting task carries no information.
+        Which worker prevents the end is unknown, so none is quarantined.
         """
-        observed_s = run.worker.last_answer_at - run.moved_at
-        return run.worker.settled and not run.step.spec.lasting and observed_s > STALL_S
+        runs = list(step.live.values())
+        if all(
+            run.phase is RunPhase.RUNNING
+            and run.percent >= COMPLETE_PERCENT
+            and _is_stalled(run)
+            for run in runs
+        ):
+            for run in runs:
+                self._log_stalled(run, now)
+                self.stop_run(run, now)
+
+    def _log_stalled(self, run: Run, now: float) -> None:
+        self._log.write(
+            "run stalled",
+            task=run.task_id,
+            run=run.number,
+            worker=run.worker.entry.worker_id,
+            percent=run.percent,
+            moved_age_s=round(now - run.moved_at, 2),
+        )
 
     # Starts
 
@@ -769,6 +790,29 @@
     return run.phase is not RunPhase.STARTING and 0 < run.confirmed_at < sent_at
 
 
+def _is_stalled(run: Run) -> bool:
+    """Return whether polls have shown the same progress for too long.
+
+    The progress of a lasting task carries no information.
+    """
+    step = run.step
+    if step.spec.lasting or not run.worker.settled:
+        return False
+    since = run.moved_at
+    if step.spec.gang:
+        # The tasks of a gang work only while all of them are present.
+        members = step.live.values()
+        if len(members) < step.spec.count or not all(map(_is_present, members)):
+            return False
+        since = max(since, *(member.confirmed_at for member in members))
+    return run.worker.last_answer_at - since > STALL_S
+
+
+def _is_present(run: Run) -> bool:
+    """Return whether a worker that answers polls is known to have a run."""
+    return run.worker.settled and run.confirmed_at > 0
+
+
 def _is_newer_incarnation(known: WorkerEntry, entry: WorkerEntry) -> bool:
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -363,3 +363,108 @@
         bench.report("w0", [(run.task_id, run.number, "", percent)])
         bench.cluster.stop_stalled(bench.now)
     assert bench.stops() == []
+
+
+def observe(bench, percents, seconds=1.0):
+    """Report the progress of runs once, after some time, and check for stalls."""
+    bench.now += seconds
+    rows = {}
+    for run, percent in percents.items():
+        row = (run.task_id, run.number, "", percent)
+        rows.setdefault(run.worker.entry.worker_id, []).append(row)
+    for worker_id, running in rows.items():
+        bench.report(worker_id, running)
+    bench.cluster.stop_stalled(bench.now)
+
+
+def quarantined(bench):
+    return {
+        worker_id
+        for worker_id, worker in bench.cluster.workers.items()
+        if worker.health.limit(bench.now) == 0
+    }
+
+
+def gang_of(bench, count=2, **fields):
+    """Start a gang with one task on each worker."""
+    _, runs = running(bench, step(count, cpu=9000, gang=True, **fields))
+    assert len({run.worker.entry.worker_id for run in runs}) == count
+    return runs
+
+
+def test_a_complete_task_that_waits_for_slower_tasks_of_its_gang_is_not_stalled():
+    """Guards against stopping a sound gang whose workers differ in speed."""
+    bench = Bench(2)
+    fast, slow = gang_of(bench)
+    for second in range(1, 11):
+        observe(bench, {fast: min(100, 13 * second), slow: 10 * second - 1})
+    assert bench.stops() == [] and quarantined(bench) == set()
+
+
+@pytest.mark.parametrize("others", [100, 20], ids=["others wait", "others progress"])
+def test_only_the_worker_whose_gang_task_stands_still_is_quarantined(others):
+    bench = Bench(3)
+    still, *moving = gang_of(bench, 3)
+    for second in range(4):
+        percent = min(100, others + second)
+        observe(bench, {still: 20, **dict.fromkeys(moving, percent)})
+        bench.cluster.repeat_stops(bench.now)
+    assert set(bench.stops()) == {(still.task_id, still.number)}
+    assert quarantined(bench) == {still.worker.entry.worker_id}
+
+
+def test_a_gang_that_is_complete_and_does_not_end_is_stopped_as_a_whole():
+    """Guards against a gang that occupies its workers forever."""
+    bench = Bench(2)
+    runs = gang_of(bench)
+    observe(bench, dict.fromkeys(runs, 100))
+    observe(bench, dict.fromkeys(runs, 100))
+    assert bench.stops() == []
+    observe(bench, dict.fromkeys(runs, 100))
+    assert sorted(bench.stops()) == sorted((r.task_id, r.number) for r in runs)
+    assert quarantined(bench) == set()
+
+
+def test_a_single_run_that_is_complete_and_does_not_end_is_stopped():
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1))
+    for _ in range(3):
+        observe(bench, {run: 100})
+    assert bench.stops() == [(run.task_id, run.number)]
+    assert quarantined(bench) == {"w0"}
+
+
+def test_a_gang_task_that_waits_for_an_unanswered_start_is_not_stalled():
+    """Guards against blaming a worker while another task of the gang is missing."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, cpu=9000, gang=True))
+    present, missing = bench.plan()
+    bench.cluster.on_start_reply(present, StartReply.RUNNING, bench.now)
+    for _ in range(3):
+        observe(bench, {present: 0})
+    assert bench.stops() == [] and quarantined(bench) == set()
+    bench.cluster.on_start_reply(missing, StartReply.RUNNING, bench.now)
+    observe(bench, {present: 0, missing: 0})
+    assert bench.stops() == []
+    for _ in range(2):
+        observe(bench, {present: 0, missing: 5})
+    assert bench.stops() == [(present.task_id, present.number)]
+
+
+def test_a_gang_task_is_not_stalled_while_a_worker_of_its_gang_is_silent():
+    bench = Bench(2)
+    heard, silent = gang_of(bench)
+    observe(bench, {heard: 30, silent: 30})
+    silent.worker.settled = False
+    for _ in range(3):
+        observe(bench, {heard: 30})
+    assert bench.stops() == [] and quarantined(bench) == set()
+
+
+def test_a_gang_that_restores_a_checkpoint_on_a_far_slower_worker_is_not_stalled():
+    bench = Bench(2)
+    fast, slow = gang_of(bench, checkpointing=True, estimate_s=12.0)
+    observe(bench, {fast: 40, slow: 40}, seconds=0.6)
+    for second in range(1, 60):
+        observe(bench, {fast: min(100, 40 + 8 * second), slow: 40 + second})
+    assert bench.stops() == [] and quarantined(bench) == set()
