Do not count time without answers as a stall

A worker that was suspended or cut off for over 1.5 s and then answered with the progress it had before was read as stalled on that one answer: its run was stopped and the worker quarantined, although it had only just resumed.

Cause: the age of the last progress included the time in which nothing was observed. Of the time between two answers, now at most MAX_OBSERVED_GAP_S (the longest wait of a poll) counts, so a stall takes at least three answers with the same progress. Slow polls still find stalls.

test_time_without_answers_from_a_worker_does_not_count_as_a_stall failed before at its first check (the run was stopped). A first draft restarted the age after each gap longer than STALL_S; test_a_stall_is_found_although_polls_take_long failed with that draft (polls 2 s apart never found the stall).

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -51,6 +51,9 @@
 # A run without progress for this long is stalled: even a 12 s task on a worker that is
 # eight times slower advances by one percent a second.
 STALL_S = 1.5
+# Of the time between two answers of a worker, only this much counts towards a stall,
+# because the worker may have been suspended or cut off.
+MAX_OBSERVED_GAP_S = 1.0
 # Progress of a task that has nothing left to do. A task of a gang shows it while the
 # tasks on slower workers still work.
 COMPLETE_PERCENT = 100.0
@@ -375,6 +378,10 @@
                 self._begin_incarnation(worker, worker.entry, now)
             worker.entry = replace(worker.entry, born_ms=report.born_ms)
         worker.clock_ms, worker.clock_at = report.clock_ms, now
+        unobserved_s = now - worker.last_answer_at - MAX_OBSERVED_GAP_S
+        if unobserved_s > 0:
+            for run in worker.runs.values():
+                run.moved_at = min(now, run.moved_at + unobserved_s)
         worker.last_answer_at = now
         for ended in report.ended:
             if ended.sequence > worker.processed:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -41,7 +41,8 @@
         unresolved: Whether the start order was not answered.
         stop_sent_at: Time of the last stop order.
         percent: Last reported progress, 0 to 100; -1 before the first report.
-        moved_at: Time at which the reported progress last changed.
+        moved_at: Time at which the reported progress last changed; moved forward by
+            times during which the worker did not answer.
     """
 
     step: "StepRun"
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -468,3 +468,25 @@
     for second in range(1, 60):
         observe(bench, {fast: min(100, 40 + 8 * second), slow: 40 + second})
     assert bench.stops() == [] and quarantined(bench) == set()
+
+
+def test_time_without_answers_from_a_worker_does_not_count_as_a_stall():
+    """Guards against blaming a worker that was suspended or cut off."""
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1, estimate_s=5.0))
+    observe(bench, {run: 30})
+    run.worker.settled = False
+    observe(bench, {run: 30}, seconds=4.0)
+    assert bench.stops() == [] and quarantined(bench) == set()
+    observe(bench, {run: 30})
+    observe(bench, {run: 30})
+    assert bench.stops() == [(run.task_id, run.number)]
+
+
+def test_a_stall_is_found_although_polls_take_long():
+    """Guards against stalls that go unnoticed while the leader or network is slow."""
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1, estimate_s=5.0))
+    for _ in range(4):
+        observe(bench, {run: 30}, seconds=2.0)
+    assert bench.stops() == [(run.task_id, run.number)]
