Allow slow runs of long tasks their time between two reported percent

A 12 s task on a worker that is eight times slower and off the rack of its data advances by one percent in 2.9 s. If progress is reported in whole percent, it was read as stalled after 1.5 s: its work was discarded and its slow but sound worker quarantined, on each such worker again.

Cause: STALL_S covered the slow worker but not the distance to the data, and no task longer than 12 s. A run is now stalled after the time in which the slowest sound run advances by one percent, and after STALL_S at least. For tasks of up to 6.25 s nothing changes; a stall of a 12 s task is found 1.4 s later.

The new test failed before.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -48,9 +48,12 @@
 # Delay before a task whose start was refused is placed again, so that a worker that
 # refuses everything does not keep the planner busy.
 RESTART_DELAY_S = 0.1
-# A run without progress for this long is stalled: even a 12 s task on a worker that is
-# eight times slower advances by one percent a second.
+# A run without progress for this long is stalled, or for the time in which the slowest
+# sound run advances by one percent, whichever is longer.
 STALL_S = 1.5
+# A sound run takes at most this many times its estimate: eight times as long on a slow
+# worker, and three times that far from its data.
+SLOWEST_FACTOR = 24.0
 # Of the time between two answers of a worker, only this much counts towards a stall,
 # because the worker may have been suspended or cut off.
 MAX_OBSERVED_GAP_S = 1.0
@@ -812,7 +815,8 @@
         if len(members) < step.spec.count or not all(map(_is_present, members)):
             return False
         since = max(since, *(member.confirmed_at for member in members))
-    return run.worker.last_answer_at - since > STALL_S
+    stall_s = max(STALL_S, step.spec.estimate_s * SLOWEST_FACTOR / 100)
+    return run.worker.last_answer_at - since > stall_s
 
 
 def _is_present(run: Run) -> bool:
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -490,3 +490,15 @@
     for _ in range(4):
         observe(bench, {run: 30}, seconds=2.0)
     assert bench.stops() == [(run.task_id, run.number)]
+
+
+def test_a_task_on_a_slow_worker_far_from_its_data_is_not_stalled():
+    """Guards against reading the coarse progress of a slow task as a stall."""
+    bench = Bench(1)
+    _, (run,) = running(bench, step(1, estimate_s=12.0))
+    for second in range(1, 40):
+        observe(bench, {run: int(second / (0.12 * 24))})
+    assert bench.stops() == [] and quarantined(bench) == set()
+    for _ in range(6):
+        observe(bench, {run: 14})
+    assert bench.stops() == [(run.task_id, run.number)]
