Credit a worker with a success after the end of its job

The end of one task completes a gang and usually its job. The other tasks of the gang report their own ends later; those of an ended job were ignored, also for the health of the worker. So only one worker of a gang was credited: on queues of gangs the failures of the others added up across their successes until they were quarantined, and a worker on probation stayed limited to one run.

A run that ends as done now counts for its worker whether its job is still open or not. The new test failed before: after a gang had completed on two probing workers, 17 instead of 32 tasks of a step were started.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -504,6 +504,9 @@
     ) -> None:
         worker.processed = ended.sequence
         run = worker.runs.get((ended.task_id, ended.number))
+        if ended.kind is EndKind.DONE:
+            # Counts for the worker even if another task has already ended the job.
+            worker.health.note_success()
         found = self._find_task(ended.task_id)
         if found is not None:
             step, index = found
@@ -528,7 +531,6 @@
         job = step.job
         key = step.attempt_key(index)
         if ended.kind is EndKind.DONE:
-            worker.health.note_success()
             if not step.spec.lasting:
                 self._mark_done(step, index, ended.number, now, wall)
             return
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -502,3 +502,16 @@
     for _ in range(6):
         observe(bench, {run: 14})
     assert bench.stops() == [(run.task_id, run.number)]
+
+
+def test_every_worker_of_a_completed_gang_passes_its_probe():
+    """Guards against crediting only the worker that reports its end first."""
+    bench = Bench(2)
+    for worker in bench.cluster.workers.values():
+        worker.health.quarantine(bench.now)
+    bench.now += 2.5
+    first, second = gang_of(bench)
+    bench.end(first)
+    bench.end(second)
+    bench.submit("b2", step(32))
+    assert len(bench.plan()) == 32
