Ask about all workers before a gang waits for the first hundred

Callers of the grown deployments saw accepted jobs of gangs that never ended, with most workers idle.

Cause: a call to the advice service names at most 100 of the 175 workers, and a step asked about the others only if the allowed ones could not hold it even when empty. A gang of 19 tasks with 29 allowed workers, one task on each, so waited until two thirds of these were empty at the same time, and never asked about 75 others. While a call was in flight, a step also ignored tickets that were still valid.

A step that does not fit now asks about the workers not named before, at most once a second, and starts with valid tickets during a call. Tickets therefore have their own times of expiry, and a new answer no longer discards the others. Both new tests failed before.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -39,6 +39,7 @@
     StartRun,
     StepRun,
     StopRun,
+    Ticket,
     WorkerState,
 )
 from .table import TableJob
@@ -694,6 +695,7 @@
         worker.used = worker.used + allocated_resources(step.spec)
         lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
         worker.lease_ms = max(worker.lease_ms, lease_ms)
+        ticket = step.tickets.get(worker.entry.worker_id)
         order = RunOrder(
             worker_id=worker.entry.worker_id,
             task_id=run.task_id,
@@ -702,7 +704,7 @@
             lease_ms=lease_ms,
             token=worker.token,
             checkpoint=step.checkpoints.get(step.attempt_key(index), ""),
-            ticket=step.tickets.get(worker.entry.worker_id, ""),
+            ticket=ticket.value if ticket is not None else "",
         )
         self.orders.append(StartRun(run, order))
 
@@ -753,8 +755,9 @@
         allowed = set(advice.tickets)
         step.asked_workers.update(asked)
         step.allowed_workers = ((step.allowed_workers or set()) - set(asked)) | allowed
-        step.tickets = dict(advice.tickets)
-        step.tickets_until = now + advice.valid_s
+        until = now + advice.valid_s
+        for worker_id, value in advice.tickets.items():
+            step.tickets[worker_id] = Ticket(value, until)
         step.blocked = False
 
     def on_no_advice(self, step: StepRun, now: float) -> None:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -41,6 +41,9 @@
 TICKET_MARGIN_S = 0.15
 # The advice service accepts at most this many worker ids per call.
 MAX_ADVISED_WORKERS = 100
+# Least time between two calls about more workers for the same step, so that workers
+# that join one by one do not cause a call each.
+ASK_AGAIN_S = 1.0
 # Largest fraction of the workers that all gangs together may reserve.
 MAX_RESERVED_SHARE = 0.5
 # Below this CPU utilization only the first gang reserves workers, so that other work
@@ -108,10 +111,11 @@
         return (1 + useless, job.queue.priority, job.objective_at, step.id)
 
     def _plan(self, step: StepRun, now: float) -> int:
-        if step.job.queue.advice is not None and not self._ensure_advice(step, now):
-            step.blocked = False
-            self._log_wait(step, "advice pending", now)
-            return 0
+        advised = step.job.queue.advice is not None
+        if advised and step.allowed_workers is None and not step.advice_pending:
+            self._ask_about_others(step, now)
+        if step.advice_pending:
+            return self._plan_during_call(step, now)
         candidates = self._candidates(step)
         placements = self._place_with_tickets(step, candidates, now)
         if not placements and candidates:
@@ -119,14 +123,30 @@
         step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
         if not placements:
             self._reserve_workers(step, now)
+            if advised and not step.advice_pending:
+                self._ask_about_others(step, now)
             self._log_wait(step, "no worker fits" if candidates else "not tried", now)
             return 0
-        if step.job.queue.advice is None or self._tickets_valid(step, placements, now):
+        if not advised or _tickets_valid(step, placements, now):
             return self._start(step, placements, now)
         self._log_wait(step, "tickets missing", now)
         self._reserve_resources(step, placements, now)
         return 0
 
+    def _plan_during_call(self, step: StepRun, now: float) -> int:
+        """Start a step with the tickets it has while more advice is on its way."""
+        # Resources freed meanwhile would not count as gained after the answer.
+        step.blocked = False
+        placements: list[Placement] = []
+        if not step.reserved and step.allowed_workers:
+            placements = self._place_with_tickets(step, self._candidates(step), now)
+        if placements:
+            return self._start(step, placements, now)
+        if step.id in self._gang_reservations:
+            self._reserve_workers(step, now)
+        self._log_wait(step, "advice pending", now)
+        return 0
+
     def _log_wait(self, step: StepRun, why: str, now: float) -> None:
         """Log at intervals why a step waits, with the inputs of the decision."""
         since = max(step.due_at, step.wait_logged_at)
@@ -201,12 +221,10 @@
     def _place_with_tickets(
         self, step: StepRun, candidates: Sequence[Candidate], now: float
     ) -> list[Placement]:
-        """Place a gang on the workers for which it has valid tickets, if it fits."""
-        if step.job.queue.advice is None or not step.spec.gang:
-            return []
-        if now + TICKET_MARGIN_S >= step.tickets_until:
-            return []
-        return self._place(step, [c for c in candidates if c.worker_id in step.tickets])
+        """Place a step on the workers for which it has valid tickets."""
+        at = now + TICKET_MARGIN_S
+        usable = [c for c in candidates if step.has_ticket(c.worker_id, at)]
+        return self._place(step, usable) if usable else []
 
     def _startable(self, step: StepRun) -> list[int]:
         """Return the tasks to start, except those of which an orphan may exist."""
@@ -267,45 +285,30 @@
 
     # Advice
 
-    def _ensure_advice(self, step: StepRun, now: float) -> bool:
-        """Return whether a step's allowed workers are known; request advice if not."""
-        if step.advice_pending:
-            if step.id in self._gang_reservations:
-                self._reserve_workers(step, now)
-            return False
-        if step.allowed_workers is not None and (
-            step.allowed_suffice or self._allowed_suffice(step)
-        ):
-            return True
-        workers = list(self._cluster.eligible(step))
-        not_asked = [w for w in workers if w.entry.worker_id not in step.asked_workers]
-        if not not_asked and step.allowed_workers:
-            step.allowed_suffice = True
-            return True
-        self._request_advice(step, not_asked or workers, now)
-        return False
-
-    def _allowed_suffice(self, step: StepRun) -> bool:
-        """Return whether all tasks of a step fit on the allowed workers if empty."""
-        slots = sum(slots_on_empty_worker(step, c) for c in self._free.eligible(step))
-        step.allowed_suffice = slots >= step.spec.count
-        return step.allowed_suffice
+    def _ask_about_others(self, step: StepRun, now: float) -> None:
+        """Ask which of the workers not named in a call so far may run a step."""
+        candidates = self._free.candidates
+        if candidates.keys() <= step.asked_workers:
+            return
+        if now - step.advice_asked_at < ASK_AGAIN_S:
+            return
+        workers = [
+            candidate.worker
+            for worker_id, candidate in candidates.items()
+            if worker_id not in step.asked_workers
+            and step.may_run_on(candidate.worker.entry)
+        ]
+        self._request_advice(step, workers, now)
 
     def _renew_tickets(
         self, step: StepRun, candidates: Sequence[Candidate], now: float
     ) -> None:
         """Renew the tickets of a gang before its reserved workers are free."""
         duration_s = step.job.queue.advice.duration(len(candidates))
-        if now + duration_s + TICKET_MARGIN_S >= step.tickets_until:
+        at = now + duration_s + TICKET_MARGIN_S
+        if not all(step.has_ticket(c.worker_id, at) for c in candidates):
             self._request_advice(step, [c.worker for c in candidates], now)
 
-    def _tickets_valid(
-        self, step: StepRun, placements: list[Placement], now: float
-    ) -> bool:
-        if now + TICKET_MARGIN_S >= step.tickets_until:
-            return False
-        return all(w.entry.worker_id in step.tickets for _, w in placements)
-
     def _reserve_resources(
         self, step: StepRun, placements: list[Placement], now: float
     ) -> None:
@@ -358,8 +361,7 @@
         self, step: StepRun, reserved: list[Placement], now: float
     ) -> list[Placement]:
         """Return the reserved placements that can start now, for a gang all or none."""
-        if now + TICKET_MARGIN_S >= step.tickets_until:
-            return []
+        at = now + TICKET_MARGIN_S
         needs = allocated_resources(step.spec)
         startable = set(self._startable(step))
         candidates: dict[str, Candidate] = {}
@@ -371,7 +373,7 @@
             if worker_id not in candidates:
                 candidates[worker_id] = Candidate.of(worker, now)
             candidate = candidates[worker_id]
-            if worker_id in step.tickets and candidate.slots(needs):
+            if step.has_ticket(worker_id, at) and candidate.slots(needs):
                 candidate.take(needs, 1)
                 valid.append((index, worker))
         if step.spec.gang and len(valid) < step.spec.count:
@@ -403,10 +405,15 @@
         return len(placements)
 
 
+def _tickets_valid(step: StepRun, placements: Sequence[Placement], now: float) -> bool:
+    at = now + TICKET_MARGIN_S
+    return all(step.has_ticket(w.entry.worker_id, at) for _, w in placements)
+
+
 def _ticket_left_s(step: StepRun, now: float) -> float | None:
-    if step.job.queue.advice is None:
-        return None
-    return None if not step.tickets else round(step.tickets_until - now, 3)
+    """Return how long the newest ticket of a step is valid, ``None`` without one."""
+    until = max((t.valid_until for t in step.tickets.values()), default=None)
+    return None if until is None else round(until - now, 3)
 
 
 def _age(now: float, at: float) -> float | None:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -70,6 +70,19 @@
         return self.task_id, self.number
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission of the advice service to run a step on a worker.
+
+    Attributes:
+        value: Text that a start order carries.
+        valid_until: Time at which it expires.
+    """
+
+    value: str
+    valid_until: float
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One step of one occurrence of a job.
@@ -84,16 +97,13 @@
         checkpoints: Newest checkpoint by the same key.
         allowed_workers: Ids of the workers that the advice service allows; ``None``
             before its first answer.
-        tickets: Tickets by worker id.
-        tickets_until: Time at which the tickets expire.
+        tickets: Newest ticket by worker id; it may have expired.
         advice_pending: Whether a call to the advice service is in flight.
         asked_workers: Ids of all workers named in calls to the advice service.
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
         failed_workers: Ids of the workers on which tasks of this step failed.
-        allowed_suffice: Whether the allowed workers, if empty, have resources for all
-            tasks of the step, or no other worker is left to ask about.
         blocked: Whether some tasks did not fit in the planner's last pass.
         critical_path_s: Declared duration of the critical path from this step on.
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
@@ -114,14 +124,12 @@
     last_numbers: dict[int, int] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
     allowed_workers: set[str] | None = None
-    tickets: dict[str, str] = field(default_factory=dict)
-    tickets_until: float = float("-inf")
+    tickets: dict[str, Ticket] = field(default_factory=dict)
     advice_pending: bool = False
     asked_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
-    allowed_suffice: bool = False
     blocked: bool = False
     critical_path_s: float = 0.0
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
@@ -151,6 +159,11 @@
             return False
         return not self.spec.label or self.spec.label in entry.labels
 
+    def has_ticket(self, worker_id: str, at: float) -> bool:
+        """Return whether the step has a ticket for a worker that is valid at a time."""
+        ticket = self.tickets.get(worker_id)
+        return ticket is not None and at < ticket.valid_until
+
     def next_number(self, index: int, epoch: int) -> int:
         """Return a run number higher than all used before."""
         key = self.attempt_key(index)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -375,3 +375,37 @@
     give_advice(bench, call)
     assert bench.plan() == []
     assert bench.worker("w0").used == bench.worker("w1").used == Resources()
+
+
+def test_a_gang_that_must_wait_asks_about_workers_not_named_before():
+    """Guards against a gang that waits for a few workers while others are idle."""
+    bench = Bench(130)
+    fill(bench, 130, cpu=9000)
+    bench.submit("a1", step(4, cpu=8000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert len(call.workers) == 100
+    give_advice(bench, call, call.workers[:4])
+    bench.now += 1.0
+    assert bench.plan() == []
+    calls = bench.advice_calls()
+    assert {w for c in calls for w in c.workers} >= {f"w{i}" for i in range(100, 130)}
+
+
+def test_a_gang_starts_with_valid_tickets_during_another_call():
+    """Guards against a gang that ignores freed workers until a slow call returns."""
+    bench = Bench(110)
+    filling = fill(bench, 110, cpu=9000)
+    bench.submit("a1", step(2, cpu=8000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.now += 1.0
+    give_advice(bench, call, call.workers[:2])
+    assert bench.plan() == []
+    (second,) = bench.advice_calls()
+    for run in filling:
+        if run.worker.entry.worker_id in call.workers[:2]:
+            bench.end(run)
+    assert len(bench.plan()) == 2
+    give_advice(bench, second)
+    assert bench.plan() == []
