--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -39,6 +39,7 @@
     StartRun,
     StepRun,
     StopRun,
+    Ticket,
     WorkerState,
 )
 from .table import TableJob
@@ -48,9 +49,18 @@
 # Delay before a task whose start was refused is placed again, so that a worker that
 # refuses everything does not keep the planner busy.
 RESTART_DELAY_S = 0.1
-# A run without progress for this long is stalled: even a 12 s task on a worker that is
-# eight times slower advances by one percent a second.
+# A run without progress for this long is stalled, or for the time in which the slowest
+# sound run advances by one percent, whichever is longer.
 STALL_S = 1.5
+# A sound run takes at most this many times its estimate: eight times as long on a slow
+# worker, and three times that far from its data.
+SLOWEST_FACTOR = 24.0
+# Of the time between two answers of a worker, only this much counts towards a stall,
+# because the worker may have been suspended or cut off.
+MAX_OBSERVED_GAP_S = 1.0
+# Progress of a task that has nothing left to do. A task of a gang shows it while the
+# tasks on slower workers still work.
+COMPLETE_PERCENT = 100.0
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
@@ -226,6 +236,7 @@
         if step.ready and step.pending and startable and not step.job.state.final:
             self._waiting[step.id] = step
         else:
+            step.release_reservation()
             self._waiting.pop(step.id, None)
 
     def _end_if_complete(self, job: OpenJob, now: float, wall: float) -> None:
@@ -252,7 +263,6 @@
             objective_s=round(job.objective_at - job.accepted_at, 3),
         )
         for step in job.steps.values():
-            step.release_reservation()
             step.pending.clear()
             self.update_waiting(step)
             for run in list(step.live.values()):
@@ -372,6 +382,10 @@
                 self._begin_incarnation(worker, worker.entry, now)
             worker.entry = replace(worker.entry, born_ms=report.born_ms)
         worker.clock_ms, worker.clock_at = report.clock_ms, now
+        unobserved_s = now - worker.last_answer_at - MAX_OBSERVED_GAP_S
+        if unobserved_s > 0:
+            for run in worker.runs.values():
+                run.moved_at = min(now, run.moved_at + unobserved_s)
         worker.last_answer_at = now
         for ended in report.ended:
             if ended.sequence > worker.processed:
@@ -491,6 +505,9 @@
     ) -> None:
         worker.processed = ended.sequence
         run = worker.runs.get((ended.task_id, ended.number))
+        if ended.kind is EndKind.DONE:
+            # Counts for the worker even if another task has already ended the job.
+            worker.health.note_success()
         found = self._find_task(ended.task_id)
         if found is not None:
             step, index = found
@@ -515,7 +532,6 @@
         job = step.job
         key = step.attempt_key(index)
         if ended.kind is EndKind.DONE:
-            worker.health.note_success()
             if not step.spec.lasting:
                 self._mark_done(step, index, ended.number, now, wall)
             return
@@ -625,28 +641,46 @@
                     self.stop_run(run, now)
 
     def stop_stalled(self, now: float) -> None:
-        """Stop runs that make no progress, and quarantine their workers."""
+        """Stop runs that make no progress, and quarantine the workers at fault."""
+        hung: dict[str, StepRun] = {}
         for worker in self._workers.values():
             for run in list(worker.runs.values()):
-                if run.phase is RunPhase.RUNNING and self._is_stalled(run, now):
-                    self._log.write(
-                        "run stalled",
-                        task=run.task_id,
-                        run=run.number,
-                        worker=worker.entry.worker_id,
-                        percent=run.percent,
-                        moved_age_s=round(now - run.moved_at, 2),
-                    )
-                    worker.health.quarantine(now)
-                    self.stop_run(run, now)
+                if run.phase is not RunPhase.RUNNING or not _is_stalled(run):
+                    continue
+                if run.step.spec.gang and run.percent >= COMPLETE_PERCENT:
+                    hung[run.step.id] = run.step
+                    continue
+                self._log_stalled(run, now)
+                worker.health.quarantine(now)
+                self.stop_run(run, now)
+        for step in hung.values():
+            self._stop_if_hung(step, now)
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
-        """Return whether polls have shown the same progress for too long.
+    def _stop_if_hung(self, step: StepRun, now: float) -> None:
+        """Stop a gang whose tasks all show complete progress but do not end.
 
-        The progress of a lasting task carries no information.
+        Which worker prevents the end is unknown, so none is quarantined.
         """
-        observed_s = run.worker.last_answer_at - run.moved_at
-        return run.worker.settled and not run.step.spec.lasting and observed_s > STALL_S
+        runs = list(step.live.values())
+        if all(
+            run.phase is RunPhase.RUNNING
+            and run.percent >= COMPLETE_PERCENT
+            and _is_stalled(run)
+            for run in runs
+        ):
+            for run in runs:
+                self._log_stalled(run, now)
+                self.stop_run(run, now)
+
+    def _log_stalled(self, run: Run, now: float) -> None:
+        self._log.write(
+            "run stalled",
+            task=run.task_id,
+            run=run.number,
+            worker=run.worker.entry.worker_id,
+            percent=run.percent,
+            moved_age_s=round(now - run.moved_at, 2),
+        )
 
     # Starts
 
@@ -661,6 +695,7 @@
         worker.used = worker.used + allocated_resources(step.spec)
         lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
         worker.lease_ms = max(worker.lease_ms, lease_ms)
+        ticket = step.tickets.get(worker.entry.worker_id)
         order = RunOrder(
             worker_id=worker.entry.worker_id,
             task_id=run.task_id,
@@ -669,7 +704,7 @@
             lease_ms=lease_ms,
             token=worker.token,
             checkpoint=step.checkpoints.get(step.attempt_key(index), ""),
-            ticket=step.tickets.get(worker.entry.worker_id, ""),
+            ticket=ticket.value if ticket is not None else "",
         )
         self.orders.append(StartRun(run, order))
 
@@ -717,12 +752,12 @@
     def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
         """Store which of the requested workers may run a step, with their tickets."""
         step.advice_pending = False
-        step.release_reservation()
         allowed = set(advice.tickets)
         step.asked_workers.update(asked)
         step.allowed_workers = ((step.allowed_workers or set()) - set(asked)) | allowed
-        step.tickets = dict(advice.tickets)
-        step.tickets_until = now + advice.valid_s
+        until = now + advice.valid_s
+        for worker_id, value in advice.tickets.items():
+            step.tickets[worker_id] = Ticket(value, until)
         step.blocked = False
 
     def on_no_advice(self, step: StepRun, now: float) -> None:
@@ -769,6 +804,30 @@
     return run.phase is not RunPhase.STARTING and 0 < run.confirmed_at < sent_at
 
 
+def _is_stalled(run: Run) -> bool:
+    """Return whether polls have shown the same progress for too long.
+
+    The progress of a lasting task carries no information.
+    """
+    step = run.step
+    if step.spec.lasting or not run.worker.settled:
+        return False
+    since = run.moved_at
+    if step.spec.gang:
+        # The tasks of a gang work only while all of them are present.
+        members = step.live.values()
+        if len(members) < step.spec.count or not all(map(_is_present, members)):
+            return False
+        since = max(since, *(member.confirmed_at for member in members))
+    stall_s = max(STALL_S, step.spec.estimate_s * SLOWEST_FACTOR / 100)
+    return run.worker.last_answer_at - since > stall_s
+
+
+def _is_present(run: Run) -> bool:
+    """Return whether a worker that answers polls is known to have a run."""
+    return run.worker.settled and run.confirmed_at > 0
+
+
 def _is_newer_incarnation(known: WorkerEntry, entry: WorkerEntry) -> bool:
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -25,6 +25,7 @@
 from .cluster import ClusterState
 from .decisions import DecisionLog
 from .placement import (
+    UNLIMITED_TASKS,
     Candidate,
     FreeCapacity,
     Placement,
@@ -40,6 +41,9 @@
 TICKET_MARGIN_S = 0.15
 # The advice service accepts at most this many worker ids per call.
 MAX_ADVISED_WORKERS = 100
+# Least time between two calls about more workers for the same step, so that workers
+# that join one by one do not cause a call each.
+ASK_AGAIN_S = 1.0
 # Largest fraction of the workers that all gangs together may reserve.
 MAX_RESERVED_SHARE = 0.5
 # Below this CPU utilization only the first gang reserves workers, so that other work
@@ -48,6 +52,8 @@
 # By the users' rules, a job that takes more than this many times its objective is of
 # no use to its caller.
 USELESS_FACTOR = 3.0
+# Interval at which the log tells why a step waits, for as long as it does.
+WAIT_LOG_S = 2.0
 
 
 class Planner:
@@ -73,16 +79,17 @@
         """Order all starts that are possible now; return their number."""
         cluster = self._cluster
         self._drop_stale_reservations()
+        self._orphaned_tasks = cluster.orphaned_tasks()
+        started = self._start_reserved(now)
         free = self._free = FreeCapacity(cluster.workers.values(), self._snapshots, now)
         reserved_before, self._reserved_by = self._reserved_by, {}
-        self._orphaned_tasks = cluster.orphaned_tasks()
-        started = 0
         steps = sorted(cluster.waiting.values(), key=lambda s: self.rank(s, now))
         for step in steps:
             if step.retry_at > now or (step.job.inherited and cluster.unsettled):
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
+                self._log_wait(step, "retry delayed or takeover unfinished", now)
                 continue
             started += self._plan(step, now)
         self._snapshots = free.snapshots()
@@ -104,20 +111,70 @@
         return (1 + useless, job.queue.priority, job.objective_at, step.id)
 
     def _plan(self, step: StepRun, now: float) -> int:
-        if step.job.queue.advice is not None and not self._ensure_advice(step, now):
-            step.blocked = False
-            return 0
+        advised = step.job.queue.advice is not None
+        if advised and step.allowed_workers is None and not step.advice_pending:
+            self._ask_about_others(step, now)
+        if step.advice_pending:
+            return self._plan_during_call(step, now)
         candidates = self._candidates(step)
-        placements = self._place(step, candidates) if candidates else []
+        placements = self._place_with_tickets(step, candidates, now)
+        if not placements and candidates:
+            placements = self._place(step, candidates)
         step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
         if not placements:
             self._reserve_workers(step, now)
+            if advised and not step.advice_pending:
+                self._ask_about_others(step, now)
+            self._log_wait(step, "no worker fits" if candidates else "not tried", now)
             return 0
-        if step.job.queue.advice is None or self._tickets_valid(step, placements, now):
+        if not advised or _tickets_valid(step, placements, now):
             return self._start(step, placements, now)
+        self._log_wait(step, "tickets missing", now)
         self._reserve_resources(step, placements, now)
         return 0
 
+    def _plan_during_call(self, step: StepRun, now: float) -> int:
+        """Start a step with the tickets it has while more advice is on its way."""
+        # Resources freed meanwhile would not count as gained after the answer.
+        step.blocked = False
+        placements: list[Placement] = []
+        if not step.reserved and step.allowed_workers:
+            placements = self._place_with_tickets(step, self._candidates(step), now)
+        if placements:
+            return self._start(step, placements, now)
+        if step.id in self._gang_reservations:
+            self._reserve_workers(step, now)
+        self._log_wait(step, "advice pending", now)
+        return 0
+
+    def _log_wait(self, step: StepRun, why: str, now: float) -> None:
+        """Log at intervals why a step waits, with the inputs of the decision."""
+        since = max(step.due_at, step.wait_logged_at)
+        if now - since < WAIT_LOG_S:
+            return
+        step.wait_logged_at = now
+        eligible = self._free.eligible(step)
+        needs = allocated_resources(step.spec)
+        self._log.write(
+            "step waits",
+            step=step.id,
+            why=why,
+            waited_s=round(now - step.due_at, 3),
+            tasks=len(step.pending),
+            slots_free=sum(c.slots(needs) for c in eligible),
+            slots_unreserved=sum(
+                c.slots(needs) for c in self._unreserved(step, eligible)
+            ),
+            slots_empty=sum(slots_on_empty_worker(step, c) for c in eligible),
+            workers_limited=sum(c.tasks < UNLIMITED_TASKS for c in eligible),
+            workers_allowed=len(eligible),
+            workers_reserved=len(self._reserved_by),
+            resources_reserved=len(step.reserved),
+            used_share=round(self._free.used_share, 3),
+            advice_age_s=_age(now, step.advice_asked_at),
+            ticket_left_s=_ticket_left_s(step, now),
+        )
+
     # Placement
 
     def _candidates(self, step: StepRun) -> list[Candidate]:
@@ -161,13 +218,23 @@
             if c.worker_id not in reserved_by or reserved_by[c.worker_id][0] is step
         ]
 
+    def _place_with_tickets(
+        self, step: StepRun, candidates: Sequence[Candidate], now: float
+    ) -> list[Placement]:
+        """Place a step on the workers for which it has valid tickets."""
+        at = now + TICKET_MARGIN_S
+        usable = [c for c in candidates if step.has_ticket(c.worker_id, at)]
+        return self._place(step, usable) if usable else []
+
+    def _startable(self, step: StepRun) -> list[int]:
+        """Return the tasks to start, except those of which an orphan may exist."""
+        orphaned = self._orphaned_tasks
+        if not orphaned:
+            return step.pending
+        return [i for i in step.pending if step.task_id(i) not in orphaned]
+
     def _place(self, step: StepRun, candidates: Sequence[Candidate]) -> list[Placement]:
-        indexes = step.pending
-        if self._orphaned_tasks:
-            # A task is not started again while an orphaned run of it may exist.
-            indexes = [
-                i for i in indexes if step.task_id(i) not in self._orphaned_tasks
-            ]
+        indexes = self._startable(step)
         if step.spec.gang:
             complete = len(indexes) == step.spec.count
             return place_gang(step, candidates) if complete else []
@@ -218,51 +285,37 @@
 
     # Advice
 
-    def _ensure_advice(self, step: StepRun, now: float) -> bool:
-        """Return whether a step's allowed workers are known; request advice if not."""
-        if step.advice_pending:
-            if step.id in self._gang_reservations:
-                self._reserve_workers(step, now)
-            return False
-        if step.allowed_workers is not None and (
-            step.allowed_suffice or self._allowed_suffice(step)
-        ):
-            return True
-        workers = list(self._cluster.eligible(step))
-        not_asked = [w for w in workers if w.entry.worker_id not in step.asked_workers]
-        if not not_asked and step.allowed_workers:
-            step.allowed_suffice = True
-            return True
-        self._request_advice(step, not_asked or workers, now)
-        return False
-
-    def _allowed_suffice(self, step: StepRun) -> bool:
-        """Return whether all tasks of a step fit on the allowed workers if empty."""
-        slots = sum(slots_on_empty_worker(step, c) for c in self._free.eligible(step))
-        step.allowed_suffice = slots >= step.spec.count
-        return step.allowed_suffice
+    def _ask_about_others(self, step: StepRun, now: float) -> None:
+        """Ask which of the workers not named in a call so far may run a step."""
+        candidates = self._free.candidates
+        if candidates.keys() <= step.asked_workers:
+            return
+        if now - step.advice_asked_at < ASK_AGAIN_S:
+            return
+        workers = [
+            candidate.worker
+            for worker_id, candidate in candidates.items()
+            if worker_id not in step.asked_workers
+            and step.may_run_on(candidate.worker.entry)
+        ]
+        self._request_advice(step, workers, now)
 
     def _renew_tickets(
         self, step: StepRun, candidates: Sequence[Candidate], now: float
     ) -> None:
         """Renew the tickets of a gang before its reserved workers are free."""
         duration_s = step.job.queue.advice.duration(len(candidates))
-        if now + duration_s + TICKET_MARGIN_S >= step.tickets_until:
+        at = now + duration_s + TICKET_MARGIN_S
+        if not all(step.has_ticket(c.worker_id, at) for c in candidates):
             self._request_advice(step, [c.worker for c in candidates], now)
 
-    def _tickets_valid(
-        self, step: StepRun, placements: list[Placement], now: float
-    ) -> bool:
-        if now + TICKET_MARGIN_S >= step.tickets_until:
-            return False
-        return all(w.entry.worker_id in step.tickets for _, w in placements)
-
     def _reserve_resources(
         self, step: StepRun, placements: list[Placement], now: float
     ) -> None:
         """Reserve resources for a step while its tickets are renewed."""
-        step.reserved = [(w, allocated_resources(step.spec)) for _, w in placements]
-        for worker, amount in step.reserved:
+        amount = allocated_resources(step.spec)
+        step.reserved = [(index, worker, amount) for index, worker in placements]
+        for _, worker in placements:
             worker.used = worker.used + amount
         self._request_advice(
             step, list({id(w): w for _, w in placements}.values()), now
@@ -277,6 +330,7 @@
             workers = sorted(workers, key=lambda w: -w.free.cores_milli)
         ids = tuple(w.entry.worker_id for w in workers[:MAX_ADVISED_WORKERS])
         step.advice_pending = True
+        step.advice_asked_at = now
         duration_s = step.job.queue.advice.duration(len(ids))
         self._cluster.orders.append(
             AdviceCall(step, ids, self.rank(step, now), duration_s)
@@ -284,6 +338,48 @@
 
     # Starts
 
+    def _start_reserved(self, now: float) -> int:
+        """Start steps on their reserved workers once their tickets are renewed.
+
+        Placing them anew could choose other workers, for which they have no tickets.
+        """
+        answered = [
+            step
+            for step in self._cluster.waiting.values()
+            if step.reserved and not step.advice_pending
+        ]
+        started = 0
+        for step in sorted(answered, key=lambda s: self.rank(s, now)):
+            reserved = [(index, worker) for index, worker, _ in step.reserved]
+            step.release_reservation()
+            placements = self._still_valid(step, reserved, now)
+            if placements:
+                started += self._start(step, placements, now)
+        return started
+
+    def _still_valid(
+        self, step: StepRun, reserved: list[Placement], now: float
+    ) -> list[Placement]:
+        """Return the reserved placements that can start now, for a gang all or none."""
+        at = now + TICKET_MARGIN_S
+        needs = allocated_resources(step.spec)
+        startable = set(self._startable(step))
+        candidates: dict[str, Candidate] = {}
+        valid = []
+        for index, worker in reserved:
+            worker_id = worker.entry.worker_id
+            if index not in startable or not worker.usable:
+                continue
+            if worker_id not in candidates:
+                candidates[worker_id] = Candidate.of(worker, now)
+            candidate = candidates[worker_id]
+            if step.has_ticket(worker_id, at) and candidate.slots(needs):
+                candidate.take(needs, 1)
+                valid.append((index, worker))
+        if step.spec.gang and len(valid) < step.spec.count:
+            return []
+        return valid
+
     def _start(self, step: StepRun, placements: list[Placement], now: float) -> int:
         cluster = self._cluster
         gang_number = 0
@@ -309,7 +405,17 @@
         return len(placements)
 
 
+def _tickets_valid(step: StepRun, placements: Sequence[Placement], now: float) -> bool:
+    at = now + TICKET_MARGIN_S
+    return all(step.has_ticket(w.entry.worker_id, at) for _, w in placements)
+
+
 def _ticket_left_s(step: StepRun, now: float) -> float | None:
-    if step.job.queue.advice is None:
-        return None
-    return round(step.tickets_until - now, 3)
+    """Return how long the newest ticket of a step is valid, ``None`` without one."""
+    until = max((t.valid_until for t in step.tickets.values()), default=None)
+    return None if until is None else round(until - now, 3)
+
+
+def _age(now: float, at: float) -> float | None:
+    """Return the age of an event in seconds, ``None`` if it has not happened."""
+    return None if at == float("-inf") else round(now - at, 3)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -300,3 +300,112 @@
     assert bench.plan() == []
     bench.end(second)
     assert [run.worker for run in bench.plan()] == [second.worker]
+
+
+def test_the_log_tells_why_a_step_waits():
+    """Guards against a job that waits for long without a line that says why."""
+    bench = Bench(2)
+    fill(bench, 2, cpu=12_000)
+    bench.submit("a1", step(2, cpu=8000, gang=True))
+    for _ in range(30):
+        bench.now += 0.1
+        bench.plan()
+    (line,) = [fields for event, fields in bench.log.lines if event == "step waits"]
+    assert (line["step"], line["why"]) == ("a1.0.0", "not tried")
+    assert (line["slots_free"], line["slots_empty"]) == (0, 4)
+
+
+def expire_tickets(bench, step_number):
+    """Get first tickets for a step that does not fit, and let them expire."""
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert call.step.id == step_number
+    give_advice(bench, call)
+    assert bench.plan() == []
+    bench.now += 3.0
+
+
+def test_a_step_starts_with_renewed_tickets_although_other_workers_became_tighter():
+    """Guards against a step that renews tickets again and again and never starts."""
+    bench = Bench(4)
+    filling = fill(bench, 4, cpu=12_000)
+    bench.submit("a1", step(2, cpu=6000), queue="advised")
+    expire_tickets(bench, "a1.0.0")
+    for run in filling[:2]:
+        bench.end(run)
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    assert set(call.workers) == {"w0"}
+    bench.submit("s1", step(1, cpu=9000), queue="checks")
+    assert [run.worker.entry.worker_id for run in bench.plan()] == ["w1"]
+    give_advice(bench, call)
+    assert {run.worker.entry.worker_id for run in bench.plan()} == {"w0"}
+
+
+def test_a_gang_starts_on_the_workers_of_its_renewed_tickets():
+    """Guards against a gang that moves to other workers with each renewal."""
+    bench = Bench(6)
+    filling = fill(bench, 6, cpu=12_000)
+    bench.submit("a1", step(4, cpu=6000, gang=True), queue="advised")
+    expire_tickets(bench, "a1.0.0")
+    bench.advice_calls()
+    (waiting,) = bench.cluster.waiting.values()
+    bench.cluster.on_no_advice(waiting, bench.now)
+    bench.now += 3.0
+    for run in filling[:4]:
+        bench.end(run)
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    bench.submit("s1", step(2, cpu=5000), queue="checks")
+    bench.plan()
+    give_advice(bench, call)
+    gang = [run for run in bench.plan() if run.step.spec.gang]
+    assert {run.worker.entry.worker_id for run in gang} == set(call.workers)
+
+
+def test_renewed_tickets_are_not_used_on_a_worker_that_was_lost_meanwhile():
+    bench = Bench(2, Resources(4000, 64_000))
+    bench.submit("a1", step(2, cpu=4000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, valid_s=0.0)
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.worker("w1").health.quarantine(bench.now)
+    give_advice(bench, call)
+    assert bench.plan() == []
+    assert bench.worker("w0").used == bench.worker("w1").used == Resources()
+
+
+def test_a_gang_that_must_wait_asks_about_workers_not_named_before():
+    """Guards against a gang that waits for a few workers while others are idle."""
+    bench = Bench(130)
+    fill(bench, 130, cpu=9000)
+    bench.submit("a1", step(4, cpu=8000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert len(call.workers) == 100
+    give_advice(bench, call, call.workers[:4])
+    bench.now += 1.0
+    assert bench.plan() == []
+    calls = bench.advice_calls()
+    assert {w for c in calls for w in c.workers} >= {f"w{i}" for i in range(100, 130)}
+
+
+def test_a_gang_starts_with_valid_tickets_during_another_call():
+    """Guards against a gang that ignores freed workers until a slow call returns."""
+    bench = Bench(110)
+    filling = fill(bench, 110, cpu=9000)
+    bench.submit("a1", step(2, cpu=8000, gang=True), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.now += 1.0
+    give_advice(bench, call, call.workers[:2])
+    assert bench.plan() == []
+    (second,) = bench.advice_calls()
+    for run in filling:
+        if run.worker.entry.worker_id in call.workers[:2]:
+            bench.end(run)
+    assert len(bench.plan()) == 2
+    give_advice(bench, second)
+    assert bench.plan() == []
