Model speeds, gangs and polls of workers in the queue load

Callers saw jobs of wide gangs that did not finish at the grown size: from 14 s after the last arrival they had nothing running although most workers were idle. The load model did not show it. It reported the time as a task's progress, gave all workers one speed, let the tasks of a gang end one by one, had no job that always fails, and checked service levels only.

The model now reports the progress of a task's own work, up to 100, draws the speed of each worker, starts a gang's work when all members are present, ends the members together, breaks the gang when one of them ends, keeps checkpoints, checks tickets, reports at polls as the leader term makes them, and charges a fixed time for a planning pass. A second deployment of the grown size is added. The simulation notes each job that has had nothing running for 3 s while the workers it may use could hold a ready step twice and less than half of the cores are in use, and each job that has not ended 60 s after the last arrival.

--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -34,10 +34,24 @@
     WorkerEntry,
     WorkerReport,
 )
+from flamingoway.queues.placement import allocated_resources
 from flamingoway.queues.planning import Planner
 from flamingoway.queues.records import JobRecord
-from flamingoway.queues.runs import AdviceCall, PollNow, Run, StartRun, StopRun
+from flamingoway.queues.runs import (
+    AdviceCall,
+    PollNow,
+    Run,
+    StartRun,
+    StepRun,
+    StopRun,
+)
 from flamingoway.queues.table import TableJob
+from flamingoway.queues.term import (
+    PLAN_DELAY_S,
+    PLAN_PAUSE_FACTOR,
+    POLL_WAIT_S,
+    TICK_S,
+)
 
 SERVICE = "planner"
 LEASE_S = 5.7
@@ -45,9 +59,19 @@
 MESSAGE_DELAY_S = 0.002
 # Duration of a store write.
 STORE_WRITE_S = 0.006
-# Delay between an event and the planning pass, as in the leader term.
-PLAN_DELAY_S = 0.005
-TICK_S = 0.1
+# A task's duration on each kind of worker, relative to the declared kind.
+SPEED_FACTORS = (1.0, 1.0, 1.3)
+# Work between two checkpoints of a task.
+CHECKPOINT_INTERVAL_S = 0.5
+# A gang task ends if the others have not started within this time.
+GANG_WAIT_S = 4.0
+# Each job ends, or at least has a task running while workers are free, from this long
+# after the last arrival.
+FINISH_S = 14.0
+# Longest time for which a job may have nothing running while workers are free.
+MAX_IDLE_S = 3.0
+# The simulation ends this long after the last arrival.
+DRAIN_S = 60.0
 # Time that a worker takes to stop a task.
 TASK_STOP_S = 0.4
 # A job that ends within this many times its objective is late and keeps part of its
@@ -85,6 +109,7 @@
         job_value: Value of a job of mean size that ends in time; a late one has a
             fifth.
         checkpointing_share: Part of the steps that can save checkpoints.
+        hopeless_share: Part of the jobs whose runs all fail.
     """
 
     queue: Queue
@@ -102,6 +127,7 @@
     allowed_share: float
     job_value: float
     checkpointing_share: float = 0.5
+    hopeless_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +148,8 @@
         processes: Entry processes that ask the advice service.
         slow_workers: Part of the workers that are several times slower.
         failing_workers: Part of the workers that fail every task that they start.
+        plan_pass_s: Duration of a pass of the planner on the leader.
+        restore_s: Time that a task takes to resume from a checkpoint.
     """
 
     name: str
@@ -133,6 +161,8 @@
     processes: int = 7
     slow_workers: float = 0.0
     failing_workers: float = 0.0
+    plan_pass_s: float = 0.002
+    restore_s: float = 0.6
 
 
 def _queue(name: str, priority: int, stretch: float, objective_s: float, *advice):
@@ -149,12 +179,63 @@
     )
 
 
-def scenario(size: str = "today", bursts: bool = True) -> Scenario:
+def scenario(
+    size: str = "today", bursts: bool = True, deployment: str = "first"
+) -> Scenario:
     """Return the planner's load of ``today`` or the ``grown`` one.
 
     The figures come from the requirements and the platform's data sheets.
+
+    Args:
+        size: ``today`` or ``grown``.
+        bursts: Whether the arrival rates rise for some seconds.
+        deployment: ``first``, or ``second`` for the grown size.
     """
     grown = size == "grown"
+    base = _first_scenario(grown, bursts)
+    if deployment == "first":
+        return base
+    if not grown:
+        raise ValueError("the second deployment has only the grown size")
+    return _second_scenario(base)
+
+
+def _second_scenario(first: Scenario) -> Scenario:
+    plans, sorts, checks = first.traffic
+    valid_s = 1.5
+    return replace(
+        first,
+        name=f"{first.name}, second deployment",
+        workers=175,
+        rack=12,
+        processes=36,
+        restore_s=0.25,
+        traffic=(
+            replace(
+                _with_advice(plans, 0.455, 0.0065, valid_s),
+                job_value=8.83,
+            ),
+            replace(
+                _with_advice(sorts, 0.104, 0.00143, valid_s),
+                rate=6.16,
+                duration=LogNormal(2.2, 0.5, 5.5),
+                job_value=2.64,
+            ),
+            replace(
+                _with_advice(checks, 0.0117, 0.000169, valid_s),
+                rate=55.0,
+                duration=LogNormal(0.8, 0.5, 2.0),
+                job_value=0.415,
+            ),
+        ),
+    )
+
+
+def _with_advice(traffic: QueueTraffic, *advice: float) -> QueueTraffic:
+    return replace(traffic, queue=replace(traffic.queue, advice=AdviceTiming(*advice)))
+
+
+def _first_scenario(grown: bool, bursts: bool) -> Scenario:
     wide = 2.5 if grown else 1.0
     growth = 1.0 if grown else 0.0
     plans = QueueTraffic(
@@ -172,6 +253,7 @@
         one_per_worker_share=0.0,
         allowed_share=0.3,
         job_value=10.5 if grown else 12.6,
+        hopeless_share=0.01,
     )
     sorts = QueueTraffic(
         queue=_queue("sorts", 2, 4.0, 3.0, 0.042 + growth * 0.09, 0.0018, 2.0),
@@ -205,6 +287,7 @@
         one_per_worker_share=0.0,
         allowed_share=0.7,
         job_value=0.4,
+        hopeless_share=0.01,
     )
     traffic_bursts = (
         Burst("sorts", 4.0, 6.0, 2.4),
@@ -212,12 +295,13 @@
         Burst("plans", 19.0, 4.0, 1.8),
     )
     return Scenario(
-        name=f"{size}{', bursts' if bursts else ''}",
+        name=f"{'grown' if grown else 'today'}{', bursts' if bursts else ''}",
         workers=176 if grown else 24,
         rack=8,
         traffic=(plans, sorts, checks),
         bursts=traffic_bursts if bursts else (),
         processes=38 if grown else 7,
+        plan_pass_s=0.01 if grown else 0.002,
     )
 
 
@@ -229,6 +313,7 @@
         durations: True duration of each task on a worker of normal speed, by step,
             in seconds.
         objective_s: Latency objective by the true durations.
+        hopeless: Whether all runs fail.
         ended_s: Time from submission to the end; infinite if it did not complete.
     """
 
@@ -239,6 +324,7 @@
     durations: list[list[float]]
     objective_s: float
     work: float
+    hopeless: bool = False
     ended_s: float = float("inf")
 
 
@@ -264,6 +350,25 @@
     median_wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A job that waited beside free workers, or that never ended.
+
+    Attributes:
+        why: ``waits beside free workers`` or ``never ended``.
+        tasks: Number of tasks of the step that wait.
+        waited_s: Time for which the step has waited; 0 if none waits.
+    """
+
+    why: str
+    at: float
+    job_id: str
+    queue: str
+    step: str
+    tasks: int
+    waited_s: float
+
+
 @dataclass(slots=True)
 class Result:
     """Results of one simulation.
@@ -273,6 +378,8 @@
         used: Mean part of the workers' cores in use.
         wasted: Core-seconds of work that was stopped or failed.
         plan_s: Processor time of the planner.
+        stalled: Number of runs that the cluster state stopped as stalled.
+        violations: Jobs that waited beside free workers or never ended.
     """
 
     scenario: str
@@ -282,27 +389,81 @@
     wasted: float
     plan_s: float
     passes: int
+    stalled: int = 0
     kinds: list[QueueResult] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+
 
+class EventCounts:
+    """Decision log that only counts the events.
 
-class NullLog:
-    """Decision log that writes nothing."""
+    Attributes:
+        counts: Number of events by name.
+    """
+
+    def __init__(self):
+        self.counts: dict[str, int] = {}
 
     def write(self, event: str, **fields) -> None:
-        """Discard the event."""
+        """Count the event and discard its fields."""
+        self.counts[event] = self.counts.get(event, 0) + 1
+
+
+class _Execution:
+    """A run on its worker.
+
+    Attributes:
+        duration_s: Duration of the whole task on this worker.
+        resumed: Part of the task that the checkpoint at the start holds, 0 to 1.
+        works_from: Time from which the task works; infinite before.
+        gang: The gang run of the task, ``None`` for other tasks.
+    """
+
+    def __init__(
+        self, run: Run, duration_s: float, resumed: float, now: float, gang=None
+    ):
+        self.run = run
+        self.duration_s = duration_s
+        self.resumed = resumed
+        self.started_at = now
+        self.works_from = float("inf")
+        self.gang: _Gang | None = gang
+
+    @property
+    def finishes_at(self) -> float:
+        """Time at which the task's own work is done."""
+        return self.works_from + (1.0 - self.resumed) * self.duration_s
+
+    def progress(self, now: float) -> float:
+        """Return the part of the task's own work that is done, 0 to 1."""
+        worked_s = max(0.0, now - self.works_from)
+        return min(1.0, self.resumed + worked_s / self.duration_s)
+
+    def checkpoint(self, now: float, stopped: bool = False) -> str:
+        """Return the newest checkpoint; empty if there is none."""
+        if not self.run.step.spec.checkpointing:
+            return ""
+        done = self.progress(now)
+        if not stopped:
+            interval = CHECKPOINT_INTERVAL_S / self.duration_s
+            saved = int((done - self.resumed) / interval) * interval
+            done = self.resumed + saved
+        return f"{done:.6f}" if done else ""
 
 
 class _Gang:
     """Tasks of one gang run; they begin to work when all have started.
 
     Attributes:
-        fails: Whether the first task to start fails.
+        fails: Whether the run fails.
+        ended: Whether any task has ended.
     """
 
     def __init__(self, count: int, fails: bool):
         self.count = count
         self.fails = fails
-        self.started: list[Run] = []
+        self.ended = False
+        self.members: list[_Execution] = []
 
 
 class Simulation:
@@ -319,27 +480,36 @@
         self.rng = random.Random(seed)
         self.seed = seed
         self.jobs: dict[str, Job] = {}
-        self.cluster = ClusterState(1, LEASE_S, NullLog())
-        self.planner = Planner(self.cluster, NullLog())
+        self._log = EventCounts()
+        self.cluster = ClusterState(1, LEASE_S, self._log)
+        self.planner = Planner(self.cluster, self._log)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._plan_due = False
+        self._plan_from = 0.0
         self._plan_s = 0.0
         self._passes = 0
         self._used = 0.0
         self._wasted = 0.0
-        self._running: dict[str, dict[tuple[str, int], Run]] = {}
+        self._running: dict[str, dict[tuple[str, int], _Execution]] = {}
+        self._ended: dict[str, list[EndedTask]] = {}
         self._ended_counts: dict[str, int] = {}
+        self._polled_at: dict[str, float] = {}
+        self._report_due: set[str] = set()
         self._gangs: dict[tuple[str, int], _Gang] = {}
         self._process_ids = [f"n{i}" for i in range(scenario.processes)]
         self._active_calls: dict[str, AdviceCall] = {}
         self._advice_calls: list[tuple[tuple, int, AdviceCall]] = []
         self._allowed_workers: dict[str, set[str]] = {}
-        self._slow: set[str] = set()
+        self._tickets_until: dict[tuple[str, str], float] = {}
+        self._speed_factors: dict[str, float] = {}
         self._failing: set[str] = set()
+        self._idle_since: dict[str, float] = {}
+        self._violations: dict[str, Violation] = {}
+        self._open_submissions = 0
 
     def run(self) -> Result:
-        """Simulate until no event is left or 60 s after the last arrivals."""
+        """Simulate until all jobs have ended, for ``DRAIN_S`` after the arrivals."""
         scenario = self.scenario
         queues = tuple(traffic.queue for traffic in scenario.traffic)
         self.cluster.set_desired_state(DesiredState(1, queues))
@@ -348,10 +518,14 @@
         for traffic in scenario.traffic:
             self._schedule_arrivals(traffic)
         self._after(TICK_S, self._tick)
-        end = scenario.seconds + 60.0
-        while self._events and self.now < end:
+        end = scenario.seconds + DRAIN_S
+        while self._events and self._events[0][0] < end:
             self.now, _, event = heapq.heappop(self._events)
             event()
+            if not self._open_submissions and not self.cluster.jobs:
+                break
+        for job in self.cluster.jobs.values():
+            self._note_violation(job.spec.job_id, "never ended")
         return self._result()
 
     def _after(self, delay: float, event: Callable[[], None]) -> None:
@@ -373,13 +547,17 @@
         worker = self.cluster.set_worker(entry, 0.0)
         worker.recorded = True
         self._running[worker_id] = {}
+        self._ended[worker_id] = []
         self._ended_counts[worker_id] = 0
+        self._polled_at[worker_id] = 0.0
+        self._speed_factors[worker_id] = self.rng.choice(SPEED_FACTORS)
         draw = self.rng.random()
         if draw < self.scenario.slow_workers:
-            self._slow.add(worker_id)
+            self._speed_factors[worker_id] *= 5
         elif draw < self.scenario.slow_workers + self.scenario.failing_workers:
             self._failing.add(worker_id)
         self._report(worker_id)
+        self._after(self.rng.random() * POLL_WAIT_S, lambda: self._poll(worker_id))
 
     def _schedule_arrivals(self, traffic: QueueTraffic) -> None:
         at = 0.0
@@ -392,6 +570,7 @@
                 return
             if self.rng.random() < self._rate(traffic, at) / peak:
                 job = self._random_job(traffic, at)
+                self._open_submissions += 1
                 self._after(at, lambda job=job: self._submit(job))
 
     def _bursts(self, traffic: QueueTraffic) -> list[Burst]:
@@ -410,6 +589,7 @@
         steps, durations = [], []
         one_per_worker = rng.random() < traffic.one_per_worker_share
         gang = rng.random() < traffic.gang_share
+        hopeless = rng.random() < traffic.hopeless_share
         for number in range(max(1, round(traffic.steps.sample(rng)))):
             count = max(1, round(traffic.width.sample(rng)))
             base = traffic.duration.sample(rng)
@@ -434,6 +614,8 @@
             )
             durations.append(task_durations)
         critical_path_s = sum(max(task_durations) for task_durations in durations)
+        if hopeless:
+            critical_path_s = max(durations[0]) * traffic.queue.max_attempts
         work = sum(
             step.resources.cores_milli / 1000 * sum(task_durations)
             for step, task_durations in zip(steps, durations, strict=True)
@@ -442,7 +624,7 @@
         objective_s = (
             traffic.queue.stretch * critical_path_s + traffic.queue.objective_s
         )
-        job = Job(job_id, traffic, at, spec, durations, objective_s, work)
+        job = Job(job_id, traffic, at, spec, durations, objective_s, work, hopeless)
         self.jobs[job_id] = job
         return job
 
@@ -451,6 +633,7 @@
         entry = TableJob(job.job_id, job.spec.queue, record, 1)
 
         def add():
+            self._open_submissions -= 1
             self.cluster.add_job(entry, self.now, self.now, False)
             self._dispatch_orders()
 
@@ -464,14 +647,19 @@
         used = sum(w.used.cores_milli for w in self.cluster.workers.values())
         if self.now < self.scenario.seconds:
             self._used += used
-        for worker_id in self._running:
-            self._report(worker_id)
+        self._check_waiting_jobs()
         self._dispatch_orders()
-        if self.now < self.scenario.seconds or self.cluster.jobs:
-            self._after(TICK_S, self._tick)
+        self._after(TICK_S, self._tick)
 
     def _dispatch_orders(self) -> None:
-        for order in self.cluster.take_orders():
+        self._execute(self.cluster.take_orders())
+        if not self._plan_due:
+            self._plan_due = True
+            delay_s = max(self._plan_from - self.now, 0.0) + PLAN_DELAY_S
+            self._after(delay_s, self._plan)
+
+    def _execute(self, orders: list) -> None:
+        for order in orders:
             match order:
                 case StartRun():
                     self._after(MESSAGE_DELAY_S, lambda o=order: self._start(o.run))
@@ -484,9 +672,6 @@
                 case PollNow():
                     pass
         self._start_advice_calls()
-        if not self._plan_due:
-            self._plan_due = True
-            self._after(PLAN_DELAY_S, self._plan)
 
     def _plan(self) -> None:
         self._plan_due = False
@@ -494,82 +679,218 @@
         self.planner.run(self.now)
         self._plan_s += time.process_time() - began
         self._passes += 1
-        if self.cluster.orders:
-            self._dispatch_orders()
+        pass_s = self.scenario.plan_pass_s
+        self._plan_from = self.now + pass_s * (1 + PLAN_PAUSE_FACTOR)
+        orders = self.cluster.take_orders()
+        if orders:
+            self._after(pass_s, lambda: self._execute(orders))
+
+    # Workers
 
     def _start(self, run: Run) -> None:
-        worker_id = run.worker.entry.worker_id
+        worker_id, step = run.worker.entry.worker_id, run.step
         if run.worker.runs.get(run.key) is not run:
             return
-        self._running[worker_id][run.key] = run
+        if self._tickets_until.get((step.id, worker_id), 0.0) <= self.now:
+            self.cluster.on_start_reply(run, StartReply.NO_TICKET, self.now)
+            self._dispatch_orders()
+            return
+        job = self.jobs[step.job.spec.job_id]
+        spec = step.spec
+        duration_s = job.durations[step.number][run.index]
+        duration_s *= self._speed_factors[worker_id]
+        checkpoint = step.checkpoints.get(step.attempt_key(run.index), "")
+        execution = _Execution(run, duration_s, float(checkpoint or 0.0), self.now)
+        self._running[worker_id][run.key] = execution
         self.cluster.on_start_reply(run, StartReply.RUNNING, self.now)
-        spec = run.step.spec
-        error_share = self.jobs[run.step.job.spec.job_id].traffic.error_share
-        fails = self.rng.random() < error_share
+        fails = self.rng.random() < job.traffic.error_share or job.hopeless
         if not spec.gang:
-            self._schedule_end(run, fails)
+            fails = fails or worker_id in self._failing
+            self._begin_work(execution)
+            self._schedule_end(execution, fails)
             return
-        key = (run.step.id, run.number)
-        gang = self._gangs.setdefault(key, _Gang(spec.count, fails))
-        gang.started.append(run)
-        if len(gang.started) == gang.count:
-            for task_run in self._gangs.pop(key).started:
-                self._schedule_end(task_run, gang.fails and task_run is gang.started[0])
-
-    def _schedule_end(self, run: Run, fails: bool) -> None:
-        worker_id = run.worker.entry.worker_id
-        job = self.jobs[run.step.job.spec.job_id]
-        duration = job.durations[run.step.number][run.index]
-        if worker_id in self._slow:
-            duration *= 5
-        fails = fails or worker_id in self._failing
+        key = (step.id, run.number)
+        gang = self._gangs.get(key)
+        if gang is None:
+            gang = self._gangs[key] = _Gang(spec.count, fails)
+            self._after(GANG_WAIT_S, lambda: self._end_incomplete(gang))
+        execution.gang = gang
+        gang.members.append(execution)
+        gang.fails = gang.fails or worker_id in self._failing
+        if len(gang.members) == gang.count and not gang.ended:
+            for member in gang.members:
+                self._begin_work(member)
+            slowest = max(gang.members, key=lambda member: member.finishes_at)
+            self._schedule_end(slowest, gang.fails)
+
+    def _begin_work(self, execution: _Execution) -> None:
+        restore_s = self.scenario.restore_s if execution.resumed else 0.0
+        execution.works_from = self.now + restore_s
+
+    def _schedule_end(self, execution: _Execution, fails: bool) -> None:
+        delay_s = execution.finishes_at - self.now
         if fails:
-            duration *= self.rng.random()
+            delay_s *= self.rng.random()
         end_kind = EndKind.FAILED if fails else EndKind.DONE
-        run.placed_at = self.now
-        self._after(duration, lambda: self._end(run, end_kind))
+        self._after(delay_s, lambda: self._end(execution, end_kind))
+
+    def _end_incomplete(self, gang: _Gang) -> None:
+        if len(gang.members) < gang.count and not gang.ended:
+            for member in gang.members:
+                self._end(member, EndKind.GANG_INCOMPLETE)
 
     def _stop(self, stop: StopRun) -> None:
-        run = self._running[stop.worker.entry.worker_id].get(
+        execution = self._running[stop.worker.entry.worker_id].get(
             (stop.task_id, stop.number)
         )
-        if run is not None:
-            self._after(TASK_STOP_S, lambda: self._end(run, EndKind.STOPPED))
+        if execution is not None:
+            self._after(TASK_STOP_S, lambda: self._end(execution, EndKind.STOPPED))
 
-    def _end(self, run: Run, end_kind: EndKind) -> None:
+    def _end(self, execution: _Execution, end_kind: EndKind) -> None:
+        run = execution.run
         worker_id = run.worker.entry.worker_id
         if self._running[worker_id].pop(run.key, None) is None:
             return
-        cores = run.step.spec.resources.cores_milli / 1000
+        checkpoint = ""
         if end_kind is not EndKind.DONE:
-            self._wasted += cores * (self.now - run.placed_at)
+            checkpoint = execution.checkpoint(self.now, end_kind is EndKind.STOPPED)
+            cores = run.step.spec.resources.cores_milli / 1000
+            self._wasted += cores * (self.now - execution.started_at)
         self._ended_counts[worker_id] += 1
-        row = EndedTask(
-            self._ended_counts[worker_id], run.task_id, run.number, end_kind
+        self._ended[worker_id].append(
+            EndedTask(
+                self._ended_counts[worker_id],
+                run.task_id,
+                run.number,
+                end_kind,
+                checkpoint,
+            )
         )
-        self._after(MESSAGE_DELAY_S, lambda: self._report(worker_id, (row,)))
+        self._schedule_report(worker_id)
+        gang = execution.gang
+        if gang is not None and not gang.ended:
+            gang.ended = True
+            others = EndKind.GANG_BROKEN
+            if end_kind in (EndKind.DONE, EndKind.GANG_INCOMPLETE):
+                others = end_kind
+            for member in gang.members:
+                self._end(member, others)
+
+    def _poll(self, worker_id: str) -> None:
+        """Answer a poll that no end has answered for ``POLL_WAIT_S``."""
+        remaining_s = self._polled_at[worker_id] + POLL_WAIT_S - self.now
+        if remaining_s <= 0.0:
+            self._report(worker_id)
+            remaining_s = POLL_WAIT_S
+        self._after(remaining_s, lambda: self._poll(worker_id))
 
-    def _report(self, worker_id: str, ended: tuple[EndedTask, ...] = ()) -> None:
+    def _schedule_report(self, worker_id: str) -> None:
+        """Report ends once the worker's poll is open."""
+        if worker_id in self._report_due:
+            return
+        self._report_due.add(worker_id)
+        opens_at = self._polled_at[worker_id] + STORE_WRITE_S
+        delay_s = max(0.0, opens_at - self.now) + MESSAGE_DELAY_S
+        self._after(delay_s, lambda: self._report(worker_id))
+
+    def _report(self, worker_id: str) -> None:
         worker = self.cluster.workers[worker_id]
+        self._report_due.discard(worker_id)
         rows = [
-            RunningTask(r.task_id, r.number, "", self.now)
-            for r in self._running[worker_id].values()
+            RunningTask(
+                execution.run.task_id,
+                execution.run.number,
+                execution.checkpoint(self.now),
+                float(int(100 * execution.progress(self.now) + 1e-9)),
+            )
+            for execution in self._running[worker_id].values()
         ]
-        report = WorkerReport(int(self.now * 1000), 1, tuple(rows), ended)
+        ended, self._ended[worker_id] = self._ended[worker_id], []
+        report = WorkerReport(int(self.now * 1000), 1, tuple(rows), tuple(ended))
+        sent_at = self._polled_at[worker_id]
+        self._polled_at[worker_id] = self.now
         self.cluster.on_report(
-            worker, report, self.now - MESSAGE_DELAY_S, worker.token, self.now, self.now
+            worker, report, sent_at, worker.token, self.now, self.now
         )
-        if ended:
-            self._record_job_end(ended[0].task_id.partition(".")[0])
-            self._dispatch_orders()
+        for row in ended:
+            self._record_job_end(row.task_id.partition(".")[0])
+        self._dispatch_orders()
 
     def _record_job_end(self, job_id: str) -> None:
         job, open_job = self.jobs[job_id], self.cluster.jobs.get(job_id)
         if open_job is not None and open_job.state.final:
-            if open_job.state.value == "completed":
+            if open_job.state.value == ("failed" if job.hopeless else "completed"):
                 job.ended_s = self.now + STORE_WRITE_S - job.submitted_at
             self.cluster.remove_job(open_job)
 
+    # Waiting jobs
+
+    def _check_waiting_jobs(self) -> None:
+        """Note jobs that have had nothing running beside free workers for too long.
+
+        A step has to start while the workers that it may use could hold its tasks
+        twice and less than half of all cores are in use.
+        """
+        if self.now < self.scenario.seconds + FINISH_S:
+            return
+        free: dict[str, Resources] = {}
+        running_jobs = set()
+        used = capacity = 0
+        for worker_id, executions in self._running.items():
+            room = self.cluster.workers[worker_id].entry.capacity
+            capacity += room.cores_milli
+            for execution in executions.values():
+                step = execution.run.step
+                room = room - allocated_resources(step.spec)
+                used += step.spec.resources.cores_milli
+                running_jobs.add(step.job.spec.job_id)
+            free[worker_id] = room
+        for job_id, job in self.cluster.jobs.items():
+            waits = (
+                not job.state.final
+                and job_id not in running_jobs
+                and used < capacity / 2
+                and any(self._would_fit_twice(s, free) for s in job.steps.values())
+            )
+            if not waits:
+                self._idle_since.pop(job_id, None)
+                continue
+            since = self._idle_since.setdefault(job_id, self.now)
+            if self.now - since >= MAX_IDLE_S:
+                self._note_violation(job_id, "waits beside free workers")
+
+    def _would_fit_twice(self, step: StepRun, free: dict[str, Resources]) -> bool:
+        if not step.ready or not step.pending:
+            return False
+        needs = allocated_resources(step.spec)
+        slots = 0
+        for worker_id in self._allowed(step):
+            room = free[worker_id]
+            fitting = min(
+                room.cores_milli // max(1, needs.cores_milli),
+                room.memory_mb // max(1, needs.memory_mb),
+            )
+            if step.spec.per_worker:
+                fitting = min(fitting, step.spec.per_worker)
+            slots += max(0, fitting)
+        return slots >= 2 * len(step.pending)
+
+    def _note_violation(self, job_id: str, why: str) -> None:
+        job = self.cluster.jobs[job_id]
+        step = next((s for s in job.steps.values() if s.ready and s.pending), None)
+        self._violations.setdefault(
+            job_id,
+            Violation(
+                why=why,
+                at=round(self.now, 1),
+                job_id=job_id,
+                queue=job.queue.name,
+                step=step.id if step else "",
+                tasks=len(step.pending) if step else 0,
+                waited_s=round(self.now - step.due_at, 1) if step else 0.0,
+            ),
+        )
+
     # Advice
 
     def _start_advice_calls(self) -> None:
@@ -595,16 +916,24 @@
     def _on_advice_answer(self, process_id: str, call: AdviceCall) -> None:
         del self._active_calls[process_id]
         step = call.step
-        traffic = self.jobs[step.job.spec.job_id].traffic
+        valid_s = step.job.queue.advice.valid_s
+        allowed = self._allowed(step)
+        tickets = {w: "t" for w in call.workers if w in allowed}
+        for worker_id in tickets:
+            self._tickets_until[step.id, worker_id] = self.now + valid_s
+        self.cluster.on_advice(step, call.workers, Advice(tickets, valid_s), self.now)
+        self._dispatch_orders()
+
+    def _allowed(self, step: StepRun) -> set[str]:
+        """Return the ids of the workers that the advice service allows for a step."""
         allowed = self._allowed_workers.get(step.id)
         if allowed is None:
+            traffic = self.jobs[step.job.spec.job_id].traffic
             ids = list(self.cluster.workers)
             count = max(1, round(traffic.allowed_share * len(ids)))
-            allowed = self._allowed_workers[step.id] = set(self.rng.sample(ids, count))
-        tickets = {w: "t" for w in call.workers if w in allowed}
-        advice = Advice(tickets, traffic.queue.advice.valid_s)
-        self.cluster.on_advice(step, call.workers, advice, self.now)
-        self._dispatch_orders()
+            rng = random.Random(f"{self.seed} {step.id}")
+            allowed = self._allowed_workers[step.id] = set(rng.sample(ids, count))
+        return allowed
 
     # Result
 
@@ -649,7 +978,9 @@
             wasted=self._wasted,
             plan_s=self._plan_s,
             passes=self._passes,
+            stalled=self._log.counts.get("run stalled", 0),
             kinds=kinds,
+            violations=list(self._violations.values()),
         )
 
 
@@ -672,6 +1003,7 @@
 def main(
     *,
     size: str = "today",
+    deployment: str = "first",
     seeds: int = 3,
     calm: bool = False,
     slow: float = 0.0,
@@ -682,13 +1014,14 @@
 
     Args:
         size: ``today`` or ``grown``.
+        deployment: ``first``, or ``second`` for the grown size.
         seeds: Number of simulations, with seeds from 0.
         calm: Leave the bursts out.
         slow: Part of the workers that are five times slower.
         failing: Part of the workers that fail every task that they start.
         as_json: Print JSON instead of a table.
     """
-    base = scenario(size, not calm)
+    base = scenario(size, not calm, deployment)
     base = replace(base, slow_workers=slow, failing_workers=failing)
     results = [play(base, seed) for seed in range(seeds)]
     if as_json:
@@ -727,6 +1060,13 @@
             ]
         )
     print(render_table(header, rows))
+    for result in results:
+        print(
+            f"seed {result.seed}: {result.stalled} stalled, "
+            f"{len(result.violations)} violations"
+        )
+        for violation in result.violations:
+            print(f"  {violation}")
 
 
 if __name__ == "__main__":
--- a/tests/test_queue_load.py
+++ b/tests/test_queue_load.py
@@ -55,6 +55,14 @@
         assert checks.in_time + checks.late >= CHECKS_IN_TIME_SHARE
 
 
+@pytest.mark.parametrize("seed", [0, 1])
+@pytest.mark.parametrize("deployment", ["first", "second"])
+def test_no_gang_waits_beside_idle_workers_after_a_flood(deployment, seed):
+    """Guards against gangs that do not start, or never end, once traffic has ceased."""
+    result = play(scenario("grown", deployment=deployment), seed)
+    assert not result.violations, "\n".join(map(str, result.violations))
+
+
 def test_runs_with_the_same_seed_are_equal():
     first, second = (play(scenario("today"), 3) for _ in range(2))
     assert first.kinds == second.kinds
