Do not limit an idle worker to one task until a probe succeeds

A gang that needs two places on each of the workers left waited forever on an idle cluster: after a quarantine a worker gets one task as a probe until one succeeds, the gang does not fit on one place each, and no other task comes to probe the workers. A lasting task as the probe, which never ends, also kept its worker limited to that one task.

The limit now ends when a worker has been idle for a second after its quarantine, or when its probe has run for 12 s. The worker stays on probation: its next failure begins a quarantine of twice the length, as that of a probe.

The tests of the gang and of the lasting probe failed before; those of a running probe and of the next quarantine passed before and guard the detection.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -479,6 +479,7 @@
         if index in step.pending:
             step.pending.remove(index)
         worker.runs[run.key] = run
+        worker.health.note_busy(True, now)
         worker.used = worker.used + allocated_resources(step.spec)
         self._note_started(run, now)
         self.update_waiting(step)
@@ -608,6 +609,7 @@
         if worker.runs.pop(run.key, None) is None:
             return
         worker.used = worker.used - allocated_resources(step.spec)
+        worker.health.note_busy(bool(worker.runs), now)
         if step.live.get(run.index) is not run:
             return
         del step.live[run.index]
@@ -692,6 +694,7 @@
         run.moved_at = now
         step.live[index] = run
         worker.runs[run.key] = run
+        worker.health.note_busy(True, now)
         worker.used = worker.used + allocated_resources(step.spec)
         lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
         worker.lease_ms = max(worker.lease_ms, lease_ms)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -409,3 +409,61 @@
     assert len(bench.plan()) == 2
     give_advice(bench, second)
     assert bench.plan() == []
+
+
+def limits(bench):
+    return {
+        worker_id: worker.health.limit(bench.now)
+        for worker_id, worker in bench.cluster.workers.items()
+    }
+
+
+def quarantine_all(bench):
+    for worker in bench.cluster.workers.values():
+        worker.health.quarantine(bench.now)
+    bench.now += 2.1
+
+
+def test_a_gang_does_not_wait_forever_for_workers_that_nothing_probes():
+    """Guards against an idle cluster whose workers may each have only one task."""
+    bench = Bench(2)
+    quarantine_all(bench)
+    bench.submit("a1", step(4, cpu=8000, gang=True))
+    assert bench.plan() == []
+    bench.now += 1.0
+    assert len(bench.plan()) == 4
+
+
+def test_a_worker_gets_no_second_task_while_its_probe_runs():
+    bench = Bench(1)
+    quarantine_all(bench)
+    bench.submit("a1", step(4))
+    (probe,) = bench.plan()
+    bench.cluster.on_start_reply(probe, StartReply.RUNNING, bench.now)
+    bench.now += 5.0
+    assert bench.plan() == []
+    bench.end(probe, EndKind.STOPPED)
+    assert len(bench.plan()) == 1
+
+
+def test_a_failure_after_an_unprobed_quarantine_begins_the_next_one():
+    """Guards against three more failed jobs on a worker that is still failing."""
+    bench = Bench(1)
+    quarantine_all(bench)
+    bench.now += 1.0
+    bench.submit("a1", step(4))
+    first, *_ = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert limits(bench) == {"w0": 0}
+
+
+def test_a_probe_that_does_not_end_does_not_limit_its_worker_forever():
+    """Guards against a lasting task that keeps the rest of its worker unused."""
+    bench = Bench(1)
+    quarantine_all(bench)
+    bench.submit("a1", step(1, lasting=True))
+    (probe,) = bench.plan()
+    bench.cluster.on_start_reply(probe, StartReply.RUNNING, bench.now)
+    bench.now += 13.0
+    bench.submit("b2", step(4))
+    assert len(bench.plan()) == 4
