Do not extend a quarantine by a faulty job that failed elsewhere too

In the deployment with members, a quarantined worker is probed with one task. If that task was of a faulty job, the healthy worker was quarantined again, for up to 30 minutes, although the same task had failed before on a worker that then completed others. Such failures also counted towards a first quarantine.

A failure is now inconclusive if the task also failed on another worker that has had a success since. The failure of a task whose other workers had no success since still counts, so failing workers do not clear each other.

test_probe_with_a_job_that_failed_on_a_healthy_worker_is_inconclusive failed before (the next task was not placed); the second new test passed before and guards the detection.

--- a/flamingoway/core/health.py
+++ b/flamingoway/core/health.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..model import JobSpec, Policy, Task
@@ -102,15 +103,29 @@
         if health is not None:
             health.probe_since = None
 
-    def note_failure(self, worker_id: str, job_id: str, now: float, known: int) -> None:
+    def note_failure(
+        self,
+        worker_id: str,
+        job_id: str,
+        now: float,
+        known: int,
+        failed_on: Iterable[str] = (),
+    ) -> None:
         """Note a failed task.
 
+        Inconclusive if the task also failed on another worker that has had a success
+        since, because the job is then at fault.
+
         Args:
             worker_id: Worker on which it failed.
             job_id: Its job.
             now: Monotonic time in seconds.
             known: Number of known workers, which limits the quarantined ones.
+            failed_on: Workers on which the task has failed.
         """
+        if any(other != worker_id and self._is_sound(other) for other in failed_on):
+            self.note_inconclusive(worker_id)
+            return
         health = self._workers.setdefault(worker_id, _WorkerHealth())
         if health.condition is Condition.PROBING:
             self._quarantine(worker_id, health, now)
@@ -156,6 +171,13 @@
         self._workers.pop(worker_id, None)
         self._unhealthy.discard(worker_id)
 
+    def _is_sound(self, worker_id: str) -> bool:
+        """Return whether a worker is healthy and had no failure since a success."""
+        health = self._workers.get(worker_id)
+        if health is None or health.failed_jobs:
+            return False
+        return health.condition is Condition.HEALTHY
+
     def _quarantine(self, worker_id: str, health: _WorkerHealth, now: float) -> None:
         delay = PROBE_BACKOFF.delay(health.quarantines, self._rng)
         health.condition = Condition.QUARANTINED
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -308,7 +308,9 @@
     def _on_failed(self, job: Job, task: Task, worker_id: str) -> None:
         state = self._state
         worker_count = len(state.index.infos)
-        state.health.note_failure(worker_id, job.spec.job_id, state.now, worker_count)
+        state.health.note_failure(
+            worker_id, job.spec.job_id, state.now, worker_count, task.failed_on
+        )
         if job.state.final:
             return
         workers = state.index.count_large_enough(job.spec.resources, MIN_FAILED_WORKERS)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -82,6 +82,44 @@
     assert len(rig.schedule()) == 3
 
 
+def quarantine_w1(rig):
+    """Quarantine the only worker, then add w2."""
+    for n in range(3):
+        rig.submit(spec(f"bad{n}", max_attempts=9))
+        rig.schedule()
+        rig.end(f"bad{n}/0", "failed")
+        rig.scheduler.cancel(f"bad{n}", "e", "m", None, rig.now, rig.now)
+    rig.scheduler.set_worker(worker("w2"), True)
+
+
+def test_probe_with_a_job_that_failed_on_a_healthy_worker_is_inconclusive():
+    """Guards against a healthy worker that a faulty job keeps out of service."""
+    rig = Rig(["w1"])
+    quarantine_w1(rig)
+    rig.submit(spec("faulty", max_attempts=9), spec("sound"))
+    assert sorted(rig.schedule()) == ["faulty/0", "sound/0"]
+    assert rig.end("faulty/0", "failed") == "w2"
+    assert rig.end("sound/0") == "w2"
+    rig.scheduler.set_worker(worker("w2"), False)
+    assert rig.schedule(31.0) == ["faulty/0"]
+    assert rig.end("faulty/0", "failed") == "w1"
+    rig.submit(spec("next"))
+    assert rig.schedule() == ["next/0"]
+
+
+def test_probe_that_fails_a_job_which_failed_on_another_failing_worker_counts():
+    rig = Rig(["w1"])
+    quarantine_w1(rig)
+    rig.submit(spec("j", max_attempts=9))
+    rig.schedule()
+    assert rig.end("j/0", "failed") == "w2"
+    rig.scheduler.set_worker(worker("w2"), False)
+    assert rig.schedule(31.0) == ["j/0"]
+    assert rig.end("j/0", "failed") == "w1"
+    rig.submit(spec("next"))
+    assert rig.schedule() == []
+
+
 def test_flood_of_faulty_jobs_does_not_quarantine_most_workers():
     rig = Rig([worker(f"w{n}", ONE_TASK_CAPACITY) for n in range(12)])
     rig.submit(*(spec(f"j{n}", max_attempts=2) for n in range(300)))
