Do not read a filler task without idle CPU as stalled

A filler task gets only the CPU that other tasks leave idle. On a worker whose other tasks used all of it, it made no progress; after 1.5 s it was stopped and the healthy worker quarantined.

The time without progress of filler tasks now starts again while the idle CPU of their worker would slow them down more than three times. Once the CPU is idle, a filler task that stands still is stopped as before.

The new test failed before (the worker was quarantined while its other tasks ran).

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -55,6 +55,9 @@
 # A sound run takes at most this many times its estimate: eight times as long on a slow
 # worker, and three times that far from its data.
 SLOWEST_FACTOR = 24.0
+# Filler tasks are not stalled while all of a worker's idle CPU would slow them down by
+# more than this factor.
+MAX_FILLER_SLOWDOWN = 3
 # Of the time between two answers of a worker, only this much counts towards a stall,
 # because the worker may have been suspended or cut off.
 MAX_OBSERVED_GAP_S = 1.0
@@ -646,6 +649,7 @@
         """Stop runs that make no progress, and quarantine the workers at fault."""
         hung: dict[str, StepRun] = {}
         for worker in self._workers.values():
+            _restart_stalls_of_fillers(worker, now)
             for run in list(worker.runs.values()):
                 if run.phase is not RunPhase.RUNNING or not _is_stalled(run):
                     continue
@@ -807,6 +811,15 @@
     return run.phase is not RunPhase.STARTING and 0 < run.confirmed_at < sent_at
 
 
+def _restart_stalls_of_fillers(worker: WorkerState, now: float) -> None:
+    """Restart the time without progress of fillers that get little or no CPU."""
+    fillers = [run for run in worker.runs.values() if run.step.spec.filler]
+    wanted = sum(run.step.spec.resources.cores_milli for run in fillers)
+    if wanted > MAX_FILLER_SLOWDOWN * worker.free.cores_milli:
+        for run in fillers:
+            run.moved_at = now
+
+
 def _is_stalled(run: Run) -> bool:
     """Return whether polls have shown the same progress for too long.
 
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -515,3 +515,22 @@
     bench.end(second)
     bench.submit("b2", step(32))
     assert len(bench.plan()) == 32
+
+
+def test_a_filler_task_without_idle_cpu_is_not_stalled():
+    """Guards against blaming a worker whose other tasks use all of its CPU."""
+    bench = Bench(1)
+    _, (filler,) = running(bench, step(1, filler=True))
+    bench.submit("b2", step(16, estimate_s=5.0))
+    others = bench.plan()
+    for run in others:
+        bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+    assert len(others) == 16
+    for second in range(1, 6):
+        observe(bench, {filler: 30, **dict.fromkeys(others, 15 * second)})
+    assert bench.stops() == [] and quarantined(bench) == set()
+    for run in others:
+        bench.end(run)
+    for _ in range(3):
+        observe(bench, {filler: 30})
+    assert bench.stops() == [(filler.task_id, filler.number)]
