Check the other tasks of a gang only for tasks that stand still

The check for stalls runs ten times a second over all runs, and looked at all tasks of a gang for each of its tasks. They are now considered only for a task that stands still below 100 percent, and once for a gang whose tasks are all at 100. Which runs are stopped does not change.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -651,11 +651,14 @@
         for worker in self._workers.values():
             _restart_stalls_of_fillers(worker, now)
             for run in list(worker.runs.values()):
-                if run.phase is not RunPhase.RUNNING or not _is_stalled(run):
-                    continue
-                if run.step.spec.gang and run.percent >= COMPLETE_PERCENT:
-                    hung[run.step.id] = run.step
+                if not _stands_still(run):
                     continue
+                if run.step.spec.gang:
+                    if run.percent >= COMPLETE_PERCENT:
+                        hung[run.step.id] = run.step
+                        continue
+                    if not _gang_works(run):
+                        continue
                 self._log_stalled(run, now)
                 worker.health.quarantine(now)
                 self.stop_run(run, now)
@@ -668,12 +671,11 @@
         Which worker prevents the end is unknown, so none is quarantined.
         """
         runs = list(step.live.values())
-        if all(
-            run.phase is RunPhase.RUNNING
-            and run.percent >= COMPLETE_PERCENT
-            and _is_stalled(run)
-            for run in runs
+        if not all(
+            run.percent >= COMPLETE_PERCENT and _stands_still(run) for run in runs
         ):
+            return
+        if runs and _gang_works(runs[0]):
             for run in runs:
                 self._log_stalled(run, now)
                 self.stop_run(run, now)
@@ -820,28 +822,35 @@
             run.moved_at = now
 
 
-def _is_stalled(run: Run) -> bool:
+def _stands_still(run: Run) -> bool:
     """Return whether polls have shown the same progress for too long.
 
     The progress of a lasting task carries no information.
     """
-    step = run.step
-    if step.spec.lasting or not run.worker.settled:
-        return False
-    since = run.moved_at
-    if step.spec.gang:
-        # The tasks of a gang work only while all of them are present.
-        members = step.live.values()
-        if len(members) < step.spec.count or not all(map(_is_present, members)):
-            return False
-        since = max(since, *(member.confirmed_at for member in members))
-    stall_s = max(STALL_S, step.spec.estimate_s * SLOWEST_FACTOR / 100)
-    return run.worker.last_answer_at - since > stall_s
-
-
-def _is_present(run: Run) -> bool:
-    """Return whether a worker that answers polls is known to have a run."""
-    return run.worker.settled and run.confirmed_at > 0
+    return (
+        run.phase is RunPhase.RUNNING
+        and run.worker.settled
+        and not run.step.spec.lasting
+        and run.moved_at < _stall_began_before(run)
+    )
+
+
+def _stall_began_before(run: Run) -> float:
+    """Return the time before which a run must have stood still to be stalled."""
+    one_percent_s = run.step.spec.estimate_s * SLOWEST_FACTOR / 100
+    return run.worker.last_answer_at - max(STALL_S, one_percent_s)
+
+
+def _gang_works(run: Run) -> bool:
+    """Return whether all tasks of a gang were present for the time of a stall.
+
+    The tasks of a gang work only while all of them are present.
+    """
+    since = _stall_began_before(run)
+    members = run.step.live.values()
+    return len(members) == run.step.spec.count and all(
+        member.worker.settled and 0 < member.confirmed_at < since for member in members
+    )
 
 
 def _is_newer_incarnation(known: WorkerEntry, entry: WorkerEntry) -> bool:
