--- a/tests/soak.py
+++ b/tests/soak.py
@@ -61,15 +61,23 @@
 
     Attributes:
         broken: The violations. Name used by the two-build check.
+        trace: What the workers reported and which faults began, as JSON lines.
     """
 
     def __init__(self):
         self.broken = []
+        self.trace = []
         self.jobs = {}
         self.running = {}
         self.done = set()
 
+    def write(self, event, **fields):
+        row = {"at": round(time.time(), 3), "event": event} | fields
+        self.trace.append(json.dumps(row).encode())
+
     def observe(self, kind, task, worker):
+        worker_id, born_ms = worker.worker_id, worker.born_ms
+        self.write("observed", kind=kind, task=task, worker=worker_id, born_ms=born_ms)
         if kind != "start":
             self.running.get(task, {}).pop(worker.worker_id, None)
             if kind == "done":
@@ -195,6 +203,7 @@
         running = []
         while time.monotonic() < until:
             name = self.rng.choice(names)
+            self.ledger.write("fault", name=name)
             running.append(asyncio.create_task(FAULTS[name](self)))
             await asyncio.sleep(self.rng.uniform(0.3, 2.0))
         await asyncio.gather(*running)
@@ -367,9 +376,20 @@
             violations = soak.check()
             lines = [entry.log.read_bytes() for entry in soak.entries]
             violations += unexpected(lines)
+            lines.append(b"\n".join(soak.ledger.trace) + b"\n")
+            if violations:
+                keep_logs(seed, lines)
             return violations, lines, len(accepted)
 
 
+def keep_logs(seed, lines):
+    """Write the logs of a failed run and its trace to the temporary folder."""
+    moment = time.strftime("%H%M%S")
+    path = Path(tempfile.gettempdir()) / f"soak-{seed}-{moment}.log"
+    path.write_bytes(b"".join(lines))
+    print(f"logs of seed {seed}: {path}", flush=True)
+
+
 def main(first, count):
     failed = 0
     for seed in range(first, first + count):
@@ -382,8 +402,6 @@
         )
         if violations:
             failed += 1
-            path = Path(tempfile.gettempdir()) / f"soak-{seed}.log"
-            path.write_bytes(b"".join(lines))
     return failed
 
 
