Read the exceptions of all tasks that fail in a leader's term

Cause: Term._on_task_done returned early if the term had failed already, so the exception of a second task that fails in the same pass of the event loop, before the clean-up gathers the remaining tasks, was never read. The done task has left the set of tasks by then, so the gather doesn't include it either.

Now the exception of every task is read. The first one ends the term as before; a later one is written to the decision log unless it is a LeadershipLost too, which says nothing new.

tests/test_queue_term.py makes three tasks fail in one pass.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -712,11 +712,13 @@
         task.add_done_callback(self._on_task_done)
 
     def _on_task_done(self, task: asyncio.Task) -> None:
-        if task.cancelled() or self._failed.done():
+        error = None if task.cancelled() else task.exception()
+        if error is None:
             return
-        error = task.exception()
-        if error is not None:
+        if not self._failed.done():
             self._failed.set_exception(error)
+        elif not isinstance(error, LeadershipLost):
+            self._log.write("task failed after the end of the term", why=repr(error))
 
     def _fail(self, why: str) -> None:
         if not self._failed.done():
--- /dev/null
+++ b/tests/test_queue_term.py
@@ -0,0 +1,42 @@
+"""Tests of how a leader's term ends."""
+
+import asyncio
+import gc
+
+from flamingoway.queues.term import LeadershipLost
+from tests.queue_world import World
+from tests.virtual import run_virtual
+
+
+async def leading_world(errors):
+    """Return a world and its leader's term; unhandled errors go to ``errors``."""
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context["message"]))
+    world = World(1)
+    await world.begin()
+    return world, world.nodes[world.leader()]._term
+
+
+def test_two_tasks_of_a_term_that_fail_together_leave_no_unread_exception():
+    """Guards against asyncio's report of an exception that was never retrieved."""
+    errors = []
+
+    async def lose_leadership():
+        raise LeadershipLost("replaced")
+
+    async def fail():
+        raise RuntimeError("second")
+
+    async def main():
+        world, term = await leading_world(errors)
+        term._spawn(lose_leadership())
+        term._spawn(lose_leadership())
+        term._spawn(fail())
+        await asyncio.sleep(1.0)
+        await world.end()
+        gc.collect()
+        return [line for line in world.lines if "after the end" in line[2]]
+
+    logged = run_virtual(main)
+    assert errors == []
+    assert [line[3]["why"] for line in logged] == ["RuntimeError('second')"]
