Ignore registry entries older than a worker's known incarnation

A poll can show that a worker has restarted before the registry does. Each change of any registry entry then applied the worker's old entry again, including its old born, so the next poll looked like another restart and all runs of the live incarnation were dropped and could start a second time elsewhere.

Cause: ClusterState.set_worker took over every entry that differs from the known one, also one with an older born.

An entry with an older born at the same address is now ignored, except that the worker counts as listed. A worker whose wall clock went back is still recognised, since the born of its polls is compared for inequality.

test_a_registry_entry_older_than_a_restart_does_not_undo_it failed before the fix (a running task had lost its run) and passes now.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -282,6 +282,10 @@
         worker = self._worker(entry)
         if _is_newer_incarnation(worker.entry, entry):
             self._begin_incarnation(worker, entry, now)
+        elif _is_outdated(worker.entry, entry):
+            # A poll has shown a restart that the registry does not show yet.
+            worker.listed = True
+            return worker
         if worker.entry.draining != entry.draining:
             self._log.write(
                 "worker draining", worker=entry.worker_id, draining=entry.draining
@@ -773,6 +777,12 @@
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
 
+def _is_outdated(known: WorkerEntry, entry: WorkerEntry) -> bool:
+    """Return whether a registry entry is older than the incarnation that answers."""
+    older = 0 < entry.born_ms < known.born_ms
+    return older and entry.address == known.address
+
+
 def _restore(step: StepRun, progress: StepProgress) -> None:
     step.done = set(progress.done)
     step.failed_runs = {k: set(v) for k, v in progress.failed_runs.items()}
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -1,5 +1,7 @@
 """A cluster state with workers and jobs, for tests of single planning decisions."""
 
+from dataclasses import replace
+
 from flamingoway.model import Resources
 from flamingoway.queues import records
 from flamingoway.queues.cluster import ClusterState
@@ -72,11 +74,18 @@
     def worker(self, worker_id):
         return self.cluster.workers[worker_id]
 
-    def report(self, worker_id, running=(), ended=(), token=None, sent_at=None):
+    def restart(self, worker_id, born_ms=2):
+        """Register the next incarnation of a worker."""
+        entry = replace(self.worker(worker_id).entry, born_ms=born_ms)
+        return self.cluster.set_worker(entry, self.now)
+
+    def report(
+        self, worker_id, running=(), ended=(), token=None, sent_at=None, born_ms=None
+    ):
         worker = self.worker(worker_id)
         report = WorkerReport(
             clock_ms=int(self.now * 1000),
-            born_ms=1,
+            born_ms=worker.entry.born_ms or 1 if born_ms is None else born_ms,
             running=tuple(RunningTask(*row) for row in running),
             ended=tuple(ended),
         )
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -294,6 +294,19 @@
     assert bench.plan() == []
 
 
+def test_a_registry_entry_older_than_a_restart_does_not_undo_it():
+    """Guards against runs dropped when the registry lags behind a restart."""
+    bench = Bench(2)
+    former = bench.worker("w0").entry
+    bench.report("w0", born_ms=2)
+    bench.report("w0")
+    job = bench.submit("a1", step(2, cpu=9000))
+    bench.plan()
+    bench.cluster.set_worker(former, bench.now)
+    bench.report("w0", born_ms=2, sent_at=0.0)
+    assert len(job.steps[0, 0].live) == 2 and bench.plan() == []
+
+
 def test_a_lost_run_waits_for_the_worker_s_lease_on_its_own_slow_clock():
     bench = Bench(1)
     _, (run,) = running(bench, step(1))
