Scale the urgent load of the flood benchmark with its workers

Cause: all loads of the benchmark follow from the number of workers, except the urgent one, which was 0.5 tasks of 60 s a second at every size. At 2 workers those are 30 of 32 task slots; with the steady member's 5.3 the cell is overloaded without any flood, urgent tasks go first, and the steady member finished 7 tasks in 1,200 s, none of them after the warm-up (measured; at 3 workers 135, at 4 workers 175 after the warm-up).

--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -29,7 +29,9 @@
 CHECKPOINT_S = 1.0
 RUN_TIME_S = 60.0
 TASK_RESOURCES = Resources(1_000, 2_048)
+# At ``REFERENCE_WORKERS``; the rate scales with the workers, as does all other work.
 URGENT_PER_S = 0.5
+REFERENCE_WORKERS = 24
 FLOOD_FACTOR = 10
 MEMBERS = ("steady", "flood", "urgent")
 
@@ -43,6 +45,7 @@
         self._flood = flood
         self._resumable = resumable
         self._task_slots = workers * CAPACITY.cores_milli // TASK_RESOURCES.cores_milli
+        self._urgent_per_s = URGENT_PER_S * workers / REFERENCE_WORKERS
         self._now = 0.0
         self._jobs = 0
         self._scheduled_ends: list[tuple[float, int, str, int, str, str]] = []
@@ -63,7 +66,7 @@
         while self._now < DURATION_S:
             self._now += TICK_S
             self._submit_jobs("steady", rate / 6 * TICK_S, False)
-            self._submit_jobs("urgent", URGENT_PER_S * TICK_S, True)
+            self._submit_jobs("urgent", self._urgent_per_s * TICK_S, True)
             if self._flood:
                 self._submit_jobs("flood", rate * FLOOD_FACTOR * TICK_S, False)
             self._finish_due_tasks()
