Keep starts in flight when a worker restarts, until it has answered a poll

Cause: a newer born of a worker was taken as proof that none of the leader's runs on it exist. That holds only for runs that a poll of the former incarnation has shown. A start sent before the leader noticed the restart is carried out by the new incarnation, which has seen no fencing token; the lease in it is far ahead of the new clock, so it isn't late either. The leader then read the new born, dropped the run and started the task elsewhere. By the same assumption a new leader settled a recorded worker without a poll if the registry showed a newer incarnation than the record, which is written only once: after any earlier restart, runs of the former leader on a worker that the new one could not reach were started again at once.

Fix: at a restart only the reported runs are released. The token is raised, the worker is polled at once, and the other runs stay until a poll with the raised token, after which the worker rejects delayed starts, shows whether they exist. If the worker doesn't answer, they stay until the leases that it may have taken from such starts have expired. A restart no longer settles a worker at a takeover.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -30,6 +30,9 @@
 from .records import StepProgress
 from .runs import (
     GANG_KEY,
+    MAX_LEASE_FACTOR,
+    MAX_ORDER_DELAY_S,
+    MIN_CLOCK_RATE,
     TOKENS_PER_EPOCH,
     OpenJob,
     Order,
@@ -75,6 +78,7 @@
         self.fenced = False
         self._epoch = epoch
         self._lease_s = lease_s
+        self._max_lease_s = lease_s * MAX_LEASE_FACTOR / MIN_CLOCK_RATE
         self._log = log
         self._desired: DesiredState | None = None
         self._jobs: dict[str, OpenJob] = {}
@@ -342,13 +346,33 @@
     def _begin_incarnation(
         self, worker: WorkerState, entry: WorkerEntry, now: float
     ) -> None:
-        self.drop_runs(worker, now, "the worker restarted")
+        """Prepare a worker's state for a newer incarnation, which is polled next.
+
+        Orders sent before the restart was noticed may have been executed by the new
+        incarnation, or may still be. A run that has not been reported is therefore
+        kept until a poll with the raised token shows whether it exists.
+        """
+        reported = [run for run in worker.runs.values() if run.reported]
+        self._log.write(
+            "worker restarted",
+            worker=worker.entry.worker_id,
+            born_ms=entry.born_ms,
+            lost=len(reported),
+            unresolved=len(worker.runs) - len(reported),
+        )
+        worker.token += 1
+        worker.settled = False
+        worker.orphans.clear()
+        for run in reported:
+            self._release_run(run, now)
         worker.entry = entry
         worker.health = WorkerHealth()
         worker.processed = worker.acknowledged = 0
         worker.unstored.clear()
         worker.lease_ms = 0
         worker.clock_at = float("-inf")
+        worker.early_leases_until = now + MAX_ORDER_DELAY_S + self._max_lease_s
+        self.orders.append(PollNow(worker))
 
     # Reports
 
@@ -373,7 +397,8 @@
         """
         if report.born_ms and report.born_ms != worker.entry.born_ms:
             if worker.entry.born_ms and worker.clock_at > float("-inf"):
-                self._begin_incarnation(worker, worker.entry, now)
+                entry = replace(worker.entry, born_ms=report.born_ms)
+                self._begin_incarnation(worker, entry, now)
             worker.entry = replace(worker.entry, born_ms=report.born_ms)
         worker.clock_ms, worker.clock_at = report.clock_ms, now
         worker.last_answer_at = now
@@ -384,6 +409,9 @@
         worker.advance_acknowledged()
         if token == worker.token and not worker.settled:
             worker.settled = True
+            # The worker rejects earlier orders from now on.
+            latest = now + self._max_lease_s
+            worker.early_leases_until = min(worker.early_leases_until, latest)
             self._unsettled.pop(worker.entry.worker_id, None)
             self._log.write(
                 "worker settled",
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -15,6 +15,10 @@
 MIN_CLOCK_RATE = 0.97
 # A lease counts as expired only this long after its latest possible end.
 LEASE_EXPIRY_MARGIN_S = 0.2
+# A worker may accept leases that are longer than those granted, by this factor.
+MAX_LEASE_FACTOR = 1.06
+# An order that is not answered may be executed up to this long after it was sent.
+MAX_ORDER_DELAY_S = 8.0
 # Fencing tokens per leader epoch; the token rises after each unanswered order.
 TOKENS_PER_EPOCH = 100_000
 # Run numbers per task and leader epoch, so that a new leader need not know the
@@ -68,6 +72,11 @@
         """Task id and number, unique in the cell."""
         return self.task_id, self.number
 
+    @property
+    def reported(self) -> bool:
+        """Whether a poll has shown the run."""
+        return self.percent >= 0
+
 
 @dataclass(slots=True, eq=False)
 class StepRun:
@@ -241,6 +250,8 @@
         acknowledged: Sequence number up to which all ends are stored.
         unstored: Ends whose changes are not stored: sequence number, job, job version.
         last_answer_at: Time of the last answer.
+        early_leases_until: Time by which the leases have expired that this incarnation
+            took from orders meant for the previous one.
     """
 
     entry: WorkerEntry
@@ -259,6 +270,7 @@
     acknowledged: int = 0
     unstored: deque[tuple[int, OpenJob, int]] = field(default_factory=deque)
     last_answer_at: float = float("-inf")
+    early_leases_until: float = float("-inf")
 
     @property
     def free(self) -> Resources:
@@ -283,7 +295,8 @@
     def leases_expire_at(self) -> float:
         """Return the time by which all leases of this incarnation have expired."""
         remaining_s = (self.lease_ms - self.clock_ms) / 1000 / MIN_CLOCK_RATE
-        return self.clock_at + max(0.0, remaining_s) + LEASE_EXPIRY_MARGIN_S
+        expire_at = self.clock_at + max(0.0, remaining_s) + LEASE_EXPIRY_MARGIN_S
+        return max(expire_at, self.early_leases_until)
 
     def advance_acknowledged(self) -> None:
         """Acknowledge, in order, the ends whose changes are stored."""
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -183,6 +183,18 @@
     await world.register_worker(worker)
 
 
+@fault
+async def worker_restarts(world, rng):
+    """Restart workers within the time in which a leader notices it."""
+    for _ in range(4):
+        worker = rng.choice([w for w in world.workers.values() if w.up])
+        worker.crash()
+        worker.up = True
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+        await world.register_worker(worker)
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+
+
 @fault
 async def worker_gone(world, rng):
     up = [w for w in world.workers.values() if w.up]
@@ -359,6 +371,36 @@
     assert second != "n1"
 
 
+def test_a_takeover_waits_for_runs_of_a_worker_that_restarted_before():
+    """Guards against a second run while a restarted worker is out of reach."""
+
+    async def main():
+        world = World(1, failure_share=0.0)
+        world.duration = lambda task_id: 30.0
+        await world.begin()
+        for worker in world.workers.values():
+            worker.crash()
+            worker.up = True
+            await world.register_worker(worker)
+        await asyncio.sleep(1.0)
+        step = Step(3, Resources(1000, 1000), 1.0)
+        job = StepJobSpec("a1", "checks", "x", (step,))
+        assert await world.submit("n0", job)
+        await asyncio.sleep(1.0)
+        worker = next(w for w in world.workers.values() if w.runs)
+        for port in world.ports.values():
+            port.unreachable.add(worker.worker_id)
+        await world.kill_node(world.leader())
+        await asyncio.sleep(12.0)
+        await world.end()
+        return world
+
+    world = run_virtual(main)
+    assert world.checker.violations == []
+    elections = [line for line in world.lines if line[2] == "leader elected"]
+    assert len(elections) == 2
+
+
 def test_equal_processes_do_not_move_the_leadership():
     world = run_history(2, [])
     elections = [line for line in world.lines if line[2] == "leader elected"]
