Let each gang plan its reservation on its own schedule

Callers saw: a gang for which the workers have enough capacity waits as long as small jobs keep arriving, because an earlier gang that no workers can hold at present comes first in the order.

Cause: after a plan without enough capacity, one timer for the whole shard delayed the next plan by 5 s. At its end the same gang came first and failed again, so no other gang ever got a plan. A gang is only ended as impossible if all known workers together are too small; a draining or quarantined worker, or a service, is enough to keep it waiting.

Fix: the time of the next plan is kept for each gang. A plan that fails delays only the gang that it was made for.

Evidence: test_gang_that_no_workers_can_hold_now_does_not_delay_other_reservations failed before (the narrow gang was still queued after 100 s) and passes now; it starts within 40 s of virtual time.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -15,7 +15,7 @@
 from .state import ShardState
 
 RESERVATION_DELAY_S = 10.0
-# Delay before the next plan after one that found too little capacity.
+# Delay before the next plan for a gang after one that found too little capacity.
 REPLAN_DELAY_S = 5.0
 
 
@@ -39,8 +39,8 @@
     def __init__(self, state: ShardState):
         self._state = state
         self._reservation: Reservation | None = None
-        self._blocked_since: dict[str, float] = {}
-        self._next_plan_at = 0.0
+        # Monotonic time of the next plan by job id of each gang that did not fit.
+        self._plan_at: dict[str, float] = {}
 
     @property
     def holder(self) -> str | None:
@@ -65,14 +65,10 @@
         """
         now = self._state.now
         job_id = job.spec.job_id
-        since = self._blocked_since.setdefault(job_id, now)
-        if (
-            self._reservation
-            or now < self._next_plan_at
-            or now - since < RESERVATION_DELAY_S
-        ):
+        plan_at = self._plan_at.setdefault(job_id, now + RESERVATION_DELAY_S)
+        if self._reservation or now < plan_at:
             return
-        self._next_plan_at = now + REPLAN_DELAY_S
+        self._plan_at[job_id] = now + REPLAN_DELAY_S
         self._forget_dequeued()
         avoid = {worker for task in job.tasks for worker in task.failed_on}
         shape = job.spec.resources
@@ -89,10 +85,9 @@
 
     def next_check(self) -> float | None:
         """Return the monotonic time of the next possible reservation, or ``None``."""
-        if self._reservation or not self._blocked_since:
+        if self._reservation:
             return None
-        earliest = min(self._blocked_since.values()) + RESERVATION_DELAY_S
-        return max(earliest, self._next_plan_at)
+        return min(self._plan_at.values(), default=None)
 
     def ready_workers(self) -> list[str] | None:
         """Return a worker for each task of the holder, ``None`` if one has no room."""
@@ -107,9 +102,8 @@
 
     def _forget_dequeued(self) -> None:
         queue = self._state.queue
-        dequeued = [job_id for job_id in self._blocked_since if job_id not in queue]
-        for job_id in dequeued:
-            del self._blocked_since[job_id]
+        for job_id in [job_id for job_id in self._plan_at if job_id not in queue]:
+            del self._plan_at[job_id]
 
     def _plan(self, shape: Resources, count: int, avoid: set[str]) -> Counter | None:
         """Choose workers, those with the most free slots first.
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -89,3 +89,18 @@
     for job in ("s0", "s1", "s2"):
         rig.end(f"{job}/0")
     assert len(rig.schedule()) == 4
+
+
+def test_gang_that_no_workers_can_hold_now_does_not_delay_other_reservations():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("wide", 12, member="a"), gang("narrow", 4, member="b"))
+    rig.scheduler.set_worker(worker("w3"), False)
+    for _ in range(100):
+        rig.end(running.pop(0))
+        running += rig.schedule(after=1.0)
+        if rig.states("narrow")[0] == "assigned":
+            break
+    assert rig.states("narrow") == ["assigned"] * 4
+    assert rig.now < 40.0
