Report no wake-up of the past for gangs that do not wait any more

Callers saw nothing; an owner ran its scheduling loop without a pause. Its loop waits until next_wakeup, which stayed in the past.

Cause: a gang that had been blocked once was forgotten only when a later gang made a plan. Until then, once 10 s had passed, next_check gave the time at which the placed gang might have got a reservation. The same held for a gang that waits for quota.

Fix: gangs that left the queue are forgotten in each pass, except while a delay keeps them out of it, and only times after the last pass count: a plan that was due then has been made or cannot be made before another event.

Evidence: test_placed_gang_leaves_no_overdue_wakeup failed before (next_wakeup was the present time, 22.0) and passes now. The effect on the processor time of an owner was not measured.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -41,6 +41,7 @@
         self._reservation: Reservation | None = None
         # Monotonic time of the next plan by job id of each gang that did not fit.
         self._plan_at: dict[str, float] = {}
+        self._checked_at = 0.0
 
     @property
     def holder(self) -> str | None:
@@ -48,7 +49,12 @@
         return self._reservation.job_id if self._reservation else None
 
     def check(self) -> None:
-        """Drop the reservation if its gang left the queue or a worker is ineligible."""
+        """Drop the reservation if its gang left the queue or a worker is ineligible.
+
+        Called at the start of each pass.
+        """
+        self._checked_at = self._state.now
+        self._forget_dequeued()
         reservation = self._reservation
         if reservation is None:
             return
@@ -69,7 +75,6 @@
         if self._reservation or now < plan_at:
             return
         self._plan_at[job_id] = now + REPLAN_DELAY_S
-        self._forget_dequeued()
         avoid = {worker for task in job.tasks for worker in task.failed_on}
         shape = job.spec.resources
         tasks = self._plan(shape, count, avoid) or self._plan(shape, count, set())
@@ -87,7 +92,10 @@
         """Return the monotonic time of the next possible reservation, or ``None``."""
         if self._reservation:
             return None
-        return min(self._plan_at.values(), default=None)
+        # A plan that was due in the last pass has been made, or its gang waits for
+        # something else than workers.
+        later = (at for at in self._plan_at.values() if at > self._checked_at)
+        return min(later, default=None)
 
     def ready_workers(self) -> list[str] | None:
         """Return a worker for each task of the holder, ``None`` if one has no room."""
@@ -101,9 +109,10 @@
         return workers
 
     def _forget_dequeued(self) -> None:
-        queue = self._state.queue
-        for job_id in [job_id for job_id in self._plan_at if job_id not in queue]:
-            del self._plan_at[job_id]
+        state = self._state
+        for job_id in list(self._plan_at):
+            if job_id not in state.queue and state.delayed_until(job_id) is None:
+                del self._plan_at[job_id]
 
     def _plan(self, shape: Resources, count: int, avoid: set[str]) -> Counter | None:
         """Choose workers, those with the most free slots first.
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -104,3 +104,15 @@
             break
     assert rig.states("narrow") == ["assigned"] * 4
     assert rig.now < 40.0
+
+
+def test_placed_gang_leaves_no_overdue_wakeup():
+    rig = Rig()
+    rig.submit(spec("s0"))
+    rig.schedule()
+    rig.submit(gang("g1", 4))
+    rig.schedule(1.0)
+    rig.end("s0/0")
+    assert len(rig.schedule(1.0)) == 4
+    rig.schedule(20.0)
+    assert rig.scheduler.next_wakeup(rig.now) > rig.now
