Use capacity outside its reservation for the gang that holds one

Callers saw: a gang waits beside free workers, for as long as the longest task on the workers that were chosen for it, and the capacity reserved for it stays unused.

Cause: the gang that holds the reservation is skipped in the ordinary order and was placed only once every chosen worker had room. The choice was never revised, so a worker that joined or became free afterwards was not considered. Small tasks took its place.

Fix: in each pass, before ordinary work is placed, tasks without room move to workers with free capacity outside the reservation. The reserved amount stays the same, and the part of it that is free never shrinks by a move.

Evidence: test_gang_with_a_reservation_does_not_wait_beside_free_workers (two idle workers join) and test_reservation_moves_from_a_long_task_to_workers_that_become_free (a task that does not end, beside a flood of small ones) failed before and pass now.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -3,8 +3,8 @@
 A gang is placed in one decision or not at all, so it never holds part of what it
 needs. Smaller work may overtake it for ``RESERVATION_DELAY_S``. After that, workers are
 chosen for it, and the capacity that it needs there is reserved until enough running
-tasks have ended. Only one gang holds a reservation at a time, so that two gangs
-cannot deadlock.
+tasks have ended. Capacity that becomes free on another worker is used instead. Only one
+gang holds a reservation at a time, so that two gangs cannot deadlock.
 """
 
 from collections import Counter
@@ -12,6 +12,7 @@
 
 from ..model import Job, Resources
 from .feasibility import slots_in
+from .policy import take_slots
 from .state import ShardState
 
 RESERVATION_DELAY_S = 10.0
@@ -26,11 +27,13 @@
     Attributes:
         shape: Amount that one task takes.
         tasks: Number of tasks by worker id.
+        avoid: Workers that receive none of the tasks.
     """
 
     job_id: str
     shape: Resources
     tasks: Counter
+    avoid: set[str]
 
 
 class GangReserver:
@@ -77,9 +80,12 @@
         self._plan_at[job_id] = now + REPLAN_DELAY_S
         avoid = {worker for task in job.tasks for worker in task.failed_on}
         shape = job.spec.resources
-        tasks = self._plan(shape, count, avoid) or self._plan(shape, count, set())
+        tasks = self._plan(shape, count, avoid)
+        if tasks is None:
+            avoid = set()
+            tasks = self._plan(shape, count, avoid)
         if tasks is not None:
-            self._reservation = Reservation(job_id, shape, tasks)
+            self._reservation = Reservation(job_id, shape, tasks, avoid)
             self._reserve(self._reservation)
 
     def release(self, job_id: str) -> None:
@@ -98,15 +104,41 @@
         return min(later, default=None)
 
     def ready_workers(self) -> list[str] | None:
-        """Return a worker for each task of the holder, ``None`` if one has no room."""
+        """Return a worker for each task of the holder, ``None`` without room for all.
+
+        Tasks whose workers have no room yet are moved to others that have.
+        """
         reservation = self._reservation
-        ledger = self._state.ledger
-        workers: list[str] = []
-        for worker_id, count in reservation.tasks.items():
-            if not reservation.shape.times(count).fits_in(ledger.free_on(worker_id)):
+        missing = self._missing_slots()
+        if missing:
+            self._move(missing)
+            if self._missing_slots():
                 return None
-            workers.extend([worker_id] * count)
-        return workers
+        return list(reservation.tasks.elements())
+
+    def _missing_slots(self) -> Counter:
+        """Return the number of tasks of the holder without room, by worker id."""
+        shape, ledger = self._reservation.shape, self._state.ledger
+        missing: Counter = Counter()
+        for worker_id, count in self._reservation.tasks.items():
+            slots = max(0, slots_in(ledger.free_on(worker_id), shape, count))
+            if slots < count:
+                missing[worker_id] = count - slots
+        return missing
+
+    def _move(self, missing: Counter) -> None:
+        """Move tasks without room to workers with free capacity, as far as it goes."""
+        reservation, index = self._reservation, self._state.index
+        fits = index.fits(reservation.shape)
+        receivers = take_slots(fits, missing.total(), reservation.avoid)
+        givers = [w for w, count in missing.most_common() for _ in range(count)]
+        for giver, receiver in zip(givers, receivers, strict=False):
+            index.unreserve(giver, reservation.shape)
+            index.reserve(receiver, reservation.shape)
+            reservation.tasks[giver] -= 1
+            reservation.tasks[receiver] += 1
+            if not reservation.tasks[giver]:
+                del reservation.tasks[giver]
 
     def _forget_dequeued(self) -> None:
         state = self._state
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -116,3 +116,34 @@
     assert len(rig.schedule(1.0)) == 4
     rig.schedule(20.0)
     assert rig.scheduler.next_wakeup(rig.now) > rig.now
+
+
+def test_gang_with_a_reservation_does_not_wait_beside_free_workers():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"s{n}", resources=Resources(3000, 1024)) for n in range(2)))
+    rig.schedule()
+    rig.submit(gang("g1", 2, resources=Resources(4000, 1024)))
+    rig.schedule()
+    rig.schedule(11.0)
+    assert rig.scheduler._placer.reserved_for == "g1"
+    for name in ("w3", "w4"):
+        rig.scheduler.set_worker(worker(name), True)
+    assert rig.schedule() == ["g1/0", "g1/1"]
+
+
+def test_reservation_moves_from_a_long_task_to_workers_that_become_free():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("g1", 8))
+    rig.schedule()
+    rig.schedule(11.0)
+    reserved = rig.scheduler._placer._gangs._reservation.tasks
+    long_task = next(t for t in running if rig.ledger.tasks[t].worker_id in reserved)
+    running.remove(long_task)
+    for _ in range(60):
+        rig.end(running.pop(0))
+        running += rig.schedule(after=1.0)
+        if rig.states("g1")[0] == "assigned":
+            break
+    assert rig.states("g1") == ["assigned"] * 8
