Drop the claim of an urgent task on a worker that takes no more tasks

Callers saw: an urgent task waits up to 30 s for a worker that has left, drains or is quarantined, although resumable work on other workers could make room for it.

Cause: a claim was dropped only when its task left the queue or after CLAIM_TIMEOUT_S, and a task with a claim makes no other.

Fix: a claim also ends when its worker is not eligible any more. The pass that finds this searches for another worker.

Evidence: test_urgent_task_claims_another_worker_when_the_claimed_one_leaves failed before (no second task was stopped) and passes now, in the first pass after the change.

--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -2,7 +2,7 @@
 
 Only resumable, less urgent tasks are stopped, and they are checkpointed first. The
 capacity that they free is reserved until the urgent task that claimed it is placed
-or leaves the queue, or until ``CLAIM_TIMEOUT_S`` has passed.
+or leaves the queue, the worker takes no more tasks, or ``CLAIM_TIMEOUT_S`` has passed.
 """
 
 from dataclasses import dataclass
@@ -46,10 +46,12 @@
         return self._claims
 
     def check(self) -> None:
-        """Drop claims that expired or whose urgent task left the queue."""
+        """Drop claims that expired or serve no task or worker any more."""
         queue, now = self._state.queue, self._state.now
+        eligible = self._state.index.eligible_workers
         for task_id, claim in list(self._claims.items()):
-            if task_id not in queue or now >= claim.expires_at:
+            usable = task_id in queue and claim.worker_id in eligible
+            if not usable or now >= claim.expires_at:
                 del self._claims[task_id]
                 self._state.index.unreserve(claim.worker_id, claim.need)
 
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -75,3 +75,17 @@
     rig.scheduler.cancel("u0", "e", "m", None, rig.now, rig.now)
     rig.end(victim, "checkpointed")
     assert len(rig.schedule()) == 1
+
+
+def test_urgent_task_claims_another_worker_when_the_claimed_one_leaves():
+    rig = Rig([worker("w1", WORKER_CAPACITY), worker("w2", WORKER_CAPACITY)])
+    rig.submit(*(spec(f"f{n}", member="other", resumable=True) for n in range(8)))
+    rig.schedule()
+    rig.submit(spec("u0", urgent=True))
+    rig.scheduler.schedule(rig.now, rig.now)
+    (first,) = rig.effects(StopTask)
+    claimed = worker(first.worker_id, WORKER_CAPACITY)
+    rig.scheduler.set_worker(claimed, False)
+    rig.scheduler.schedule(1.0, 1.0)
+    (second,) = rig.effects(StopTask)
+    assert second.worker_id != first.worker_id
