End all jobs of a lane together once they are impossible

Cause: the grace period was counted for the job at the head of a lane. The next job became the head, and a new grace period began, when the one before it ended.

Fix: the period is counted for the lane, whose entries all need the same, and all of them end with it.

Evidence: test_all_jobs_of_a_lane_that_fit_no_worker_end_after_one_grace_period failed before (one of three jobs had ended) and passes now.

--- a/flamingoway/core/impossible.py
+++ b/flamingoway/core/impossible.py
@@ -12,14 +12,14 @@
 
 
 class ImpossibleJobs:
-    """Queued jobs that cannot run, with the time since when.
+    """Lanes whose jobs cannot run, with the time since when.
 
-    Only the job at the head of each lane is checked.
+    The entries of a lane need the same, so they become impossible together.
     """
 
     def __init__(self, state: ShardState):
         self._state = state
-        self._impossible_since: dict[str, float] = {}
+        self._impossible_since: dict[tuple, float] = {}
 
     def end_expired(self) -> None:
         """End queued jobs that could not run for ``IMPOSSIBLE_GRACE_S``.
@@ -33,10 +33,10 @@
         for lane in self._state.queue.lanes:
             reason = self._reason(lane, fits)
             if reason:
-                since = self._impossible_since.get(lane.head, self._state.now)
-                impossible[lane.head] = since
+                since = self._impossible_since.get(lane.key, self._state.now)
+                impossible[lane.key] = since
                 if self._state.now - since >= IMPOSSIBLE_GRACE_S:
-                    self._fail(lane, reason)
+                    self._fail_all(lane, reason)
         self._impossible_since = impossible
 
     def _reason(self, lane: Lane, fits: dict[int, bool]) -> str:
@@ -53,8 +53,9 @@
             return "the member's quota is below its size now"
         return ""
 
-    def _fail(self, lane: Lane, reason: str) -> None:
-        self._state.fail_job(self._job(lane), Code.JOB_IMPOSSIBLE, reason)
+    def _fail_all(self, lane: Lane, reason: str) -> None:
+        while lane.entries:
+            self._state.fail_job(self._job(lane), Code.JOB_IMPOSSIBLE, reason)
 
     def _job(self, lane: Lane):
         ledger = self._state.ledger
