Judge a restarted gang by the tasks that it has left

Callers saw: a gang of which some tasks have succeeded ends with JOB_IMPOSSIBLE although the tasks that are left fit. Gangs of other jobs that need the same could end with it.

Cause: the check counted all tasks of the job, while only the remaining ones must be placed. Its result was kept for the group of lanes, in which the number of remaining tasks is the same but not that of the job, so it depended on the lane that came first.

Fix: capacity and quota are compared with shape and count of the group, in the check and in the explanation of why a job waits.

Evidence: test_gang_whose_remaining_tasks_fit_is_not_ended_as_impossible failed before (code 5002 after the grace period) and passes now; the gang runs when the worker is free.

--- a/flamingoway/core/explain.py
+++ b/flamingoway/core/explain.py
@@ -18,12 +18,12 @@
         return [f"the job is {job.state.value}"]
     lines = [f"{len(queued)} of {len(job.tasks)} tasks are queued"]
     lines += _delay_reasons(state, job, queued)
-    if not can_ever_fit(job.spec, state.index):
+    need = job.spec.resources
+    count = len(queued) if job.spec.policy is Policy.GANG else 1
+    if not can_ever_fit(need, count, state.index):
         lines.append("no worker of the shard can hold it; it ends if that lasts")
         return lines
-    need = job.spec.resources
-    if job.spec.policy is Policy.GANG:
-        need = need.times(len(queued))
+    need = need.times(count)
     lines += _quota_reasons(state, job, need)
     lines += _capacity_reasons(state, job, reserved_for)
     return lines
--- a/flamingoway/core/feasibility.py
+++ b/flamingoway/core/feasibility.py
@@ -7,6 +7,7 @@
 from .effects import Reply
 from .fairness import FairQueue
 from .index import WorkerIndex
+from .ledger import MemberKey
 
 RETRY_AFTER_S = 5.0
 
@@ -24,21 +25,27 @@
         message = "no worker of the shard is known yet"
         details = {"retry_after": RETRY_AFTER_S}
         return Reply(waiter, Code.OVERLOADED, spec.job_id, message, details)
-    if not can_ever_fit(spec, index):
+    count = count_at_once(spec)
+    if not can_ever_fit(spec.resources, count, index):
         message = f"the workers of the shard cannot hold {_describe(spec)}"
         return Reply(waiter, Code.NEVER_FITS, spec.job_id, message)
-    if not within_quota(spec, queue):
+    member = (spec.environment, spec.member)
+    if not within_quota(member, spec.resources.times(count), queue):
         message = f"the member's quota is below {_describe(spec)}"
         return Reply(waiter, Code.QUOTA_TOO_SMALL, spec.job_id, message)
     return None
 
 
-def can_ever_fit(spec: JobSpec, index: WorkerIndex) -> bool:
-    """Tell whether all known workers, if empty, could hold what must run at once."""
-    remaining = spec.tasks if spec.policy is Policy.GANG else 1
+def count_at_once(spec: JobSpec) -> int:
+    """Return how many tasks of a new job must run at once."""
+    return spec.tasks if spec.policy is Policy.GANG else 1
+
+
+def can_ever_fit(shape: Resources, count: int, index: WorkerIndex) -> bool:
+    """Tell whether all known workers, if empty, could hold ``count`` tasks at once."""
     for info in index.infos.values():
-        remaining -= slots_in(info.capacity, spec.resources, remaining)
-        if remaining <= 0:
+        count -= slots_in(info.capacity, shape, count)
+        if count <= 0:
             return True
     return False
 
@@ -56,11 +63,9 @@
     return False
 
 
-def within_quota(spec: JobSpec, queue: FairQueue) -> bool:
-    """Tell whether the quota covers what must run at once."""
-    quota = queue.share_of((spec.environment, spec.member)).total_quota
-    wanted = spec.tasks if spec.policy is Policy.GANG else 1
-    return spec.resources.times(wanted).fits_in(quota)
+def within_quota(member: MemberKey, need: Resources, queue: FairQueue) -> bool:
+    """Tell whether the quota of a member covers ``need``."""
+    return need.fits_in(queue.share_of(member).total_quota)
 
 
 def slots_in(amount: Resources, shape: Resources, limit: int) -> int:
--- a/flamingoway/core/impossible.py
+++ b/flamingoway/core/impossible.py
@@ -43,13 +43,14 @@
         state = self._state
         if lane.group.policy is Policy.SERVICE or not state.index.infos:
             return ""
-        spec = self._job(lane).spec
-        group = id(lane.group)
-        if group not in fits:
-            fits[group] = can_ever_fit(spec, state.index)
-        if not fits[group]:
+        group = lane.group
+        key = id(group)
+        if key not in fits:
+            fits[key] = can_ever_fit(group.shape, group.count, state.index)
+        if not fits[key]:
             return "no worker of the shard can hold it any more"
-        if not within_quota(spec, state.queue):
+        need = group.shape.times(group.count)
+        if not within_quota(lane.member, need, state.queue):
             return "the member's quota is below its size now"
         return ""
 
--- a/tests/test_impossible.py
+++ b/tests/test_impossible.py
@@ -2,7 +2,7 @@
 
 from scheduling import Rig, spec, worker
 
-from flamingoway.model import Resources
+from flamingoway.model import Policy, Resources
 from flamingoway.status import Code
 
 
@@ -14,3 +14,23 @@
     rig.schedule(1000.0)
     codes = [rig.scheduler.view(f"j{n}").code for n in range(3)]
     assert codes == [Code.JOB_IMPOSSIBLE] * 3
+
+
+def test_gang_whose_remaining_tasks_fit_is_not_ended_as_impossible():
+    rig = Rig(["w1", "w2"])
+    rig.submit(spec("g", policy=Policy.GANG, tasks=5))
+    rig.schedule()
+    for index in range(2):
+        rig.end(f"g/{index}")
+    rig.scheduler.remove_worker("w2")
+    for index in range(2, 5):
+        if rig.ledger.tasks[f"g/{index}"].state.placed:
+            rig.end(f"g/{index}", "stopped")
+    rig.submit(spec("s", urgent=True, tasks=4))
+    rig.schedule(10.0)
+    rig.schedule(1000.0)
+    assert rig.states("g")[:2] == ["succeeded"] * 2
+    assert rig.scheduler.view("g").code == 0
+    for index in range(4):
+        rig.end(f"s/{index}")
+    assert rig.schedule() == ["g/2", "g/3", "g/4"]
