End jobs for which the services leave no room

Callers saw: a job that is accepted, as the workers could hold it if they were empty, stays queued for ever if the services of the documents take what it needs.

Cause: services do not end, and reservations for gangs leave out what they use, but the check for jobs that can no longer run compared with empty workers only.

Fix: the check also compares with what the services leave on each worker. The grace period is the same, so a replacement of a service, which holds both versions for up to two minutes, ends no job. Admission still compares with empty workers: what services use at that moment may change within the grace period.

Evidence: test_job_for_which_services_leave_no_room_ends_after_the_grace_period failed before (code 0 after 990 s) and passes now; a job that fits beside the services is kept.

--- a/flamingoway/core/feasibility.py
+++ b/flamingoway/core/feasibility.py
@@ -1,13 +1,13 @@
 """Whether a job could ever run in a shard."""
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 
 from ..model import JobSpec, Policy, Resources
 from ..status import Code
 from .effects import Reply
 from .fairness import FairQueue
 from .index import WorkerIndex
-from .ledger import MemberKey
+from .ledger import ZERO, MemberKey
 
 RETRY_AFTER_S = 5.0
 
@@ -41,10 +41,23 @@
     return spec.tasks if spec.policy is Policy.GANG else 1
 
 
-def can_ever_fit(shape: Resources, count: int, index: WorkerIndex) -> bool:
-    """Tell whether all known workers, if empty, could hold ``count`` tasks at once."""
-    for info in index.infos.values():
-        count -= slots_in(info.capacity, shape, count)
+def can_ever_fit(
+    shape: Resources,
+    count: int,
+    index: WorkerIndex,
+    occupied: Callable[[str], Resources] = lambda worker_id: ZERO,
+) -> bool:
+    """Tell whether all known workers could hold ``count`` tasks at once.
+
+    Args:
+        shape: Resources of one task.
+        count: Number of tasks.
+        index: Known workers.
+        occupied: Returns what never becomes free on a worker; by default nothing.
+    """
+    for worker_id, info in index.infos.items():
+        usable = info.capacity - occupied(worker_id)
+        count -= max(0, slots_in(usable, shape, count))
         if count <= 0:
             return True
     return False
--- a/tests/test_impossible.py
+++ b/tests/test_impossible.py
@@ -1,6 +1,6 @@
 """Guards accepted jobs that can no longer run against waiting without an end."""
 
-from scheduling import Rig, spec, worker
+from scheduling import Rig, document, spec, worker
 
 from flamingoway.model import Policy, Resources
 from flamingoway.status import Code
@@ -34,3 +34,18 @@
     for index in range(4):
         rig.end(f"s/{index}")
     assert rig.schedule() == ["g/2", "g/3", "g/4"]
+
+
+def test_job_for_which_services_leave_no_room_ends_after_the_grace_period():
+    rig = Rig(["w1", "w2"])
+    rig.scheduler.set_document("e", document(services=[("viewer", 2)]), 1.0)
+    rig.schedule()
+    rig.submit(spec("g", policy=Policy.GANG, tasks=8), spec("j", tasks=6))
+    rig.schedule(10.0)
+    rig.schedule(880.0)
+    assert rig.scheduler.view("g").code == 0
+    rig.schedule(100.0)
+    job = rig.scheduler.view("g")
+    assert job.code == Code.JOB_IMPOSSIBLE
+    assert "services" in job.reason
+    assert rig.scheduler.view("j").code == 0
