Suspend a reservation that keeps most of the shard idle

Callers saw: jobs that would fit on idle workers wait for hours behind a gang that needs nearly the whole shard, while one long task keeps that gang from starting.

Cause: a reservation had no time limit. It ended only when its gang started or left the queue, or when one of its workers became ineligible.

Fix: a reservation that is 30 s old ends while less than half of the shard's capacity is in use, and the gang gets no other for as long. Each further one of the same gang lasts twice as long, up to 10 minutes, so that the gang is not starved by tasks that run longer than a short reservation. With half or more in use there is no limit, as before.

Evidence: test_reservation_that_waits_for_a_long_task_does_not_hold_back_others_for_ever failed before (the narrow gang was queued after 60 s) and passes now; the wide gang runs once the tasks before it have ended.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -4,20 +4,28 @@
 needs. Smaller work may overtake it for ``RESERVATION_DELAY_S``. After that, workers are
 chosen for it, and the capacity that it needs there is reserved until enough running
 tasks have ended. Capacity that becomes free on another worker is used instead. Only one
-gang holds a reservation at a time, so that two gangs cannot deadlock.
+gang holds a reservation at a time, so that two gangs cannot deadlock. While most of the
+shard is idle, a reservation is suspended from time to time, as it may wait for a task
+that runs for hours.
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..model import Job, Resources
 from .feasibility import slots_in
+from .ledger import ZERO
 from .policy import take_slots
 from .state import ShardState
 
 RESERVATION_DELAY_S = 10.0
 # Delay before the next plan for a gang after one that found too little capacity.
 REPLAN_DELAY_S = 5.0
+# Time for which a gang may keep capacity unused while most of the shard is idle, at
+# first and at most. Other work may use it for as long afterwards.
+FIRST_HOLD_S = 30.0
+MAX_HOLD_S = 600.0
+BUSY_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +36,14 @@
         shape: Amount that one task takes.
         tasks: Number of tasks by worker id.
         avoid: Workers that receive none of the tasks.
+        hold_until: Monotonic time from which it ends if most of the shard is idle.
     """
 
     job_id: str
     shape: Resources
     tasks: Counter
     avoid: set[str]
+    hold_until: float
 
 
 class GangReserver:
@@ -44,6 +54,7 @@
         self._reservation: Reservation | None = None
         # Monotonic time of the next plan by job id of each gang that did not fit.
         self._plan_at: dict[str, float] = {}
+        self._hold_s: dict[str, float] = {}
         self._checked_at = 0.0
 
     @property
@@ -66,6 +77,8 @@
         )
         if reservation.job_id not in self._state.queue or ineligible:
             self.release(reservation.job_id)
+        elif self._checked_at >= reservation.hold_until:
+            self._suspend_if_idle(reservation)
 
     def note_blocked(self, job: Job, count: int) -> None:
         """Note that ``count`` tasks of a gang do not fit now.
@@ -85,7 +98,8 @@
             avoid = set()
             tasks = self._plan(shape, count, avoid)
         if tasks is not None:
-            self._reservation = Reservation(job_id, shape, tasks, avoid)
+            hold_until = now + self._hold_s.setdefault(job_id, FIRST_HOLD_S)
+            self._reservation = Reservation(job_id, shape, tasks, avoid, hold_until)
             self._reserve(self._reservation)
 
     def release(self, job_id: str) -> None:
@@ -95,9 +109,13 @@
             self._reservation = None
 
     def next_check(self) -> float | None:
-        """Return the monotonic time of the next possible reservation, or ``None``."""
+        """Return when a reservation may begin or end next, or ``None``.
+
+        The time is monotonic, in seconds.
+        """
         if self._reservation:
-            return None
+            hold_until = self._reservation.hold_until
+            return hold_until if hold_until > self._checked_at else None
         # A plan that was due in the last pass has been made, or its gang waits for
         # something else than workers.
         later = (at for at in self._plan_at.values() if at > self._checked_at)
@@ -116,6 +134,26 @@
                 return None
         return list(reservation.tasks.elements())
 
+    def _suspend_if_idle(self, reservation: Reservation) -> None:
+        """Let other work use the capacity for some time if the shard is mostly idle."""
+        now = self._state.now
+        if not self._mostly_idle():
+            hold_until = now + REPLAN_DELAY_S
+            self._reservation = replace(reservation, hold_until=hold_until)
+            return
+        job_id = reservation.job_id
+        hold_s = self._hold_s[job_id]
+        self._hold_s[job_id] = min(MAX_HOLD_S, 2 * hold_s)
+        self._plan_at[job_id] = now + hold_s
+        self.release(job_id)
+
+    def _mostly_idle(self) -> bool:
+        index, ledger = self._state.index, self._state.ledger
+        used = ZERO
+        for worker_id in index.infos:
+            used = used + ledger.used_on(worker_id)
+        return used.dominant_share(index.total) < BUSY_SHARE
+
     def _missing_slots(self) -> Counter:
         """Return the number of tasks of the holder without room, by worker id."""
         shape, ledger = self._reservation.shape, self._state.ledger
@@ -145,6 +183,7 @@
         for job_id in list(self._plan_at):
             if job_id not in state.queue and state.delayed_until(job_id) is None:
                 del self._plan_at[job_id]
+                self._hold_s.pop(job_id, None)
 
     def _plan(self, shape: Resources, count: int, avoid: set[str]) -> Counter | None:
         """Choose workers, those with the most free slots first.
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -147,3 +147,20 @@
         if rig.states("g1")[0] == "assigned":
             break
     assert rig.states("g1") == ["assigned"] * 8
+
+
+def test_reservation_that_waits_for_a_long_task_does_not_hold_back_others_for_ever():
+    rig = Rig(["w1", "w2", "w3", "w4"])
+    rig.submit(spec("long"))
+    rig.schedule()
+    rig.submit(gang("wide", 16, member="a"))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.submit(gang("narrow", 4, member="b"), spec("small", member="c"))
+    for _ in range(60):
+        rig.schedule(1.0)
+    assert rig.states("narrow") == ["assigned"] * 4
+    assert rig.states("small") == ["assigned"]
+    for task_id in ("long/0", "small/0", *(f"narrow/{n}" for n in range(4))):
+        rig.end(task_id)
+    assert len(rig.schedule()) == 16
