Keep the reserved capacity of a gang when one of its workers leaves

Callers saw: a wide gang starts over collecting free workers each time one of the workers reserved for it leaves, drains or is quarantined.

Cause: the whole reservation was dropped at the start of the pass. A new one was made only when the gang came up in the order, after work before it had taken what was free.

Fix: workers are chosen again at once. Those with free capacity come first, so the part that has been collected is kept. If the workers have too little capacity, the reservation is dropped as before.

Evidence: test_worker_that_leaves_a_reservation_does_not_free_the_rest_for_small_jobs failed before (a small task was placed on the freed capacity) and passes now.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -63,7 +63,7 @@
         return self._reservation.job_id if self._reservation else None
 
     def check(self) -> None:
-        """Drop the reservation if its gang left the queue or a worker is ineligible.
+        """Revise the reservation after changes of its gang, its workers or the time.
 
         Called at the start of each pass.
         """
@@ -75,8 +75,10 @@
         ineligible = any(
             w not in self._state.index.eligible_workers for w in reservation.tasks
         )
-        if reservation.job_id not in self._state.queue or ineligible:
+        if reservation.job_id not in self._state.queue:
             self.release(reservation.job_id)
+        elif ineligible:
+            self._replan(reservation)
         elif self._checked_at >= reservation.hold_until:
             self._suspend_if_idle(reservation)
 
@@ -134,6 +136,18 @@
                 return None
         return list(reservation.tasks.elements())
 
+    def _replan(self, reservation: Reservation) -> None:
+        """Choose workers again; drop the reservation if they have too little capacity.
+
+        Workers with free capacity come first, so that the gang keeps what it has.
+        """
+        self.release(reservation.job_id)
+        count = reservation.tasks.total()
+        tasks = self._plan(reservation.shape, count, reservation.avoid)
+        if tasks is not None:
+            self._reservation = replace(reservation, tasks=tasks)
+            self._reserve(self._reservation)
+
     def _suspend_if_idle(self, reservation: Reservation) -> None:
         """Let other work use the capacity for some time if the shard is mostly idle."""
         now = self._state.now
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -164,3 +164,17 @@
     for task_id in ("long/0", "small/0", *(f"narrow/{n}" for n in range(4))):
         rig.end(task_id)
     assert len(rig.schedule()) == 16
+
+
+def test_worker_that_leaves_a_reservation_does_not_free_the_rest_for_small_jobs():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("g1", 8))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.end(running.pop(0))
+    rig.schedule()
+    reserved = rig.scheduler._placer._gangs._reservation.tasks
+    rig.scheduler.set_worker(worker(sorted(reserved)[-1]), False)
+    assert rig.schedule() == []
