--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -3,20 +3,29 @@
 A gang is placed in one decision or not at all, so it never holds part of what it
 needs. Smaller work may overtake it for ``RESERVATION_DELAY_S``. After that, workers are
 chosen for it, and the capacity that it needs there is reserved until enough running
-tasks have ended. Only one gang holds a reservation at a time, so that two gangs
-cannot deadlock.
+tasks have ended. Capacity that becomes free on another worker is used instead. Only one
+gang holds a reservation at a time, so that two gangs cannot deadlock. While most of the
+shard is idle, a reservation is suspended from time to time, as it may wait for a task
+that runs for hours.
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..model import Job, Resources
 from .feasibility import slots_in
+from .ledger import ZERO
+from .policy import take_slots
 from .state import ShardState
 
 RESERVATION_DELAY_S = 10.0
-# Delay before the next plan after one that found too little capacity.
+# Delay before the next plan for a gang after one that found too little capacity.
 REPLAN_DELAY_S = 5.0
+# Time for which a gang may keep capacity unused while most of the shard is idle, at
+# first and at most. Other work may use it for as long afterwards.
+FIRST_HOLD_S = 30.0
+MAX_HOLD_S = 600.0
+BUSY_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +35,15 @@
     Attributes:
         shape: Amount that one task takes.
         tasks: Number of tasks by worker id.
+        avoid: Workers that receive none of the tasks.
+        hold_until: Monotonic time from which it ends if most of the shard is idle.
     """
 
     job_id: str
     shape: Resources
     tasks: Counter
+    avoid: set[str]
+    hold_until: float
 
 
 class GangReserver:
@@ -39,8 +52,10 @@
     def __init__(self, state: ShardState):
         self._state = state
         self._reservation: Reservation | None = None
-        self._blocked_since: dict[str, float] = {}
-        self._next_plan_at = 0.0
+        # Monotonic time of the next plan by job id of each gang that did not fit.
+        self._plan_at: dict[str, float] = {}
+        self._hold_s: dict[str, float] = {}
+        self._checked_at = 0.0
 
     @property
     def holder(self) -> str | None:
@@ -48,15 +63,24 @@
         return self._reservation.job_id if self._reservation else None
 
     def check(self) -> None:
-        """Drop the reservation if its gang left the queue or a worker is ineligible."""
+        """Revise the reservation after changes of its gang, its workers or the time.
+
+        Called at the start of each pass.
+        """
+        self._checked_at = self._state.now
+        self._forget_dequeued()
         reservation = self._reservation
         if reservation is None:
             return
         ineligible = any(
             w not in self._state.index.eligible_workers for w in reservation.tasks
         )
-        if reservation.job_id not in self._state.queue or ineligible:
+        if reservation.job_id not in self._state.queue:
             self.release(reservation.job_id)
+        elif ineligible:
+            self._replan(reservation)
+        elif self._checked_at >= reservation.hold_until:
+            self._suspend_if_idle(reservation)
 
     def note_blocked(self, job: Job, count: int) -> None:
         """Note that ``count`` tasks of a gang do not fit now.
@@ -65,20 +89,19 @@
         """
         now = self._state.now
         job_id = job.spec.job_id
-        since = self._blocked_since.setdefault(job_id, now)
-        if (
-            self._reservation
-            or now < self._next_plan_at
-            or now - since < RESERVATION_DELAY_S
-        ):
+        plan_at = self._plan_at.setdefault(job_id, now + RESERVATION_DELAY_S)
+        if self._reservation or now < plan_at:
             return
-        self._next_plan_at = now + REPLAN_DELAY_S
-        self._forget_dequeued()
+        self._plan_at[job_id] = now + REPLAN_DELAY_S
         avoid = {worker for task in job.tasks for worker in task.failed_on}
         shape = job.spec.resources
-        tasks = self._plan(shape, count, avoid) or self._plan(shape, count, set())
+        tasks = self._plan(shape, count, avoid)
+        if tasks is None:
+            avoid = set()
+            tasks = self._plan(shape, count, avoid)
         if tasks is not None:
-            self._reservation = Reservation(job_id, shape, tasks)
+            hold_until = now + self._hold_s.setdefault(job_id, FIRST_HOLD_S)
+            self._reservation = Reservation(job_id, shape, tasks, avoid, hold_until)
             self._reserve(self._reservation)
 
     def release(self, job_id: str) -> None:
@@ -88,28 +111,93 @@
             self._reservation = None
 
     def next_check(self) -> float | None:
-        """Return the monotonic time of the next possible reservation, or ``None``."""
-        if self._reservation or not self._blocked_since:
-            return None
-        earliest = min(self._blocked_since.values()) + RESERVATION_DELAY_S
-        return max(earliest, self._next_plan_at)
+        """Return when a reservation may begin or end next, or ``None``.
+
+        The time is monotonic, in seconds.
+        """
+        if self._reservation:
+            hold_until = self._reservation.hold_until
+            return hold_until if hold_until > self._checked_at else None
+        # A plan that was due in the last pass has been made, or its gang waits for
+        # something else than workers.
+        later = (at for at in self._plan_at.values() if at > self._checked_at)
+        return min(later, default=None)
 
     def ready_workers(self) -> list[str] | None:
-        """Return a worker for each task of the holder, ``None`` if one has no room."""
+        """Return a worker for each task of the holder, ``None`` without room for all.
+
+        Tasks whose workers have no room yet are moved to others that have.
+        """
         reservation = self._reservation
-        ledger = self._state.ledger
-        workers: list[str] = []
-        for worker_id, count in reservation.tasks.items():
-            if not reservation.shape.times(count).fits_in(ledger.free_on(worker_id)):
+        missing = self._missing_slots()
+        if missing:
+            self._move(missing)
+            if self._missing_slots():
                 return None
-            workers.extend([worker_id] * count)
-        return workers
+        return list(reservation.tasks.elements())
+
+    def _replan(self, reservation: Reservation) -> None:
+        """Choose workers again; drop the reservation if they have too little capacity.
+
+        Workers with free capacity come first, so that the gang keeps what it has.
+        """
+        self.release(reservation.job_id)
+        count = reservation.tasks.total()
+        tasks = self._plan(reservation.shape, count, reservation.avoid)
+        if tasks is not None:
+            self._reservation = replace(reservation, tasks=tasks)
+            self._reserve(self._reservation)
+
+    def _suspend_if_idle(self, reservation: Reservation) -> None:
+        """Let other work use the capacity for some time if the shard is mostly idle."""
+        now = self._state.now
+        if not self._mostly_idle():
+            hold_until = now + REPLAN_DELAY_S
+            self._reservation = replace(reservation, hold_until=hold_until)
+            return
+        job_id = reservation.job_id
+        hold_s = self._hold_s[job_id]
+        self._hold_s[job_id] = min(MAX_HOLD_S, 2 * hold_s)
+        self._plan_at[job_id] = now + hold_s
+        self.release(job_id)
+
+    def _mostly_idle(self) -> bool:
+        index, ledger = self._state.index, self._state.ledger
+        used = ZERO
+        for worker_id in index.infos:
+            used = used + ledger.used_on(worker_id)
+        return used.dominant_share(index.total) < BUSY_SHARE
+
+    def _missing_slots(self) -> Counter:
+        """Return the number of tasks of the holder without room, by worker id."""
+        shape, ledger = self._reservation.shape, self._state.ledger
+        missing: Counter = Counter()
+        for worker_id, count in self._reservation.tasks.items():
+            slots = max(0, slots_in(ledger.free_on(worker_id), shape, count))
+            if slots < count:
+                missing[worker_id] = count - slots
+        return missing
+
+    def _move(self, missing: Counter) -> None:
+        """Move tasks without room to workers with free capacity, as far as it goes."""
+        reservation, index = self._reservation, self._state.index
+        fits = index.fits(reservation.shape)
+        receivers = take_slots(fits, missing.total(), reservation.avoid)
+        givers = [w for w, count in missing.most_common() for _ in range(count)]
+        for giver, receiver in zip(givers, receivers, strict=False):
+            index.unreserve(giver, reservation.shape)
+            index.reserve(receiver, reservation.shape)
+            reservation.tasks[giver] -= 1
+            reservation.tasks[receiver] += 1
+            if not reservation.tasks[giver]:
+                del reservation.tasks[giver]
 
     def _forget_dequeued(self) -> None:
-        queue = self._state.queue
-        dequeued = [job_id for job_id in self._blocked_since if job_id not in queue]
-        for job_id in dequeued:
-            del self._blocked_since[job_id]
+        state = self._state
+        for job_id in list(self._plan_at):
+            if job_id not in state.queue and state.delayed_until(job_id) is None:
+                del self._plan_at[job_id]
+                self._hold_s.pop(job_id, None)
 
     def _plan(self, shape: Resources, count: int, avoid: set[str]) -> Counter | None:
         """Choose workers, those with the most free slots first.
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -89,3 +89,92 @@
     for job in ("s0", "s1", "s2"):
         rig.end(f"{job}/0")
     assert len(rig.schedule()) == 4
+
+
+def test_gang_that_no_workers_can_hold_now_does_not_delay_other_reservations():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("wide", 12, member="a"), gang("narrow", 4, member="b"))
+    rig.scheduler.set_worker(worker("w3"), False)
+    for _ in range(100):
+        rig.end(running.pop(0))
+        running += rig.schedule(after=1.0)
+        if rig.states("narrow")[0] == "assigned":
+            break
+    assert rig.states("narrow") == ["assigned"] * 4
+    assert rig.now < 40.0
+
+
+def test_placed_gang_leaves_no_overdue_wakeup():
+    rig = Rig()
+    rig.submit(spec("s0"))
+    rig.schedule()
+    rig.submit(gang("g1", 4))
+    rig.schedule(1.0)
+    rig.end("s0/0")
+    assert len(rig.schedule(1.0)) == 4
+    rig.schedule(20.0)
+    assert rig.scheduler.next_wakeup(rig.now) > rig.now
+
+
+def test_gang_with_a_reservation_does_not_wait_beside_free_workers():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"s{n}", resources=Resources(3000, 1024)) for n in range(2)))
+    rig.schedule()
+    rig.submit(gang("g1", 2, resources=Resources(4000, 1024)))
+    rig.schedule()
+    rig.schedule(11.0)
+    assert rig.scheduler._placer.reserved_for == "g1"
+    for name in ("w3", "w4"):
+        rig.scheduler.set_worker(worker(name), True)
+    assert rig.schedule() == ["g1/0", "g1/1"]
+
+
+def test_reservation_moves_from_a_long_task_to_workers_that_become_free():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("g1", 8))
+    rig.schedule()
+    rig.schedule(11.0)
+    reserved = rig.scheduler._placer._gangs._reservation.tasks
+    long_task = next(t for t in running if rig.ledger.tasks[t].worker_id in reserved)
+    running.remove(long_task)
+    for _ in range(60):
+        rig.end(running.pop(0))
+        running += rig.schedule(after=1.0)
+        if rig.states("g1")[0] == "assigned":
+            break
+    assert rig.states("g1") == ["assigned"] * 8
+
+
+def test_reservation_that_waits_for_a_long_task_does_not_hold_back_others_for_ever():
+    rig = Rig(["w1", "w2", "w3", "w4"])
+    rig.submit(spec("long"))
+    rig.schedule()
+    rig.submit(gang("wide", 16, member="a"))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.submit(gang("narrow", 4, member="b"), spec("small", member="c"))
+    for _ in range(60):
+        rig.schedule(1.0)
+    assert rig.states("narrow") == ["assigned"] * 4
+    assert rig.states("small") == ["assigned"]
+    for task_id in ("long/0", "small/0", *(f"narrow/{n}" for n in range(4))):
+        rig.end(task_id)
+    assert len(rig.schedule()) == 16
+
+
+def test_worker_that_leaves_a_reservation_does_not_free_the_rest_for_small_jobs():
+    rig = Rig(["w1", "w2", "w3"])
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
+    running = rig.schedule()
+    rig.submit(gang("g1", 8))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.end(running.pop(0))
+    rig.schedule()
+    reserved = rig.scheduler._placer._gangs._reservation.tasks
+    rig.scheduler.set_worker(worker(sorted(reserved)[-1]), False)
+    assert rig.schedule() == []
