Retry a failed task where it failed if no other worker is large enough

What callers saw: a job can wait for ever beside idle workers after one of its tasks failed.

Cause: workers on which a task of the step failed are left out while any other eligible worker exists, although all others may be too small for the task or have no accelerator.

Fix: only workers that hold a task when empty count as others. While one of those is full, the task still waits for it.

Evidence: test_a_failed_task_does_not_wait_for_workers_too_small_for_it failed before (nothing was placed 60 s after the failure) and passes now, with the other tests of the module.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -194,15 +194,17 @@
         return [c for c in candidates if c.worker_id in grown]
 
     def _without_failures(self, step: StepRun) -> list[Candidate]:
-        """Return the workers on which no task of a step failed, all if there are none.
+        """Return the workers on which no task of a step failed.
 
-        Gangs are not restricted.
+        All if none of those is large enough for a task. Gangs are not restricted.
         """
         candidates = self._free.eligible(step)
         if not step.failed_workers or step.spec.gang:
             return candidates
         return [
-            c for c in candidates if c.worker_id not in step.failed_workers
+            c
+            for c in candidates
+            if c.worker_id not in step.failed_workers and slots_on_empty_worker(step, c)
         ] or candidates
 
     def _unreserved(
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -467,3 +467,14 @@
     bench.now += 13.0
     bench.submit("b2", step(4))
     assert len(bench.plan()) == 4
+
+
+def test_a_failed_task_does_not_wait_for_workers_too_small_for_it():
+    """Guards against an endless wait beside the only idle worker of the size."""
+    bench = Bench(1)
+    bench.add_worker("w1", Resources(500, 64_000))
+    bench.submit("a1", step(1, cpu=1000))
+    (run,) = bench.plan()
+    bench.end(run, EndKind.FAILED)
+    bench.now += 60.0
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
