Check labels and service of a reserved worker before a start

What callers saw: a task can start on a worker without the label that it needs.

Cause: a step whose tickets have been renewed starts on the workers reserved before the call. They were checked for resources and tickets, but not again for labels and service, which differ if the worker restarts as another kind or the queue moves to another service meanwhile.

Fix: the check that selects candidates is repeated before the start.

Evidence: test_renewed_tickets_are_not_used_on_a_worker_that_restarted_as_another_ kind failed before (the task was started on a worker with label r2 instead of r1) and passes now, with the other tests of the module.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -372,6 +372,9 @@
             worker_id = worker.entry.worker_id
             if index not in startable or not worker.usable:
                 continue
+            # The worker or the queue may have changed since.
+            if not step.may_run_on(worker.entry):
+                continue
             if worker_id not in candidates:
                 candidates[worker_id] = Candidate.of(worker, now)
             candidate = candidates[worker_id]
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -1,6 +1,7 @@
 """Checks the order of the queue and the choice of workers under load."""
 
 import random
+from dataclasses import replace
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
@@ -478,3 +479,20 @@
     bench.end(run, EndKind.FAILED)
     bench.now += 60.0
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_renewed_tickets_are_not_used_on_a_worker_that_restarted_as_another_kind():
+    """Guards against a start on a worker without the label of the step."""
+    bench = Bench(1)
+    bench.submit("a1", step(1, label="r1"), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, valid_s=0.0)
+    bench.plan()
+    (call,) = bench.advice_calls()
+    entry = replace(bench.worker("w0").entry, born_ms=2, labels=("r2",))
+    bench.cluster.set_worker(entry, bench.now)
+    bench.report("w0")
+    give_advice(bench, call)
+    assert bench.plan() == []
+    assert bench.worker("w0").used == Resources()
