Try the tasks left after a start with tickets on all other workers

A step starts first on the workers for which it has valid tickets. If tasks were left, the step counted as one that does not fit, so they were tried only on workers that gained free resources, although the other allowed workers had not been considered: they could wait beside idle workers.

A step that started this way is tried on all workers in the next pass. As a placement that is not on ticketed workers only always needs a renewal, the separate check of its tickets goes. The new test failed before (no call for the other worker).

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -12,9 +12,9 @@
 otherwise a backlog of gangs after an overload would block each other.
 
 Advice: On a queue with an advice policy, a start needs a ticket from the advice
-service, which is slow. The first call names many workers. Once the tickets have
-expired, resources for a step are reserved while new tickets are fetched for only the
-chosen workers.
+service, which is slow. The first call names many workers, and a step that does not fit
+asks about the others. Once the tickets have expired, resources for a step are reserved
+while new tickets are fetched for only the chosen workers, and it starts there.
 
 Backlog: A step that did not fit is retried only on workers that have gained free
 resources since, so that a pass over hundreds of waiting steps stays short.
@@ -118,7 +118,11 @@
             return self._plan_during_call(step, now)
         candidates = self._candidates(step)
         placements = self._place_with_tickets(step, candidates, now)
-        if not placements and candidates:
+        if placements:
+            # Tasks that are left have not been tried on the other workers.
+            step.blocked = False
+            return self._start(step, placements, now)
+        if candidates:
             placements = self._place(step, candidates)
         step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
         if not placements:
@@ -127,7 +131,7 @@
                 self._ask_about_others(step, now)
             self._log_wait(step, "no worker fits" if candidates else "not tried", now)
             return 0
-        if not advised or _tickets_valid(step, placements, now):
+        if not advised:
             return self._start(step, placements, now)
         self._log_wait(step, "tickets missing", now)
         self._reserve_resources(step, placements, now)
@@ -410,11 +414,6 @@
         return len(placements)
 
 
-def _tickets_valid(step: StepRun, placements: Sequence[Placement], now: float) -> bool:
-    at = now + TICKET_MARGIN_S
-    return all(step.has_ticket(w.entry.worker_id, at) for _, w in placements)
-
-
 def _ticket_left_s(step: StepRun, now: float) -> float | None:
     """Return how long the newest ticket of a step is valid, ``None`` without one."""
     until = max((t.valid_until for t in step.tickets.values()), default=None)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -5,6 +5,7 @@
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
+from flamingoway.queues.runs import Ticket
 from tests.queue_cluster import ADVISED, Bench, step
 
 
@@ -496,3 +497,17 @@
     give_advice(bench, call)
     assert bench.plan() == []
     assert bench.worker("w0").used == Resources()
+
+
+def test_tasks_left_after_a_start_with_tickets_are_tried_on_other_workers():
+    """Guards against tasks that wait for freed resources beside an idle worker."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, cpu=9000), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    call.step.tickets["w1"] = Ticket("expired", bench.now)
+    assert [run.worker.entry.worker_id for run in bench.plan()] == ["w0"]
+    bench.plan()
+    (again,) = bench.advice_calls()
+    assert again.workers == ("w1",)
