Drop a gang's reserved workers that cannot hold it any more

What callers saw: up to half of the workers can stay reserved for a gang that cannot run on them, and the gang gets no others.

Cause: reserved workers are kept from pass to pass while they are usable at all. A worker that restarts with less capacity or other labels, or the move of the queue to another service, left the reservation as it was.

Fix: reserved workers are kept only while they are eligible for the step and hold the whole gang when empty. Otherwise workers are chosen anew.

Evidence: test_a_gang_gives_up_reserved_workers_that_restarted_too_small_for_it failed before (the small tasks were not placed on the restarted worker) and passes now, with the other tests of the module.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -253,7 +253,8 @@
         limit = int(MAX_RESERVED_SHARE * len(self._cluster.workers)) - len(
             self._reserved_by
         )
-        chosen = self._still_available(self._gang_reservations.pop(step.id, ()))
+        kept = self._gang_reservations.pop(step.id, ())
+        chosen = self._still_available(step, kept)
         if not chosen and limit > 0:
             candidates = self._unreserved(step, self._free.eligible(step))
             chosen = choose_gang_workers(step, candidates, limit)
@@ -272,18 +273,23 @@
             for candidate in self._gang_reservations.pop(step_id):
                 self._snapshots.pop(candidate.worker_id, None)
 
-    def _still_available(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+    def _still_available(
+        self, step: StepRun, candidates: Sequence[Candidate]
+    ) -> list[Candidate]:
         """Return the current candidates for a gang's reserved workers.
 
-        Empty if a worker is unusable or an earlier gang has reserved it.
+        Empty if a worker is unusable for the gang, if an earlier gang has reserved it,
+        or if the gang no longer fits on the empty workers.
         """
+        eligible = {c.worker_id: c for c in self._free.eligible(step)}
         found = []
         for candidate in candidates:
-            current = self._free.candidates.get(candidate.worker_id)
+            current = eligible.get(candidate.worker_id)
             if current is None or candidate.worker_id in self._reserved_by:
                 return []
             found.append(current)
-        return found
+        slots = sum(slots_on_empty_worker(step, c) for c in found)
+        return found if slots >= step.spec.count else []
 
     # Advice
 
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -496,3 +496,19 @@
     give_advice(bench, call)
     assert bench.plan() == []
     assert bench.worker("w0").used == Resources()
+
+
+def test_a_gang_gives_up_reserved_workers_that_restarted_too_small_for_it():
+    """Guards against workers that stay reserved for a gang that cannot use them."""
+    bench = Bench(4, Resources(4000, 64_000))
+    bench.submit("5a", step(16), queue="sorts")
+    bench.plan()
+    bench.now += 30.0
+    bench.submit("aa", step(2, cpu=4000, gang=True, estimate_s=5.0))
+    assert bench.plan() == []
+    entry = replace(
+        bench.worker("w3").entry, born_ms=2, capacity=Resources(2000, 64_000)
+    )
+    bench.cluster.set_worker(entry, bench.now)
+    bench.report("w3")
+    assert [run.worker.entry.worker_id for run in bench.plan()] == ["w3", "w3"]
