--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -511,3 +511,19 @@
     bench.plan()
     (again,) = bench.advice_calls()
     assert again.workers == ("w1",)
+
+
+def test_a_gang_gives_up_reserved_workers_that_restarted_too_small_for_it():
+    """Guards against workers that stay reserved for a gang that cannot use them."""
+    bench = Bench(4, Resources(4000, 64_000))
+    bench.submit("5a", step(16), queue="sorts")
+    bench.plan()
+    bench.now += 30.0
+    bench.submit("aa", step(2, cpu=4000, gang=True, estimate_s=5.0))
+    assert bench.plan() == []
+    entry = replace(
+        bench.worker("w3").entry, born_ms=2, capacity=Resources(2000, 64_000)
+    )
+    bench.cluster.set_worker(entry, bench.now)
+    bench.report("w3")
+    assert [run.worker.entry.worker_id for run in bench.plan()] == ["w3", "w3"]
