Forget advice about a worker when it restarts

What callers saw: in a test, a step waits for ever beside an idle worker that has restarted, and a start carries a ticket that the worker does not accept.

Cause: a ticket holds for one incarnation of a worker, and the next one may be of another kind. The advice was kept by worker id only, so a worker that was not allowed before its restart was never asked about again. A rejected ticket also makes a step drop its other tickets.

Fix: when a worker restarts or is removed, its tickets and answers are dropped from all steps, and it counts as not asked about.

Evidence: test_a_worker_that_restarted_is_asked_about_again (no call) and test_a_ticket_is_not_used_after_a_restart_of_its_worker (a start with the former ticket) failed before and pass now, with the other tests of both modules. An answer that is in flight during the restart is still stored.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -322,6 +322,7 @@
         """Remove a worker that can no longer run anything."""
         self._workers.pop(worker.entry.worker_id, None)
         self._unsettled.pop(worker.entry.worker_id, None)
+        self._forget_advice(worker.entry.worker_id)
 
     def all_runs_expired(self, worker: WorkerState, now: float) -> bool:
         """Return whether no run can exist on a worker that does not answer."""
@@ -378,6 +379,7 @@
         worker.orphans.clear()
         for run in reported:
             self._release_run(run, now)
+        self._forget_advice(entry.worker_id)
         worker.entry = entry
         worker.health = WorkerHealth()
         worker.processed = worker.acknowledged = 0
@@ -801,6 +803,17 @@
             step.tickets[worker_id] = Ticket(value, until)
         step.blocked = False
 
+    def _forget_advice(self, worker_id: str) -> None:
+        """Forget all advice about a worker, which holds for one incarnation."""
+        for job in self._jobs.values():
+            if job.queue.advice is None:
+                continue
+            for step in job.steps.values():
+                step.asked_workers.discard(worker_id)
+                step.tickets.pop(worker_id, None)
+                if step.allowed_workers is not None:
+                    step.allowed_workers.discard(worker_id)
+
     def on_no_advice(self, step: StepRun, now: float) -> None:
         """Free a step's reservation after the advice service did not answer."""
         step.advice_pending = False
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -512,3 +512,41 @@
     bench.cluster.set_worker(entry, bench.now)
     bench.report("w3")
     assert [run.worker.entry.worker_id for run in bench.plan()] == ["w3", "w3"]
+
+
+def test_a_worker_that_restarted_is_asked_about_again():
+    """Guards against an endless wait for a worker that was not allowed before."""
+    bench = Bench(1)
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, ())
+    assert bench.plan() == []
+    bench.now += 5.0
+    bench.restart("w0")
+    bench.report("w0")
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    assert len(bench.plan()) == 1
+
+
+def test_a_ticket_is_not_used_after_a_restart_of_its_worker():
+    bench = Bench(1, Resources(1000, 64_000))
+    bench.submit("c1", step(1), queue="checks")
+    (run,) = bench.plan()
+    bench.report("w0", [(run.task_id, run.number)])
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    assert bench.plan() == []
+    bench.cluster.cancel_job("c1", bench.now, bench.now)
+    bench.restart("w0")
+    bench.report("w0")
+    assert bench.plan() == []
+    bench.now += 1.0
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    assert len(bench.plan()) == 1
