Do not keep a failed task waiting for workers full of lasting tasks

What callers saw: in a test, a failed task waits for ever beside the idle worker on which it failed.

Cause: a task of a step with failures waits for workers without any. Where lasting tasks fill these, they never get room. Lasting tasks, which may fail at any time, also waited until other tasks on such workers ended.

Fix: only workers that have room beside their lasting tasks are waited for, and lasting tasks are not kept from workers on which they failed. A worker that fails them all is quarantined as before.

Evidence: test_a_failed_task_does_not_wait_for_workers_full_of_lasting_tasks and test_a_lasting_task_does_not_wait_for_a_worker_on_which_it_has_not_failed failed before (nothing was placed) and pass now, with the other tests of both modules. If lasting tasks fill the workers only after the failure, the task waits until a worker gains resources.

--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -280,3 +280,19 @@
             slots = min(slots, step.spec.per_worker)
         step.slots_when_empty[capacity] = slots
     return slots
+
+
+def gets_room(step: StepRun, candidate: Candidate) -> bool:
+    """Return whether a task of a step fits on a worker now or later.
+
+    Lasting tasks do not end on their own, so the resources that they use are excluded.
+    """
+    if not slots_on_empty_worker(step, candidate):
+        return False
+    usable = candidate.worker.entry.capacity
+    for run in candidate.worker.runs.values():
+        if run.step.spec.lasting:
+            usable = usable - allocated_resources(run.step.spec)
+    needs = allocated_resources(step.spec)
+    slots = _slots_in(usable.cores_milli, usable.memory_mb, usable.accelerators, needs)
+    return slots > 0
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -31,6 +31,7 @@
     Placement,
     allocated_resources,
     choose_gang_workers,
+    gets_room,
     place_gang,
     place_tasks,
     slots_on_empty_worker,
@@ -196,16 +197,14 @@
     def _without_failures(self, step: StepRun) -> list[Candidate]:
         """Return the workers on which no task of a step failed.
 
-        All if none of those is large enough for a task. Gangs are not restricted.
+        All if none of those can get room for a task. Gangs and steps with lasting
+        tasks, which are to run at any time, are not restricted.
         """
         candidates = self._free.eligible(step)
-        if not step.failed_workers or step.spec.gang:
+        if not step.failed_workers or step.spec.gang or step.spec.lasting:
             return candidates
-        return [
-            c
-            for c in candidates
-            if c.worker_id not in step.failed_workers and slots_on_empty_worker(step, c)
-        ] or candidates
+        others = [c for c in candidates if c.worker_id not in step.failed_workers]
+        return others if any(gets_room(step, c) for c in others) else candidates
 
     def _unreserved(
         self, step: StepRun, candidates: Iterable[Candidate]
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -550,3 +550,26 @@
     (call,) = bench.advice_calls()
     give_advice(bench, call)
     assert len(bench.plan()) == 1
+
+
+def test_a_failed_task_does_not_wait_for_workers_full_of_lasting_tasks():
+    """Guards against an endless wait beside an idle worker."""
+    bench = Bench(2, Resources(2000, 64_000))
+    bench.submit("1a", step(2, lasting=True), queue="checks")
+    lasting = bench.plan()
+    bench.submit("2b", step(1))
+    (run,) = bench.plan()
+    assert run.worker not in {other.worker for other in lasting}
+    bench.end(run, EndKind.FAILED)
+    assert [again.worker for again in bench.plan()] == [run.worker]
+
+
+def test_a_lasting_task_does_not_wait_for_a_worker_on_which_it_has_not_failed():
+    """Guards against a lasting task that stays away while a worker is idle."""
+    bench = Bench(2, Resources(2000, 64_000))
+    bench.submit("1a", step(2, estimate_s=600.0), queue="checks")
+    bench.plan()
+    bench.submit("2b", step(1, lasting=True))
+    (run,) = bench.plan()
+    bench.end(run, EndKind.FAILED)
+    assert [again.worker for again in bench.plan()] == [run.worker]
