Do not count capacity of services as room for a failed task

What callers saw: in a test, a failed task waits for ever beside the idle worker on which it failed.

Cause: a failed task avoids that worker while other eligible workers could hold it when empty. Services never end, so a worker that they fill does not become empty; the task was tried again every 2 s and put off each time.

Fix: what services use is subtracted from the capacity of the other workers, as in the plans for gangs.

Evidence: test_failed_task_does_not_wait_for_a_worker_full_of_services failed before (not placed within 120 s) and passes now, with the tests of the scheduler, gangs, impossible jobs, health, preemption and the flood.

--- a/flamingoway/core/feasibility.py
+++ b/flamingoway/core/feasibility.py
@@ -64,13 +64,25 @@
 
 
 def fits_elsewhere(
-    spec: JobSpec, count: int, index: WorkerIndex, avoid: Set[str]
+    spec: JobSpec,
+    count: int,
+    index: WorkerIndex,
+    avoid: Set[str],
+    occupied: Callable[[str], Resources],
 ) -> bool:
-    """Tell whether the tasks would fit on empty eligible workers outside ``avoid``."""
+    """Tell whether eligible workers outside ``avoid`` could hold the tasks at once.
+
+    Args:
+        spec: The job.
+        count: Number of tasks.
+        index: Known workers.
+        avoid: Workers that do not count.
+        occupied: Returns what never becomes free on a worker.
+    """
     for worker_id in index.eligible_workers:
         if worker_id not in avoid:
-            capacity = index.infos[worker_id].capacity
-            count -= slots_in(capacity, spec.resources, count)
+            usable = index.infos[worker_id].capacity - occupied(worker_id)
+            count -= max(0, slots_in(usable, spec.resources, count))
             if count <= 0:
                 return True
     return False
--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -172,7 +172,8 @@
             return workers
         if policy.place(job, tasks, index, frozenset()) is None:
             return None
-        if fits_elsewhere(job.spec, len(tasks), index, avoid):
+        services = self._state.ledger.service_used_on
+        if fits_elsewhere(job.spec, len(tasks), index, avoid, services):
             return []
         return policy.place(job, tasks, index, frozenset())
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -202,3 +202,15 @@
     }
     for job_id, text in expected.items():
         assert text in explained[job_id], job_id
+
+
+def test_failed_task_does_not_wait_for_a_worker_full_of_services():
+    """Guards against an endless wait beside the idle worker on which it failed."""
+    rig = Rig(["w1"])
+    rig.scheduler.set_document("e", document(services=[("viewer", 4)]), 1.0)
+    rig.schedule()
+    rig.scheduler.set_worker(worker("w2"), True)
+    rig.submit(spec("j"))
+    assert rig.schedule() == ["j/0"]
+    rig.end("j/0", "failed")
+    assert rig.schedule(60.0) + rig.schedule(60.0) == ["j/0"]
