Acknowledge no ends in a poll of a worker that may have restarted

What callers saw: nothing yet; in a test, a restarted worker is told to discard ends that the leader has not seen. A task that ended so would run again, which breaks TWICE.

Cause: a restarted worker numbers its ends from 1. Until its first answer, polls named the last end of its former incarnation. Ends of starts in flight that the new incarnation carried out before that poll are discarded unseen.

Fix: while a worker has not answered with the current token, a poll acknowledges nothing. Ends that are listed again are already skipped by their number.

Evidence: test_the_first_poll_of_a_restarted_worker_acknowledges_none_of_its_ends failed before (57 instead of 0) and passes now. A delayed poll of the former incarnation can still reach the new one.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -337,8 +337,10 @@
             lease_ms = worker.clock_estimate(sent_at) + int(self._lease_s * 1000)
             worker.lease_ms = max(worker.lease_ms, lease_ms)
         wait_s = POLL_WAIT_S if worker.settled else 0.0
+        # A worker that restarted numbers its ends anew, and would discard them unseen.
+        acknowledged = worker.acknowledged if worker.settled else 0
         poll = asyncio.create_task(
-            self._workers.poll(entry, token, worker.acknowledged, lease_ms, wait_s)
+            self._workers.poll(entry, token, acknowledged, lease_ms, wait_s)
         )
         woken = asyncio.create_task(wake.wait())
         try:
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -40,3 +40,33 @@
     logged = run_virtual(main)
     assert errors == []
     assert [line[3]["why"] for line in logged] == ["RuntimeError('second')"]
+
+
+def test_the_first_poll_of_a_restarted_worker_acknowledges_none_of_its_ends():
+    """Guards against ends that a worker forgets before the leader has seen them."""
+    acknowledgements = []
+
+    async def main():
+        world, term = await leading_world([])
+        worker = next(iter(world.workers.values()))
+        term.cluster.workers[worker.worker_id].acknowledged = 57
+        acknowledge = worker.acknowledge
+
+        def record(sequence):
+            acknowledgements.append((worker.incarnation, sequence))
+            acknowledge(sequence)
+
+        worker.acknowledge = record
+        await asyncio.sleep(3.0)
+        worker.crash()
+        await asyncio.sleep(3.0)
+        worker.up = True
+        await asyncio.sleep(3.0)
+        await world.end()
+
+    run_virtual(main)
+    first_life = [sequence for life, sequence in acknowledgements if life == 1]
+    second_life = [sequence for life, sequence in acknowledgements if life == 2]
+    assert 57 in first_life
+    assert second_life
+    assert second_life[0] == 0
