--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -113,7 +113,7 @@
         job_value: Value of a job of mean size that ends in time; a late one has a
             fifth.
         checkpointing_share: Part of the steps that can save checkpoints.
-        hopeless_share: Part of the jobs whose runs all fail.
+        always_failing_share: Part of the jobs whose runs all fail.
     """
 
     queue: Queue
@@ -131,7 +131,7 @@
     allowed_share: float
     job_value: float
     checkpointing_share: float = 0.5
-    hopeless_share: float = 0.0
+    always_failing_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,7 +257,7 @@
         one_per_worker_share=0.0,
         allowed_share=0.3,
         job_value=10.5 if grown else 12.6,
-        hopeless_share=0.01,
+        always_failing_share=0.01,
     )
     sorts = QueueTraffic(
         queue=_queue("sorts", 2, 4.0, 3.0, 0.042 + growth * 0.09, 0.0018, 2.0),
@@ -291,7 +291,7 @@
         one_per_worker_share=0.0,
         allowed_share=0.7,
         job_value=0.4,
-        hopeless_share=0.01,
+        always_failing_share=0.01,
     )
     traffic_bursts = (
         Burst("sorts", 4.0, 6.0, 2.4),
@@ -317,7 +317,7 @@
         durations: True duration of each task on a worker of normal speed, by step,
             in seconds.
         objective_s: Latency objective by the true durations.
-        hopeless: Whether all runs fail.
+        always_fails: Whether all runs fail.
         ended_s: Time from submission to the end; infinite if it did not complete.
     """
 
@@ -328,7 +328,7 @@
     durations: list[list[float]]
     objective_s: float
     work: float
-    hopeless: bool = False
+    always_fails: bool = False
     ended_s: float = float("inf")
 
 
@@ -594,7 +594,7 @@
         steps, durations = [], []
         one_per_worker = rng.random() < traffic.one_per_worker_share
         gang = rng.random() < traffic.gang_share
-        hopeless = rng.random() < traffic.hopeless_share
+        always_fails = rng.random() < traffic.always_failing_share
         for number in range(max(1, round(traffic.steps.sample(rng)))):
             count = max(1, round(traffic.width.sample(rng)))
             resources = Resources(
@@ -622,7 +622,7 @@
             )
             durations.append(task_durations)
         critical_path_s = sum(max(task_durations) for task_durations in durations)
-        if hopeless:
+        if always_fails:
             critical_path_s = max(durations[0]) * traffic.queue.max_attempts
         work = sum(
             step.resources.cores_milli / 1000 * sum(task_durations)
@@ -632,7 +632,7 @@
         objective_s = (
             traffic.queue.stretch * critical_path_s + traffic.queue.objective_s
         )
-        job = Job(job_id, traffic, at, spec, durations, objective_s, work, hopeless)
+        job = Job(job_id, traffic, at, spec, durations, objective_s, work, always_fails)
         self.jobs[job_id] = job
         return job
 
@@ -718,7 +718,7 @@
         execution = _Execution(run, duration_s, float(checkpoint or 0.0), self.now)
         self._running[worker_id][run.key] = execution
         self.cluster.on_start_reply(run, StartReply.RUNNING, self.now)
-        fails = self.rng.random() < job.traffic.error_share or job.hopeless
+        fails = self.rng.random() < job.traffic.error_share or job.always_fails
         if not spec.gang:
             fails = fails or worker_id in self._failing
             self._begin_work(execution)
@@ -834,7 +834,7 @@
     def _record_job_end(self, job_id: str) -> None:
         job, open_job = self.jobs[job_id], self.cluster.jobs.get(job_id)
         if open_job is not None and open_job.state.final:
-            if open_job.state.value == ("failed" if job.hopeless else "completed"):
+            if open_job.state.value == ("failed" if job.always_fails else "completed"):
                 job.ended_s = self.now + STORE_WRITE_S - job.submitted_at
             self.cluster.remove_job(open_job)
 
