Do not reserve workers full of lasting tasks for a gang

What callers saw: in a test, a gang that needs a whole worker waits for ever while small tasks take each worker that gets free.

Cause: workers are reserved for a gang by what they hold when empty, and are kept from pass to pass. A worker full of lasting tasks does not become empty.

Evidence: test_a_gang_does_not_reserve_workers_full_of_lasting_tasks failed before (a later small task took the room) and passes now, with the other tests of both modules.

--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -233,7 +233,7 @@
 def choose_gang_workers(
     step: StepRun, candidates: Sequence[Candidate], max_workers: int
 ) -> list[Candidate]:
-    """Return a small set of workers that could run a gang once they are empty.
+    """Return a small set of workers that could run a gang once their tasks have ended.
 
     Prefers workers with the most free resources now, so that the gang can start soon.
 
@@ -243,7 +243,7 @@
         max_workers: Limit on the number of workers. Nothing is returned if the gang
             would not fit on that many of the largest; the caller checks the length.
     """
-    capacities = [slots_on_empty_worker(step, candidate) for candidate in candidates]
+    capacities = [slots_beside_lasting(step, candidate) for candidate in candidates]
     largest = max(capacities, default=0)
     if largest * max_workers < step.spec.count:
         return []
@@ -282,17 +282,18 @@
     return slots
 
 
-def gets_room(step: StepRun, candidate: Candidate) -> bool:
-    """Return whether a task of a step fits on a worker now or later.
+def slots_beside_lasting(step: StepRun, candidate: Candidate) -> int:
+    """Return how many tasks of a step fit on a worker once its other tasks have ended.
 
     Lasting tasks do not end on their own, so the resources that they use are excluded.
     """
-    if not slots_on_empty_worker(step, candidate):
-        return False
+    slots = slots_on_empty_worker(step, candidate)
+    lasting = [r.step for r in candidate.worker.runs.values() if r.step.spec.lasting]
+    if not slots or not lasting:
+        return slots
     usable = candidate.worker.entry.capacity
-    for run in candidate.worker.runs.values():
-        if run.step.spec.lasting:
-            usable = usable - allocated_resources(run.step.spec)
+    for other in lasting:
+        usable = usable - allocated_resources(other.spec)
     needs = allocated_resources(step.spec)
-    slots = _slots_in(usable.cores_milli, usable.memory_mb, usable.accelerators, needs)
-    return slots > 0
+    free = _slots_in(usable.cores_milli, usable.memory_mb, usable.accelerators, needs)
+    return min(slots, free)
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -31,9 +31,9 @@
     Placement,
     allocated_resources,
     choose_gang_workers,
-    gets_room,
     place_gang,
     place_tasks,
+    slots_beside_lasting,
     slots_on_empty_worker,
 )
 from .runs import AdviceCall, StepRun, WorkerState
@@ -204,7 +204,8 @@
         if not step.failed_workers or step.spec.gang or step.spec.lasting:
             return candidates
         others = [c for c in candidates if c.worker_id not in step.failed_workers]
-        return others if any(gets_room(step, c) for c in others) else candidates
+        fits_later = any(slots_beside_lasting(step, c) for c in others)
+        return others if fits_later else candidates
 
     def _unreserved(
         self, step: StepRun, candidates: Iterable[Candidate]
@@ -278,7 +279,7 @@
         """Return the current candidates for a gang's reserved workers.
 
         Empty if a worker is unusable for the gang, if an earlier gang has reserved it,
-        or if the gang no longer fits on the empty workers.
+        or if the gang no longer fits on them.
         """
         eligible = {c.worker_id: c for c in self._free.eligible(step)}
         found = []
@@ -287,7 +288,7 @@
             if current is None or candidate.worker_id in self._reserved_by:
                 return []
             found.append(current)
-        slots = sum(slots_on_empty_worker(step, c) for c in found)
+        slots = sum(slots_beside_lasting(step, c) for c in found)
         return found if slots >= step.spec.count else []
 
     # Advice
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -573,3 +573,20 @@
     (run,) = bench.plan()
     bench.end(run, EndKind.FAILED)
     assert [again.worker for again in bench.plan()] == [run.worker]
+
+
+def test_a_gang_does_not_reserve_workers_full_of_lasting_tasks():
+    """Guards against a gang that waits forever for tasks that do not end."""
+    bench = Bench(1, Resources(2000, 64_000))
+    bench.add_worker("w1", Resources(2000, 64_000), ("r2",))
+    bench.submit("1a", step(2, label="r2", lasting=True), queue="checks")
+    assert len(bench.plan()) == 2
+    bench.submit("2b", step(2, estimate_s=600.0), queue="checks")
+    running = bench.plan()
+    bench.submit("aa", step(2, gang=True, estimate_s=600.0))
+    bench.submit("bb", step(2, estimate_s=600.0), queue="sorts")
+    assert bench.plan() == []
+    bench.end(running[0])
+    assert bench.plan() == []
+    bench.end(running[1])
+    assert {run.step.id for run in bench.plan()} == {"aa.0.0"}
