--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -685,7 +685,7 @@
         for worker in self._workers.values():
             _restart_stalls_of_fillers(worker, now)
             for run in list(worker.runs.values()):
-                if not _stands_still(run):
+                if not _lacks_progress(run):
                     continue
                 if run.step.spec.gang:
                     if run.percent >= COMPLETE_PERCENT:
@@ -706,7 +706,7 @@
         """
         runs = list(step.live.values())
         if not all(
-            run.percent >= COMPLETE_PERCENT and _stands_still(run) for run in runs
+            run.percent >= COMPLETE_PERCENT and _lacks_progress(run) for run in runs
         ):
             return
         if runs and _gang_works(runs[0]):
@@ -867,7 +867,7 @@
             run.moved_at = now
 
 
-def _stands_still(run: Run) -> bool:
+def _lacks_progress(run: Run) -> bool:
     """Return whether polls have shown the same progress for too long.
 
     The progress of a lasting task carries no information.
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -317,11 +317,11 @@
     assert (line["slots_free"], line["slots_empty"]) == (0, 4)
 
 
-def expire_tickets(bench, step_number):
+def expire_tickets(bench, step_id):
     """Get first tickets for a step that does not fit, and let them expire."""
     bench.plan()
     (call,) = bench.advice_calls()
-    assert call.step.id == step_number
+    assert call.step.id == step_id
     give_advice(bench, call)
     assert bench.plan() == []
     bench.now += 3.0
