Keep the traffic of the queues' load model in a module of its own

The definitions of queues, traffic, bursts and scenarios move to benchmarks/queue_traffic.py without a change.

--- a/tests/test_queue_load.py
+++ b/tests/test_queue_load.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from benchmarks.queue_load import play, scenario
+from benchmarks.queue_load import play
+from benchmarks.queue_traffic import scenario
 
 # Share of urgent checks in time that users require on a day without bursts.
 CHECKS_IN_TIME_SHARE = 0.95
