Do not preempt again and again for an urgent task that failed before

What callers saw: in a test, an urgent task that failed once is never started again while other work queues. Every 2 to 3 s a resumable task is stopped for it on the same worker, 20 of them within a minute.

Cause: the choice of the worker to preempt on ignores the workers on which the urgent task failed, and the placement avoids them. Once the capacity was free, the task was put off because another worker could hold it when empty. It left the queue, so its claim was dropped, other work took the capacity, and the choice was made anew.

Fix: capacity is claimed on workers without a failure of the task, on the others only if none of these can be preempted on, and the task may start on the worker that was claimed for it. So a claim leads to the start for which tasks were stopped.

Evidence: test_retried_urgent_task_does_not_preempt_again_and_again failed before in both cases (queued after 60 s) and passes now (started, one task stopped), with the tests of gangs, impossible jobs, health, preemption, flood, scheduler, fairness, interleavings and owner.

--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -167,6 +167,8 @@
         index = self._state.index
         policy = policies.get(lane.group.policy)
         avoid = {worker for task in tasks for worker in task.failed_on}
+        # Tasks were stopped on this worker to make room for the task.
+        avoid.discard(self._preemptor.claimed_worker(lane.head))
         workers = policy.place(job, tasks, index, avoid)
         if workers is not None or not avoid:
             return workers
--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -5,6 +5,7 @@
 or leaves the queue, the worker takes no more tasks, or ``CLAIM_TIMEOUT_S`` has passed.
 """
 
+from collections.abc import Set
 from dataclasses import dataclass
 from itertools import islice
 
@@ -45,6 +46,11 @@
         """Current claims by the id of the urgent task."""
         return self._claims
 
+    def claimed_worker(self, task_id: str) -> str | None:
+        """Return the worker on which capacity is claimed for a task, or ``None``."""
+        claim = self._claims.get(task_id)
+        return claim.worker_id if claim else None
+
     def check(self) -> None:
         """Drop claims that expired or serve no task or worker any more."""
         queue, now = self._state.queue, self._state.now
@@ -60,7 +66,10 @@
         return min((claim.expires_at for claim in self._claims.values()), default=None)
 
     def make_room(self, lane: Lane) -> None:
-        """Preempt for the first tasks of an urgent lane whose shape fits nowhere."""
+        """Preempt for the first tasks of an urgent lane whose shape fits nowhere.
+
+        Workers on which a task failed are preempted on only if no other one can be.
+        """
         need = lane.group.shape
         pending = sum(c.member == lane.member for c in self._claims.values())
         for task_id in list(islice(lane.entries, MAX_CLAIMS_PER_LANE)):
@@ -75,7 +84,10 @@
             pending += 1
 
     def _claim(self, task_id: str, need: Resources) -> bool:
-        choice = self._choose(need)
+        failed_on = set(self._state.ledger.tasks[task_id].failed_on)
+        choice = self._choose(need, failed_on)
+        if choice is None and failed_on:
+            choice = self._choose(need, frozenset())
         if choice is None:
             return False
         worker_id, victims = choice
@@ -87,8 +99,10 @@
         self._state.index.reserve(worker_id, need)
         return True
 
-    def _choose(self, need: Resources) -> tuple[str, list[Task]] | None:
-        """Return a worker and the tasks to stop there, or ``None``.
+    def _choose(
+        self, need: Resources, avoid: Set[str]
+    ) -> tuple[str, list[Task]] | None:
+        """Return a worker outside ``avoid`` and the tasks to stop there, or ``None``.
 
         Continues where the last search ended. Of the candidates found, the one with
         the fewest tasks is chosen, then the one with the fewest cores.
@@ -99,6 +113,8 @@
         for _ in range(min(MAX_WORKERS_SEARCHED, len(workers))):
             self._last_searched = (self._last_searched + 1) % len(workers)
             worker_id = workers[self._last_searched]
+            if worker_id in avoid:
+                continue
             victims = self._victims(worker_id, need)
             if victims is None:
                 continue
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -89,3 +89,26 @@
     rig.scheduler.schedule(1.0, 1.0)
     (second,) = rig.effects(StopTask)
     assert second.worker_id != first.worker_id
+
+
+@pytest.mark.parametrize("second_preemptible", [True, False])
+def test_retried_urgent_task_does_not_preempt_again_and_again(second_preemptible):
+    rig = Rig(["w1"])
+    rig.submit(spec("u0", urgent=True))
+    rig.schedule()
+    assert rig.end("u0/0", "failed") == "w1"
+    rig.scheduler.set_worker(worker("w2"), True)
+    rig.submit(*(spec(f"f{n}", member="other", resumable=True) for n in range(4)))
+    rig.schedule()
+    rest = {"member": "other", "resumable": second_preemptible}
+    rig.submit(*(spec(f"g{n}", **rest) for n in range(20)))
+    rig.schedule()
+    stopped = []
+    for _ in range(60):
+        rig.now += 1.0
+        rig.scheduler.schedule(rig.now, rig.now)
+        for stop in rig.effects(StopTask):
+            stopped.append(stop.worker_id)
+            rig.end(stop.task_id, "checkpointed")
+    assert rig.states("u0") == ["assigned"]
+    assert len(stopped) == 1
