Do not wait for ever for a preempted task that does not stop

What callers saw: in a test, an urgent task waits for ever while a task that was preempted for it is still stopping, although other workers run tasks that could be stopped.

Cause: a claim expires after 30 s so that the urgent task can preempt elsewhere. The next choice counts what stopping tasks use as free, so the same worker needed no further stop, was the cheapest candidate, and was claimed again each time.

Fix: what an attempt uses no longer counts as free if it was still stopping when a claim that awaited it expired. It counts again once the attempt has ended.

Evidence: test_urgent_task_does_not_wait_forever_for_a_task_that_does_not_stop failed before (no second stop after 31 s) and passes now, with the tests of gangs, impossible jobs, health, preemption, flood, scheduler, fairness, interleavings and owner.

--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -12,6 +12,7 @@
 from ..model import Resources, Task, TaskState
 from .fairness import Lane
 from .ledger import MemberKey
+from .reports import Attempt
 from .state import ShardState, member_of, preemptible
 
 # A checkpoint is usually written within seconds; after this time the urgent task may
@@ -25,12 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Reserved capacity of a worker for which one urgent task waits."""
+    """Reserved capacity of a worker for which one urgent task waits.
+
+    Attributes:
+        awaited: Attempts whose end frees the capacity.
+    """
 
     worker_id: str
     need: Resources
     expires_at: float
     member: MemberKey
+    awaited: list[Attempt]
 
 
 class Preemptor:
@@ -39,6 +45,8 @@
     def __init__(self, state: ShardState):
         self._state = state
         self._claims: dict[str, Claim] = {}
+        # Attempts that had not ended when a claim that awaited them expired.
+        self._overdue: set[Attempt] = set()
         self._last_searched = 0
 
     @property
@@ -60,6 +68,9 @@
             if not usable or now >= claim.expires_at:
                 del self._claims[task_id]
                 self._state.index.unreserve(claim.worker_id, claim.need)
+                if usable:
+                    self._overdue.update(claim.awaited)
+        self._overdue = {a for a in self._overdue if self._is_stopping(a)}
 
     def next_check(self) -> float | None:
         """Return the monotonic time at which the next claim expires, or ``None``."""
@@ -93,9 +104,12 @@
         worker_id, victims = choice
         for victim in victims:
             self._state.stop(victim, checkpoint=True)
+        placed = self._state.ledger.placed_on(worker_id)
+        awaited = [_attempt(t) for t in placed if t.state is TaskState.STOPPING]
         job = self._state.ledger.job_of(task_id)
         expires_at = self._state.now + CLAIM_TIMEOUT_S
-        self._claims[task_id] = Claim(worker_id, need, expires_at, member_of(job))
+        member = member_of(job)
+        self._claims[task_id] = Claim(worker_id, need, expires_at, member, awaited)
         self._state.index.reserve(worker_id, need)
         return True
 
@@ -133,10 +147,11 @@
             return None
         placed = self._state.ledger.placed_on(worker_id)
         # Reserved capacity belongs to other claims or to a gang. What stopping tasks
-        # still use counts as free, as they end soon.
+        # still use counts as free, as they end soon, unless they are overdue.
         missing = need - Resources(*self._state.index.free(worker_id))
         for task in placed:
-            if task.state is TaskState.STOPPING:
+            stopping = task.state is TaskState.STOPPING
+            if stopping and _attempt(task) not in self._overdue:
                 missing = missing - self._shape(task)
         tasks = [task for task in placed if self._may_preempt(task)]
         if missing.fits_in(Resources()):
@@ -152,9 +167,19 @@
                 return chosen
         return None
 
+    def _is_stopping(self, attempt: Attempt) -> bool:
+        task = self._state.ledger.tasks.get(attempt.task_id)
+        if task is None or task.attempt != attempt.attempt:
+            return False
+        return task.state is TaskState.STOPPING
+
     def _may_preempt(self, task: Task) -> bool:
         spec = self._state.ledger.jobs[task.job_id].spec
         return task.state is TaskState.ASSIGNED and preemptible(spec)
 
     def _shape(self, task: Task) -> Resources:
         return self._state.ledger.jobs[task.job_id].spec.resources
+
+
+def _attempt(task: Task) -> Attempt:
+    return Attempt(task.task_id, task.attempt)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -112,3 +112,19 @@
             rig.end(stop.task_id, "checkpointed")
     assert rig.states("u0") == ["assigned"]
     assert len(stopped) == 1
+
+
+def test_urgent_task_does_not_wait_forever_for_a_task_that_does_not_stop():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"f{n}", member="other", resumable=True) for n in range(8)))
+    rig.schedule()
+    rig.submit(spec("u0", urgent=True))
+    rig.scheduler.schedule(rig.now, rig.now)
+    (first,) = rig.effects(StopTask)
+    for _ in range(31):
+        rig.now += 1.0
+        rig.scheduler.schedule(rig.now, rig.now)
+    (second,) = rig.effects(StopTask)
+    assert second.task_id != first.task_id
+    rig.end(second.task_id, "checkpointed")
+    assert "u0/0" in rig.schedule()
