Judge by the resources that a gang needs whether most of the shard is idle

What callers saw: in a test, a job that would fit on idle workers waits without a limit behind a gang that needs the whole shard, while one long task keeps that gang from starting and uses the only accelerator.

Cause: a reservation is suspended while less than half of the shard is in use. That share was the largest one over all resources. The few accelerators of a shard are soon all in use, so the shard counted as busy with nearly all processors and memory unused.

Fix: only resources of which the gang needs some are compared.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -5,8 +5,8 @@
 chosen for it, and the capacity that it needs there is reserved until enough running
 tasks have ended. Capacity that becomes free on another worker is used instead. Only one
 gang holds a reservation at a time, so that two gangs cannot deadlock. While most of the
-shard is idle, a reservation is suspended from time to time, as it may wait for a task
-that runs for hours.
+resources that the gang needs are idle, a reservation is suspended from time to time, as
+it may wait for a task that runs for hours.
 """
 
 from collections import Counter
@@ -151,7 +151,7 @@
     def _suspend_if_idle(self, reservation: Reservation) -> None:
         """Let other work use the capacity for some time if the shard is mostly idle."""
         now = self._state.now
-        if not self._mostly_idle():
+        if not self._mostly_idle(reservation.shape):
             hold_until = now + REPLAN_DELAY_S
             self._reservation = replace(reservation, hold_until=hold_until)
             return
@@ -161,12 +161,14 @@
         self._plan_at[job_id] = now + hold_s
         self.release(job_id)
 
-    def _mostly_idle(self) -> bool:
+    def _mostly_idle(self, shape: Resources) -> bool:
+        """Tell whether most of each resource that a shape needs is unused."""
         index, ledger = self._state.index, self._state.ledger
         used = ZERO
         for worker_id in index.infos:
             used = used + ledger.used_on(worker_id)
-        return used.dominant_share(index.total) < BUSY_SHARE
+        needed = used.restricted_to(shape)
+        return needed.dominant_share(index.total) < BUSY_SHARE
 
     def _missing_slots(self) -> Counter:
         """Return the number of tasks of the holder without room, by worker id."""
--- a/flamingoway/model.py
+++ b/flamingoway/model.py
@@ -48,6 +48,14 @@
             and self.accelerators <= other.accelerators
         )
 
+    def restricted_to(self, shape: "Resources") -> "Resources":
+        """Return this amount without the resources of which ``shape`` needs none."""
+        return Resources(
+            self.cores_milli if shape.cores_milli else 0,
+            self.memory_mb if shape.memory_mb else 0,
+            self.accelerators if shape.accelerators else 0,
+        )
+
     def dominant_share(self, total: "Resources") -> float:
         """Return the largest fraction of ``total`` over all resources."""
         shares = (
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -166,6 +166,19 @@
     assert len(rig.schedule()) == 16
 
 
+def test_busy_accelerators_do_not_extend_the_reservation_of_a_gang_without_any():
+    rig = Rig([worker("w1", Resources(4000, 8192, 1)), "w2", "w3", "w4"])
+    rig.submit(spec("long", resources=Resources(1000, 1024, 1)))
+    rig.schedule()
+    rig.submit(gang("wide", 16, member="a"))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.submit(spec("small", member="b"))
+    for _ in range(60):
+        rig.schedule(1.0)
+    assert rig.states("small") == ["assigned"]
+
+
 def test_worker_that_leaves_a_reservation_does_not_free_the_rest_for_small_jobs():
     rig = Rig(["w1", "w2", "w3"])
     rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
