Do not keep a failed task waiting for workers full of long tasks

What callers saw: in a test, a task or gang that failed once waits for as long as other tasks run on the other workers, hours for some kinds, beside the idle worker on which it failed.

Cause: a failed task avoids that worker while other workers could hold it when empty. It was put off by 2 s again and again, with no limit. Only capacity of services, which never end, was not waited for.

Fix: a task is put off for at most 30 s for each of its failures, counted from the first time that it was put off, and then starts on the worker with room. The time grows with the failures, so that a task does not use up its attempts on one failing worker.

--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -15,6 +15,9 @@
 MAX_PLACEMENTS_PER_PASS = 500
 # Delay before another attempt if only workers on which the task failed have room.
 AVOID_RETRY_DELAY_S = 2.0
+# Time per failure for which a task is kept from such workers. Others may run for hours
+# on all other workers.
+AVOID_S_PER_FAILURE = 30.0
 
 
 class Outcome(enum.Enum):
@@ -33,6 +36,8 @@
         self._state = state
         self._gangs = GangReserver(state)
         self._preemptor = Preemptor(state)
+        # Monotonic time at which an entry was first put off to avoid workers.
+        self._avoiding_since: dict[str, float] = {}
         self._has_more = False
 
     @property
@@ -57,6 +62,7 @@
         """Place what fits now in fair order; return the number of tasks placed."""
         self._gangs.check()
         self._preemptor.check()
+        self._forget_dequeued()
         self._has_more = False
         placed = self._serve_tier(Tier.URGENT, MAX_PLACEMENTS_PER_PASS)
         placed += self._place_reserved_gang()
@@ -152,6 +158,7 @@
         self, entry: str, job: Job, tasks: list[Task], workers: list[str]
     ) -> None:
         self._state.queue.discard(entry)
+        self._avoiding_since.pop(entry, None)
         for task, worker_id in zip(tasks, workers, strict=True):
             self._state.assign(job, task, worker_id)
 
@@ -163,6 +170,7 @@
         Returns:
             Worker ids; ``None`` without room; or an empty list to try later, if only
             workers on which a task failed have room and others could hold the tasks.
+            The latter is returned for ``AVOID_S_PER_FAILURE`` times their failures.
         """
         index = self._state.index
         policy = policies.get(lane.group.policy)
@@ -172,12 +180,23 @@
         workers = policy.place(job, tasks, index, avoid)
         if workers is not None or not avoid:
             return workers
-        if policy.place(job, tasks, index, frozenset()) is None:
+        workers = policy.place(job, tasks, index, frozenset())
+        if workers is None:
             return None
         services = self._state.ledger.service_used_on
         if fits_elsewhere(job.spec, len(tasks), index, avoid, services):
-            return []
-        return policy.place(job, tasks, index, frozenset())
+            now = self._state.now
+            since = self._avoiding_since.setdefault(lane.head, now)
+            failures = max(len(task.failed_on) for task in tasks)
+            if now - since < failures * AVOID_S_PER_FAILURE:
+                return []
+        return workers
+
+    def _forget_dequeued(self) -> None:
+        state = self._state
+        for entry in list(self._avoiding_since):
+            if entry not in state.queue and state.delayed_until(entry) is None:
+                del self._avoiding_since[entry]
 
     def _handle_no_room(self, lane: Lane, job: Job, count: int) -> None:
         queue = self._state.queue
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -214,3 +214,21 @@
     assert rig.schedule() == ["j/0"]
     rig.end("j/0", "failed")
     assert rig.schedule(60.0) + rig.schedule(60.0) == ["j/0"]
+
+
+@pytest.mark.parametrize("policy", [Policy.BATCH, Policy.GANG])
+def test_failed_task_does_not_wait_for_a_worker_full_of_long_tasks(policy):
+    """Guards against a wait of hours beside the idle worker on which it failed."""
+    rig = Rig(["w2"])
+    rig.submit(spec("long", resources=CAPACITY))
+    rig.schedule()
+    rig.scheduler.set_worker(worker("w1"), True)
+    rig.submit(spec("j", policy=policy))
+    rig.schedule()
+    assert rig.end("j/0", "failed") == "w1"
+    placed_at = []
+    for _ in range(60):
+        if rig.schedule(1.0):
+            placed_at.append(rig.now)
+    assert rig.states("j") == ["assigned"]
+    assert placed_at[0] > 20.0
