Keep the reserved capacity of a worker that returns before the next pass

What callers saw: in a test, small tasks take capacity that is reserved for a gang, and the gang has to wait for them as well.

Cause: removing a worker dropped what was reserved on it from the index, while the reservation of the gang still counted it. If the worker was listed again before the next pass, as during an outage of the store, in which no passes run, it counted as eligible and nothing noticed the difference. Releasing the gang later could also subtract amounts reserved there for other tasks.

Fix: the index keeps reserved amounts when a worker is removed. Their holders release them in the next pass if the worker has not returned.

Evidence: test_worker_that_returns_before_the_next_pass_stays_reserved failed before (a small task was placed on the reserved worker) and passes now, with the tests of gangs, impossible jobs, health, preemption, flood, scheduler, fairness, interleavings and owner.

--- a/flamingoway/core/index.py
+++ b/flamingoway/core/index.py
@@ -178,14 +178,13 @@
         self.touch(info.worker_id)
 
     def remove_worker(self, worker_id: str) -> None:
-        """Remove a worker."""
+        """Remove a worker; what is reserved on it stays reserved if it returns."""
         info = self._infos.pop(worker_id, None)
         if info is None:
             return
         self._total = self._total - info.capacity
         self._eligible.discard(worker_id)
         self._free.pop(worker_id, None)
-        self._reserved.pop(worker_id, None)
         self._mark_dirty(worker_id)
 
     def set_eligible(self, worker_id: str, eligible: bool) -> None:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -191,3 +191,19 @@
     reserved = rig.scheduler._placer._gangs._reservation.tasks
     rig.scheduler.set_worker(worker(sorted(reserved)[-1]), False)
     assert rig.schedule() == []
+
+
+def test_worker_that_returns_before_the_next_pass_stays_reserved():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"long{n}", resources=Resources(3000, 1024)) for n in range(2)))
+    rig.schedule()
+    rig.submit(gang("g1", 4, resources=Resources(2000, 1024)))
+    rig.schedule()
+    rig.schedule(11.0)
+    assert rig.scheduler._placer.reserved_for == "g1"
+    rig.scheduler.remove_worker("w1")
+    rig.scheduler.set_worker(worker("w1"), True)
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(4)))
+    assert rig.schedule() == []
+    rig.end("long1/0")
+    assert rig.schedule() == [f"g1/{n}" for n in range(4)]
