Forget the delay of a gang whose job was removed

What callers saw: in a test, a gang is accepted and never queued until another process owns the shard. It needs a job that is cancelled while its retry is delayed, is removed before the delay ends (more than 20,000 jobs ended since), and is submitted again with the same id.

Cause: a delay is kept under the job id of a gang. When it ended and the job was gone, it was dropped under the task id, so that of the gang stayed for ever and kept each later gang of that id out of the queue.

Fix: the id under which a delay is kept is stored with its end.

Evidence: test_gang_that_is_submitted_again_after_removal_does_not_wait_for_an_old_delay failed before (not placed within 100 s) and passes now, with the tests of gangs, impossible jobs, health, preemption, flood, scheduler, fairness, interleavings and owner.

--- a/flamingoway/core/state.py
+++ b/flamingoway/core/state.py
@@ -44,7 +44,7 @@
         self._blocked: Counter = Counter()
         self._preemptible: Counter = Counter()
         self._preemptible_workers: list[str] = []
-        self._delayed: list[tuple[float, int, str]] = []
+        self._delayed: list[tuple[float, int, str, str]] = []
         self._delay_count = 0
         self._delayed_until: dict[str, float] = {}
 
@@ -160,19 +160,17 @@
         entry = queue_entry_of(job, task)
         until = max(self.now + delay, self._delayed_until.get(entry, 0.0))
         self._delayed_until[entry] = until
-        heapq.heappush(self._delayed, (until, self._delay_count, task.task_id))
+        delayed = (until, self._delay_count, entry, task.task_id)
+        heapq.heappush(self._delayed, delayed)
 
     def enqueue_delayed(self) -> None:
         """Queue the tasks whose delay has expired."""
         while self._delayed and self._delayed[0][0] <= self.now:
-            _, _, task_id = heapq.heappop(self._delayed)
+            _, _, entry, task_id = heapq.heappop(self._delayed)
+            self._clear_expired_delay(entry)
             job = self.ledger.job_of(task_id)
-            if job is None:
-                self._delayed_until.pop(task_id, None)
-            else:
-                task = self.ledger.tasks[task_id]
-                self._clear_expired_delay(queue_entry_of(job, task))
-                self.enqueue(job, task)
+            if job is not None:
+                self.enqueue(job, self.ledger.tasks[task_id])
 
     def _clear_expired_delay(self, entry: str) -> None:
         if self._delayed_until.get(entry, 0.0) <= self.now:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 import pytest
 from scheduling import CAPACITY, Rig, document, spec, worker
 
+from flamingoway.core import retention
 from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.reports import (
@@ -232,3 +233,22 @@
             placed_at.append(rig.now)
     assert rig.states("j") == ["assigned"]
     assert placed_at[0] > 20.0
+
+
+def test_gang_that_is_submitted_again_after_removal_does_not_wait_for_an_old_delay(
+    monkeypatch,
+):
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    rig = Rig([f"w{n}" for n in range(8)])
+    job = spec("g", policy=Policy.GANG, max_attempts=9)
+    rig.submit(job)
+    for _ in range(6):
+        while rig.states("g") != ["assigned"]:
+            rig.schedule(1.0)
+        rig.end("g/0", "failed")
+    rig.scheduler.cancel("g", "e", "m", None, rig.now, rig.now)
+    rig.schedule(6.0)
+    assert rig.scheduler.view("g") is None
+    rig.schedule(100.0)
+    rig.submit(job)
+    assert rig.schedule(100.0) == ["g/0"]
