Unblock the queue entry of an orphan attempt whose job was removed

What callers saw: in a test, a job is accepted and never queued until another process owns the shard. It needs a worker that runs an orphan attempt of a job until the job has ended and been removed, and a later job with the same id.

Cause: while a worker runs an orphan attempt, its task is kept out of the queue. When the orphan was gone, the block was found by way of the job. If that was removed, the block stayed for ever.

Fix: the blocked queue entry is stored with the orphan. A block that was never set, as the job was not known then, is not undone either.

Evidence: test_job_that_is_submitted_again_after_removal_is_not_blocked_by_an_old_orphan failed before (not placed within 10 s) and passes now, with the tests of gangs, impossible jobs, health, preemption, flood, scheduler, fairness, interleavings and owner.

--- a/flamingoway/core/orphans.py
+++ b/flamingoway/core/orphans.py
@@ -4,7 +4,7 @@
 queue, so that the task never runs in two places at once.
 """
 
-from ..model import Task, TaskState
+from ..model import TaskState
 from .effects import StopTask
 from .reports import Attempt, WorkerReport
 from .state import ShardState, queue_entry_of
@@ -16,6 +16,8 @@
     def __init__(self, state: ShardState):
         self._state = state
         self._task_ids_by_worker: dict[str, set[str]] = {}
+        # Blocked queue entries by worker and task, whose job may be removed meanwhile.
+        self._blocked: dict[tuple[str, str], str] = {}
 
     def update(self, report: WorkerReport) -> None:
         """Stop orphan attempts in a report; requeue tasks whose orphans are gone."""
@@ -46,23 +48,25 @@
         if orphans:
             self._task_ids_by_worker[worker_id] = orphans
         for task_id in sorted(orphans - old):
-            self._block_task(task_id)
+            self._block_task(worker_id, task_id)
         for task_id in sorted(old - orphans):
-            self._unblock_task(task_id)
+            self._unblock_task(worker_id, task_id)
 
-    def _block_task(self, task_id: str) -> None:
+    def _block_task(self, worker_id: str, task_id: str) -> None:
         state = self._state
         task = state.ledger.tasks.get(task_id)
         if task is None:
             return
         entry = queue_entry_of(state.ledger.jobs[task.job_id], task)
+        self._blocked[worker_id, task_id] = entry
         state.block(entry)
 
-    def _unblock_task(self, task_id: str) -> None:
+    def _unblock_task(self, worker_id: str, task_id: str) -> None:
         state = self._state
-        task: Task | None = state.ledger.tasks.get(task_id)
-        if task is None:
+        entry = self._blocked.pop((worker_id, task_id), None)
+        if entry is None:
             return
-        job = state.ledger.jobs[task.job_id]
-        state.unblock(queue_entry_of(job, task))
-        state.enqueue(job, task)
+        state.unblock(entry)
+        task = state.ledger.tasks.get(task_id)
+        if task is not None:
+            state.enqueue(state.ledger.jobs[task.job_id], task)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -252,3 +252,21 @@
     rig.schedule(100.0)
     rig.submit(job)
     assert rig.schedule(100.0) == ["g/0"]
+
+
+def test_job_that_is_submitted_again_after_removal_is_not_blocked_by_an_old_orphan(
+    monkeypatch,
+):
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    rig = Rig()
+    rig.submit(spec("j"))
+    rig.schedule()
+    rig.scheduler.on_worker_lost("w1", rig.now, rig.now)
+    for running in ([Attempt("j/0", 1)], []):
+        report = WorkerReport("w1", 1, CAPACITY, running, acked_starts=True)
+        rig.scheduler.on_report(report, rig.now, rig.now)
+        rig.scheduler.cancel("j", "e", "m", None, rig.now, rig.now)
+        rig.schedule(6.0)
+        assert rig.scheduler.view("j") is None
+    rig.submit(spec("j"))
+    assert rig.schedule(10.0) == ["j/0"]
