--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -166,6 +166,19 @@
     assert len(rig.schedule()) == 16
 
 
+def test_busy_accelerators_do_not_extend_the_reservation_of_a_gang_without_any():
+    rig = Rig([worker("w1", Resources(4000, 8192, 1)), "w2", "w3", "w4"])
+    rig.submit(spec("long", resources=Resources(1000, 1024, 1)))
+    rig.schedule()
+    rig.submit(gang("wide", 16, member="a"))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.submit(spec("small", member="b"))
+    for _ in range(60):
+        rig.schedule(1.0)
+    assert rig.states("small") == ["assigned"]
+
+
 def test_worker_that_leaves_a_reservation_does_not_free_the_rest_for_small_jobs():
     rig = Rig(["w1", "w2", "w3"])
     rig.submit(*(spec(f"s{n}", member="small") for n in range(400)))
@@ -178,3 +191,19 @@
     reserved = rig.scheduler._placer._gangs._reservation.tasks
     rig.scheduler.set_worker(worker(sorted(reserved)[-1]), False)
     assert rig.schedule() == []
+
+
+def test_worker_that_returns_before_the_next_pass_stays_reserved():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"long{n}", resources=Resources(3000, 1024)) for n in range(2)))
+    rig.schedule()
+    rig.submit(gang("g1", 4, resources=Resources(2000, 1024)))
+    rig.schedule()
+    rig.schedule(11.0)
+    assert rig.scheduler._placer.reserved_for == "g1"
+    rig.scheduler.remove_worker("w1")
+    rig.scheduler.set_worker(worker("w1"), True)
+    rig.submit(*(spec(f"s{n}", member="small") for n in range(4)))
+    assert rig.schedule() == []
+    rig.end("long1/0")
+    assert rig.schedule() == [f"g1/{n}" for n in range(4)]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 import pytest
 from scheduling import CAPACITY, Rig, document, spec, worker
 
+from flamingoway.core import retention
 from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.reports import (
@@ -214,3 +215,58 @@
     assert rig.schedule() == ["j/0"]
     rig.end("j/0", "failed")
     assert rig.schedule(60.0) + rig.schedule(60.0) == ["j/0"]
+
+
+@pytest.mark.parametrize("policy", [Policy.BATCH, Policy.GANG])
+def test_failed_task_does_not_wait_for_a_worker_full_of_long_tasks(policy):
+    """Guards against a wait of hours beside the idle worker on which it failed."""
+    rig = Rig(["w2"])
+    rig.submit(spec("long", resources=CAPACITY))
+    rig.schedule()
+    rig.scheduler.set_worker(worker("w1"), True)
+    rig.submit(spec("j", policy=policy))
+    rig.schedule()
+    assert rig.end("j/0", "failed") == "w1"
+    placed_at = []
+    for _ in range(60):
+        if rig.schedule(1.0):
+            placed_at.append(rig.now)
+    assert rig.states("j") == ["assigned"]
+    assert placed_at[0] > 20.0
+
+
+def test_gang_that_is_submitted_again_after_removal_does_not_wait_for_an_old_delay(
+    monkeypatch,
+):
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    rig = Rig([f"w{n}" for n in range(8)])
+    job = spec("g", policy=Policy.GANG, max_attempts=9)
+    rig.submit(job)
+    for _ in range(6):
+        while rig.states("g") != ["assigned"]:
+            rig.schedule(1.0)
+        rig.end("g/0", "failed")
+    rig.scheduler.cancel("g", "e", "m", None, rig.now, rig.now)
+    rig.schedule(6.0)
+    assert rig.scheduler.view("g") is None
+    rig.schedule(100.0)
+    rig.submit(job)
+    assert rig.schedule(100.0) == ["g/0"]
+
+
+def test_job_that_is_submitted_again_after_removal_is_not_blocked_by_an_old_orphan(
+    monkeypatch,
+):
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    rig = Rig()
+    rig.submit(spec("j"))
+    rig.schedule()
+    rig.scheduler.on_worker_lost("w1", rig.now, rig.now)
+    for running in ([Attempt("j/0", 1)], []):
+        report = WorkerReport("w1", 1, CAPACITY, running, acked_starts=True)
+        rig.scheduler.on_report(report, rig.now, rig.now)
+        rig.scheduler.cancel("j", "e", "m", None, rig.now, rig.now)
+        rig.schedule(6.0)
+        assert rig.scheduler.view("j") is None
+    rig.submit(spec("j"))
+    assert rig.schedule(10.0) == ["j/0"]
