Delay a rejected order instead of quarantining workers for it

One task whose orders every worker rejects with 400 was sent again every 0.1 s and put a healthy worker into quarantine each time; in a trial all of 10 workers were in quarantine after 1.3 s. A run number was used for each order as well, and an epoch has 1000 for a task.

Status 400 is about the order. The worker is no longer quarantined for it. The step prefers workers that have not rejected it and waits for a delay that doubles from 0.1 s to 2 s, once for all orders of one pass. A step that makes progress elsewhere waits for those workers, so that one worker that rejects everything does not delay it. No attempt is counted, because no run has ended failed.

The same holds for an order without a ticket on a queue without an advice policy: nothing in the next order would be different. The other replies lead to another number, lease, token, ticket or worker.

The new tests of the delay failed before: orders followed each other without a growing delay, and on INVALID the workers were in quarantine. The one of the only free worker failed because that worker was in quarantine. test_a_rejected_order_is_sent_to_other_workers_first passed before as well, through the quarantines.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -52,6 +52,9 @@
 # Delay before a task whose start was refused is placed again, so that a worker that
 # refuses everything does not keep the planner busy.
 RESTART_DELAY_S = 0.1
+# Maximum delay after an order was rejected repeatedly; by the users' rules, a job must
+# not have nothing running for 3 s while there is capacity.
+REJECTED_DELAY_MAX_S = 2.0
 # A run without progress for this long is stalled, or for the time in which the slowest
 # sound run advances by one percent, whichever is longer.
 STALL_S = 1.5
@@ -70,7 +73,7 @@
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
-REFUSALS_OF_WORKER = {StartReply.UNHEALTHY, StartReply.NO_CAPACITY, StartReply.INVALID}
+REFUSALS_OF_WORKER = {StartReply.UNHEALTHY, StartReply.NO_CAPACITY}
 
 
 class ClusterState:
@@ -780,9 +783,29 @@
             step.tickets.clear()
         if reply in REFUSALS_OF_WORKER:
             worker.health.quarantine(now)
-        step.retry_at = now + RESTART_DELAY_S
+        if reply is StartReply.INVALID or (
+            # Without an advice policy, the next order has no ticket either.
+            reply is StartReply.NO_TICKET and step.job.queue.advice is None
+        ):
+            self._delay_rejected(run, now)
+        else:
+            step.retry_at = max(step.retry_at, now + RESTART_DELAY_S)
         self._release_run(run, now)
 
+    def _delay_rejected(self, run: Run, now: float) -> None:
+        """Delay a step after a worker rejected the order itself.
+
+        The delay doubles up to ``REJECTED_DELAY_MAX_S``, once for all orders that were
+        sent together.
+        """
+        step = run.step
+        step.rejecting_workers.add(run.worker.entry.worker_id)
+        if run.placed_at <= step.rejected_at:
+            return
+        step.rejected_at = now
+        step.retry_at = now + step.rejected_delay_s
+        step.rejected_delay_s = min(REJECTED_DELAY_MAX_S, step.rejected_delay_s * 2)
+
     def raise_token(self, worker: WorkerState, sent_token: int) -> None:
         """Raise a worker's token so that orders with ``sent_token`` are rejected."""
         if worker.token == sent_token:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -125,7 +125,10 @@
             return self._start(step, placements, now)
         if candidates:
             placements = self._place(step, candidates)
-        step.blocked = len(placements) < len(step.pending) and not self._orphaned_tasks
+        # Workers that reject the step's orders are tried even if they gain nothing.
+        step.blocked = len(placements) < len(step.pending) and not (
+            self._orphaned_tasks or step.rejecting_workers
+        )
         if not placements:
             self._reserve_workers(step, now)
             if advised and not step.advice_pending:
@@ -227,9 +230,17 @@
     def _place_with_tickets(
         self, step: StepRun, candidates: Sequence[Candidate], now: float
     ) -> list[Placement]:
-        """Place a step on the workers for which it has valid tickets."""
+        """Place a step on the workers for which it has valid tickets.
+
+        Without those that rejected its orders: other workers may lack only a ticket.
+        """
         at = now + TICKET_MARGIN_S
-        usable = [c for c in candidates if step.has_ticket(c.worker_id, at)]
+        usable = [
+            c
+            for c in candidates
+            if step.has_ticket(c.worker_id, at)
+            and c.worker_id not in step.rejecting_workers
+        ]
         return self._place(step, usable) if usable else []
 
     def _startable(self, step: StepRun) -> list[int]:
@@ -240,11 +251,20 @@
         return [i for i in step.pending if step.task_id(i) not in orphaned]
 
     def _place(self, step: StepRun, candidates: Sequence[Candidate]) -> list[Placement]:
+        """Place a step, if possible on workers that have not rejected its orders."""
         indexes = self._startable(step)
+        rejecting = step.rejecting_workers
+        preferred = [c for c in candidates if c.worker_id not in rejecting]
         if step.spec.gang:
-            complete = len(indexes) == step.spec.count
-            return place_gang(step, candidates) if complete else []
-        return place_tasks(step, indexes, candidates)
+            if len(indexes) < step.spec.count:
+                return []
+            return place_gang(step, preferred) or place_gang(step, candidates)
+        placed = place_tasks(step, indexes, preferred)
+        # A step that makes progress waits for workers that accept its orders.
+        if step.spec.lasting or not (placed or step.live):
+            others = [c for c in candidates if c.worker_id in rejecting]
+            placed += place_tasks(step, indexes[len(placed) :], others)
+        return placed
 
     # Gang reservations
 
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -24,6 +24,9 @@
 # Run numbers per task and leader epoch, so that a new leader need not know the
 # numbers that its predecessor used.
 RUNS_PER_EPOCH = 1000
+# First delay after a worker rejected an order as invalid, enough to try another worker
+# without keeping the planner busy.
+REJECTED_DELAY_S = 0.1
 
 
 class RunPhase(enum.Enum):
@@ -113,6 +116,10 @@
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
         failed_workers: Ids of the workers on which tasks of this step failed.
+        rejecting_workers: Ids of the workers that rejected an order of this step as
+            invalid; others are preferred.
+        rejected_at: Time of the last rejection that delayed the step.
+        rejected_delay_s: Delay after the next rejection, in seconds.
         blocked: Whether some tasks did not fit in the planner's last pass.
         critical_path_s: Declared duration of the critical path from this step on.
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
@@ -139,6 +146,9 @@
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
+    rejecting_workers: set[str] = field(default_factory=set)
+    rejected_at: float = float("-inf")
+    rejected_delay_s: float = REJECTED_DELAY_S
     blocked: bool = False
     critical_path_s: float = 0.0
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -3,7 +3,9 @@
 import pytest
 
 from flamingoway.model import Resources
+from flamingoway.queues.cluster import REJECTED_DELAY_MAX_S
 from flamingoway.queues.model import (
+    Advice,
     EndKind,
     Schedule,
     StartReply,
@@ -128,6 +130,96 @@
     assert again.number > run.number
 
 
+def reject_all(bench, reply, for_s):
+    """Answer all start orders with ``reply``; return the rejected runs."""
+    rejected = []
+    end = bench.now + for_s
+    while bench.now < end:
+        for run in bench.plan():
+            bench.cluster.on_start_reply(run, reply, bench.now)
+            rejected.append((bench.now, run))
+        bench.now += 0.05
+    return rejected
+
+
+@pytest.mark.parametrize("reply", [StartReply.INVALID, StartReply.NO_TICKET])
+@pytest.mark.parametrize("fields", [{}, {"gang": True}, {"lasting": True}])
+def test_a_rejected_order_does_not_keep_the_workers_busy_or_quarantine_them(
+    reply, fields
+):
+    """Guards against one task that quarantines all workers, one every 0.1 s."""
+    bench = Bench(10)
+    job = bench.submit("a1", step(2, **fields))
+    rejected = reject_all(bench, reply, 60.0)
+    times = sorted({at for at, _ in rejected})
+    assert quarantined(bench) == set()
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert gaps[0] < 0.2 and max(gaps) < REJECTED_DELAY_MAX_S + 0.1
+    assert min(gaps[5:]) > REJECTED_DELAY_MAX_S - 0.01
+    assert job.state is StepJobState.QUEUED
+    assert all(not step.failed_runs for step in job.steps.values())
+
+
+@pytest.mark.parametrize("fields", [{}, {"gang": True}, {"lasting": True}])
+def test_a_rejected_order_is_sent_to_other_workers_first(fields):
+    bench = Bench(4)
+    bench.submit("a1", step(1, **fields))
+    rejected = reject_all(bench, StartReply.INVALID, 3.0)
+    first = [run.worker.entry.worker_id for _, run in rejected[:4]]
+    assert sorted(first) == ["w0", "w1", "w2", "w3"]
+    assert len(rejected) > 4
+
+
+def test_a_worker_that_rejects_all_orders_does_not_delay_a_step_that_progresses():
+    bench = Bench(2)
+    bench.submit("a1", step(40, cpu=8000))
+    runs, starts, rejected = bench.plan(), 0, 0
+    assert {run.worker.entry.worker_id for run in runs} == {"w0", "w1"}
+    for _ in range(100):
+        for run in runs:
+            if run.worker.entry.worker_id == "w1":
+                bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
+                rejected += 1
+            else:
+                bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+                bench.now += 0.01
+                bench.end(run)
+                starts += 1
+        bench.now += 0.2
+        runs = bench.plan()
+    assert (starts, rejected) == (40, 2)
+
+
+def test_a_valid_ticket_does_not_lead_back_to_a_worker_that_rejected_the_order():
+    bench = Bench(2)
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.cluster.on_advice(
+        call.step, call.workers, Advice({"w0": "t"}, 9.0), bench.now
+    )
+    (run,) = bench.plan()
+    bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
+    call.step.allowed_workers.add("w1")
+    bench.now += 1
+    assert bench.plan() == []
+    assert [call.workers for call in bench.advice_calls()] == [("w1",)]
+
+
+def test_an_order_rejected_by_the_only_free_worker_is_sent_there_again():
+    bench = Bench(2)
+    bench.submit("b2", step(1, cpu=16_000))
+    (other,) = bench.plan()
+    bench.submit("a1", step(2, cpu=8000))
+    runs = bench.plan()
+    for run in runs:
+        bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
+    bench.now += 1
+    again = bench.plan()
+    assert [run.worker for run in again] == [runs[0].worker] * 2
+    assert runs[0].worker is not other.worker
+
+
 def test_a_start_fenced_under_the_newest_token_ends_the_leadership():
     """Guards against a former leader that keeps issuing orders."""
     bench = Bench(1)
