Log an unknown reason of a refused order

A worker that refused an order with 409 and a reason that is not known here was taken for one that rejects the order as invalid, and nothing showed the reason. The order was not carried out, so the reply stays the same, but each new reason is logged once with its text and the worker.

test_an_unknown_reason_of_a_refused_start_is_logged_once needs a log that the adapter did not have before.

--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -77,7 +77,7 @@
         )
         platform = Platform(
             store=self._store,
-            workers=PlatformWorkers(self._client),
+            workers=PlatformWorkers(self._client, self._log),
             advice=self._advice,
             config_prefix=CONFIG_PREFIX,
             config_key=CONFIG_KEY,
--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -1,6 +1,7 @@
 """Clients for the platform's workers and its advice service."""
 
 from ..errors import BadRequest
+from ..queues.decisions import DecisionLog
 from ..queues.model import Advice, RunOrder, StartReply, WorkerEntry, WorkerReport
 from ..queues.ports import NoReply, PollRefused
 from . import wire
@@ -11,6 +12,8 @@
 ORDER_TIMEOUT_S = 0.6
 # Time added to the duration of a long poll for its timeout.
 POLL_TIMEOUT_MARGIN_S = 0.4
+# Each unknown reason is logged once; texts that differ each time end at this number.
+MAX_LOGGED_REASONS = 20
 
 REPLIES_BY_REASON = {
     "fence": StartReply.FENCED,
@@ -33,10 +36,13 @@
 
     Args:
         client: HTTP client.
+        log: Decision log.
     """
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, log: DecisionLog):
         self._client = client
+        self._log = log
+        self._logged_reasons: set[str] = set()
 
     async def start(self, worker: WorkerEntry, order: RunOrder) -> StartReply:
         """Order a worker to start one run and return its reply."""
@@ -58,8 +64,7 @@
         except ResponseLost:
             return StartReply.UNKNOWN
         if status == 409:
-            reason = wire.parse(wire.OrderAnswerBody, data).reason
-            return REPLIES_BY_REASON.get(reason, StartReply.INVALID)
+            return self._refusal(worker, data) or StartReply.INVALID
         return REPLIES_BY_STATUS.get(status, StartReply.UNKNOWN)
 
     async def stop(
@@ -109,15 +114,27 @@
         if status != 200:
             reply = REPLIES_BY_STATUS.get(status)
             if status == 409:
-                reply = REPLIES_BY_REASON.get(
-                    wire.parse(wire.OrderAnswerBody, data).reason
-                )
+                reply = self._refusal(worker, data)
             raise PollRefused(reply or StartReply.UNKNOWN)
         try:
             return wire.to_report(data)
         except BadRequest as exc:
             raise NoReply(exc.message) from None
 
+    def _refusal(self, worker: WorkerEntry, data: bytes) -> StartReply | None:
+        """Return the reply for the body of status 409, ``None`` for unknown reasons."""
+        reason = wire.parse(wire.OrderAnswerBody, data).reason
+        reply = REPLIES_BY_REASON.get(reason)
+        logged = self._logged_reasons
+        if reply is None and reason not in logged and len(logged) < MAX_LOGGED_REASONS:
+            logged.add(reason)
+            self._log.write(
+                "order refused for an unknown reason",
+                worker=worker.worker_id,
+                reason=reason,
+            )
+        return reply
+
     async def _call(self, worker: WorkerEntry, path: str, body: dict, timeout_s: float):
         data = wire.ENCODER.encode(body)
         headers = {"Target-Instance": worker.worker_id}
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -9,10 +9,15 @@
 from flamingoway.model import Resources
 from flamingoway.platform import wire
 from flamingoway.platform.client import HttpClient
-from flamingoway.platform.workers import PlatformAdvice, PlatformWorkers
+from flamingoway.platform.workers import (
+    MAX_LOGGED_REASONS,
+    PlatformAdvice,
+    PlatformWorkers,
+)
 from flamingoway.queues.model import EndKind, RunOrder, StartReply, WorkerEntry
 from flamingoway.queues.ports import NoReply, PollRefused
 from standins.platform import AdviceStandin, WorkerStandin
+from tests.queue_cluster import RecordingLog
 
 
 def run(body):
@@ -23,7 +28,7 @@
             entry = WorkerEntry("w1", "s", address, "z1", Resources(16000, 65536))
             try:
                 await asyncio.wait_for(
-                    body(PlatformWorkers(client), entry, standin), 20
+                    body(PlatformWorkers(client, RecordingLog()), entry, standin), 20
                 )
             finally:
                 client.close()
@@ -92,6 +97,47 @@
     run(body)
 
 
+class CannedClient:
+    """Answers every call with the same status and body."""
+
+    def __init__(self, status, data):
+        self.answer = status, data
+
+    async def call(self, *args):
+        return self.answer
+
+
+ENTRY = WorkerEntry("w1", "s", "127.0.0.1:1", "z1", Resources())
+
+
+def test_an_unknown_reason_of_a_refused_start_is_logged_once():
+    """Guards against a refusal whose reason nobody can see."""
+    log = RecordingLog()
+    workers = PlatformWorkers(CannedClient(409, b'{"reason":"quota"}'), log)
+
+    async def main():
+        return [await workers.start(ENTRY, order()) for _ in range(3)]
+
+    assert asyncio.run(main()) == [StartReply.INVALID] * 3
+    ((event, fields),) = log.lines
+    assert event == "order refused for an unknown reason"
+    assert (fields["worker"], fields["reason"]) == ("w1", "quota")
+
+
+def test_reasons_that_differ_each_time_do_not_fill_the_log():
+    log = RecordingLog()
+    client = CannedClient(409, b"")
+    workers = PlatformWorkers(client, log)
+
+    async def main():
+        for number in range(100):
+            client.answer = 409, b'{"reason":"%d"}' % number
+            await workers.start(ENTRY, order())
+
+    asyncio.run(main())
+    assert len(log.lines) == MAX_LOGGED_REASONS
+
+
 def test_a_start_after_the_end_of_its_lease_is_reported_as_late():
     async def body(workers, entry, standin):
         assert await workers.start(entry, order(lease_s=-1)) is StartReply.LATE
