Treat an unreadable refusal of an order as no answer

A body of status 409 that is not valid JSON, or whose reason is not a string, raised BadRequest out of the start or the poll. The task of the leader that made the call failed with it, and an error in such a task ends the term, so one worker could depose each leader.

The refusal is logged, and the start counts as unanswered: the raised token and the next poll show whether the run exists.

On the adapter before this change, a start raised BadRequest for each of the three bodies of test_an_unreadable_refusal_does_not_end_the_leadership.

--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -123,7 +123,13 @@
 
     def _refusal(self, worker: WorkerEntry, data: bytes) -> StartReply | None:
         """Return the reply for the body of status 409, ``None`` for unknown reasons."""
-        reason = wire.parse(wire.OrderAnswerBody, data).reason
+        try:
+            reason = wire.parse(wire.OrderAnswerBody, data).reason
+        except BadRequest as exc:
+            self._log.write(
+                "refusal not readable", worker=worker.worker_id, why=exc.message
+            )
+            return StartReply.UNKNOWN
         reply = REPLIES_BY_REASON.get(reason)
         logged = self._logged_reasons
         if reply is None and reason not in logged and len(logged) < MAX_LOGGED_REASONS:
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -138,6 +138,22 @@
     assert len(log.lines) == MAX_LOGGED_REASONS
 
 
+@pytest.mark.parametrize("data", [b"", b"{", b'{"reason":7}'])
+def test_an_unreadable_refusal_does_not_end_the_leadership(data):
+    """Guards against one worker's answer that stops the leader with an error."""
+    log = RecordingLog()
+    workers = PlatformWorkers(CannedClient(409, data), log)
+
+    async def main():
+        assert await workers.start(ENTRY, order()) is StartReply.UNKNOWN
+        with pytest.raises(PollRefused) as refused:
+            await workers.poll(ENTRY, 5, 0, 0, 0.0)
+        assert refused.value.reply is StartReply.UNKNOWN
+
+    asyncio.run(main())
+    assert [event for event, _ in log.lines] == ["refusal not readable"] * 2
+
+
 def test_a_start_after_the_end_of_its_lease_is_reported_as_late():
     async def body(workers, entry, standin):
         assert await workers.start(entry, order(lease_s=-1)) is StartReply.LATE
