Reject jobs outside the limits of their fields at submission

A job without steps, or with a step after itself or a step that does not exist, was accepted and could never end; a step with no tasks or negative resources was accepted as well.

Such a submission is answered with status 400 and the field, as a body that cannot be decoded already was. Nothing is stored.

--- a/flamingoway/platform/wire.py
+++ b/flamingoway/platform/wire.py
@@ -24,6 +24,8 @@
 
 DRAINING = "draining"
 WORKER_STATES = ("ready", DRAINING)
+# Limit on the payload of a job, in bytes of UTF-8; workers need not accept more.
+MAX_SPEC_BYTES = 4000
 
 
 class Body(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -284,9 +286,10 @@
     """Decode the body of a submission.
 
     Raises:
-        BadRequest: If the body is not a valid job.
+        BadRequest: If the body is not a valid job, or a field is outside its limits.
     """
     body = parse(JobBody, data)
+    _check_job(body)
     schedule = None
     if body.repeats > 0:
         first, interval = body.first_run_ms / 1000, body.interval_ms / 1000
@@ -295,6 +298,26 @@
     return StepJobSpec(job_id, queue, body.spec, steps, schedule)
 
 
+def _check_job(body: JobBody) -> None:
+    """Reject a job that workers would reject or that could never end."""
+    size = len(body.spec.encode())
+    if size > MAX_SPEC_BYTES:
+        raise BadRequest(f"spec has {size} bytes, more than {MAX_SPEC_BYTES}")
+    if not body.steps:
+        raise BadRequest("steps is empty")
+    for number, step in enumerate(body.steps):
+        if step.count < 1:
+            raise BadRequest(f"count of step {number} is {step.count}, less than 1")
+        needs = {"cpu": step.cpu, "memMb": step.mem_mb, "gpu": step.gpu}
+        for name, value in needs.items():
+            if value < 0:
+                raise BadRequest(f"{name} of step {number} is {value}, less than 0")
+        if not all(0 <= before < number for before in step.after):
+            raise BadRequest(
+                f"after of step {number} names {step.after}, not only earlier steps"
+            )
+
+
 def to_advice_timing(body: AdviceTimingBody | None) -> AdviceTiming | None:
     """Convert the timing of the advice service; ``None`` if a queue needs no advice."""
     if body is None:
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -360,6 +360,45 @@
     run_with_cell(body)
 
 
+@pytest.mark.parametrize(
+    "body, why",
+    [
+        (b'{"spec":"%s","steps":[{"count":1}]}' % (b"x" * 4001), "spec"),
+        ('{"spec":"%s","steps":[{"count":1}]}' % ("\u00e9" * 2001), "spec"),
+        (b'{"steps":[]}', "steps"),
+        (b'{"steps":[{"count":0}]}', "count"),
+        (b'{"steps":[{"count":-1}]}', "count"),
+        (b'{"steps":[{"cpu":-1}]}', "cpu"),
+        (b'{"steps":[{"memMb":-1}]}', "memMb"),
+        (b'{"steps":[{"gpu":-1}]}', "gpu"),
+        (b'{"steps":[{"after":[0]}]}', "after"),
+        (b'{"steps":[{},{"after":[2]}]}', "after"),
+        (b'{"steps":[{},{"after":[-1]}]}', "after"),
+    ],
+)
+def test_a_job_outside_the_limits_of_its_fields_is_rejected(body, why):
+    """Guards against accepted jobs that workers reject or that can never end."""
+    data = body.encode() if isinstance(body, str) else body
+
+    async def check(cell):
+        ingress = JobIngress(cell.intake, QueueMetrics())
+        answer = await ingress.handle(Request("POST", "/p/00aa", data))
+        assert answer.status == 400 and why in answer.body.decode()
+        assert (await ingress.handle(Request("GET", "/p/00aa"))).status == 410
+
+    run_with_cell(check)
+
+
+def test_the_longest_spec_is_accepted():
+    async def body(cell):
+        ingress = JobIngress(cell.intake, QueueMetrics())
+        data = b'{"spec":"%s","steps":[{"count":1},{"after":[0]}]}' % (b"x" * 4000)
+        answer = await ingress.handle(Request("POST", "/p/00aa", data))
+        assert answer.status == 200
+
+    run_with_cell(body)
+
+
 def test_requests_are_unavailable_before_the_configuration_is_known():
     """Guards against status 404 for a queue before its configuration is loaded."""
 
