Retry a task where it failed once no other worker is left

A job whose task failed on one worker would wait for as long as that worker stays idle, although it is the only one left.

Cause: a waiting step is tried only on workers that have gained resources since its last pass, and workers on which it failed are excluded while others could run the task later. When the last of the others drains, leaves or restarts too small, the excluded workers are candidates again, but an idle one has gained nothing, so it is never tried.

Evidence: the test placed nothing before (no run instead of one on the idle worker).

The step now remembers that it excluded workers, and is tried on all of them in the pass in which the exclusion ends.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -187,6 +187,7 @@
         grown = self._free.grown
         if (
             step.blocked
+            and not step.avoids_failures
             and step.allowed_workers is not None
             and grown.isdisjoint(step.allowed_workers)
         ):
@@ -209,6 +210,10 @@
             return candidates
         others = [c for c in candidates if c.worker_id not in step.failed_workers]
         fits_later = any(slots_beside_lasting(step, c) for c in others)
+        if step.avoids_failures and not fits_later:
+            # The workers on which tasks failed have not been tried before.
+            step.blocked = False
+        step.avoids_failures = fits_later
         return others if fits_later else candidates
 
     def _unreserved(
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -113,6 +113,7 @@
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
         failed_workers: Ids of the workers on which tasks of this step failed.
+        avoids_failures: Whether the planner's last pass excluded these workers.
         blocked: Whether some tasks did not fit in the planner's last pass.
         critical_path_s: Declared duration of the critical path from this step on.
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
@@ -139,6 +140,7 @@
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
+    avoids_failures: bool = False
     blocked: bool = False
     critical_path_s: float = 0.0
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -605,3 +605,19 @@
     assert bench.plan() == []
     bench.end(running[1])
     assert {run.step.id for run in bench.plan()} == {"aa.0.0"}
+
+
+def test_a_failed_task_is_retried_where_it_failed_once_no_other_worker_is_left():
+    """Guards against a task that waits forever beside an idle worker."""
+    bench = Bench(2, Resources(1000, 64_000))
+    bench.submit("a1", step(1))
+    (first,) = bench.plan()
+    bench.submit("b2", step(1))
+    (other,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert bench.plan() == []
+    bench.now += 1.0
+    draining = replace(other.worker.entry, draining=True)
+    bench.cluster.set_worker(draining, bench.now)
+    (second,) = bench.plan()
+    assert (second.task_id, second.worker) == ("a1.0.0.0", first.worker)
