Reserve the probe of a worker together with its resources

After a quarantine a step that renews its tickets for a probing worker would lose the worker to another task during the call, and then choose and ask anew.

Cause: the reservation held CPU and memory only. A probing worker may have one run, and the limit counted runs but not reserved tasks, so another step could take the only place.

Evidence: in the test another queue's task started on the worker during the call.

Reserved tasks now count towards the limit; releasing a reservation gives them back with its resources.

--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -37,7 +37,9 @@
     def of(cls, worker: WorkerState, now: float) -> "Candidate":
         """Return the free resources of a worker."""
         limit = worker.health.limit(now)
-        tasks = UNLIMITED_TASKS if limit is None else max(0, limit - len(worker.runs))
+        tasks = UNLIMITED_TASKS
+        if limit is not None:
+            tasks = max(0, limit - len(worker.runs) - worker.reserved_tasks)
         used, capacity = worker.used, worker.entry.capacity
         return cls(
             worker,
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -334,6 +334,7 @@
         step.reserved = [(index, worker, amount) for index, worker in placements]
         for _, worker in placements:
             worker.used = worker.used + amount
+            worker.reserved_tasks += 1
         self._request_advice(
             step, list({id(w): w for _, w in placements}.values()), now
         )
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -187,6 +187,7 @@
         """Free the resources that are reserved for this step."""
         for _, worker, amount in self.reserved:
             worker.used = worker.used - amount
+            worker.reserved_tasks -= 1
         self.reserved.clear()
 
     def progress(self) -> StepProgress:
@@ -260,6 +261,7 @@
     Attributes:
         token: Fencing token of orders; raised after an unanswered order.
         used: Resources of runs and reservations.
+        reserved_tasks: Number of tasks for which resources are reserved.
         orphans: Runs that the worker reports but the leader does not track, by task id
             and run number, with the time of the last stop order.
         settled: Whether it answered a poll with its current token.
@@ -279,6 +281,7 @@
     token: int
     health: WorkerHealth
     used: Resources = Resources()
+    reserved_tasks: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     settled: bool = False
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -621,3 +621,20 @@
     bench.cluster.set_worker(draining, bench.now)
     (second,) = bench.plan()
     assert (second.task_id, second.worker) == ("a1.0.0.0", first.worker)
+
+
+def test_a_probe_is_reserved_while_tickets_are_renewed():
+    """Guards against a step that loses a probing worker during each call."""
+    bench = Bench(1)
+    bench.worker("w0").health.quarantine(bench.now)
+    bench.submit("a1", step(1, estimate_s=5.0), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    bench.now += 2.1
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    bench.submit("b2", step(1), queue="checks")
+    assert bench.plan() == []
+    give_advice(bench, call)
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
