Discard advice about workers that restarted during the call

A step would never ask again about a worker that restarted while the answer was on its way, and so not run on it.

Cause: advice about a worker is forgotten when it restarts, but an answer to a call made before was stored afterwards, with the former incarnation's tickets and refusals. A ticket is corrected when the worker rejects it; a refusal stays for good.

Evidence: in the test no further call was made after the restart.

A step now notes which workers restart or leave during its call and ignores the answer for them, so they count as not asked about.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -795,12 +795,13 @@
     def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
         """Store which of the requested workers may run a step, with their tickets."""
         step.advice_pending = False
-        allowed = set(advice.tickets)
-        step.asked_workers.update(asked)
-        step.allowed_workers = ((step.allowed_workers or set()) - set(asked)) | allowed
+        answered = set(asked) - step.restarted_workers
+        allowed = answered & advice.tickets.keys()
+        step.asked_workers |= answered
+        step.allowed_workers = ((step.allowed_workers or set()) - answered) | allowed
         until = now + advice.valid_s
-        for worker_id, value in advice.tickets.items():
-            step.tickets[worker_id] = Ticket(value, until)
+        for worker_id in allowed:
+            step.tickets[worker_id] = Ticket(advice.tickets[worker_id], until)
         step.blocked = False
 
     def _forget_advice(self, worker_id: str) -> None:
@@ -809,6 +810,8 @@
             if job.queue.advice is None:
                 continue
             for step in job.steps.values():
+                if step.advice_pending:
+                    step.restarted_workers.add(worker_id)
                 step.asked_workers.discard(worker_id)
                 step.tickets.pop(worker_id, None)
                 if step.allowed_workers is not None:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -348,6 +348,7 @@
             workers = sorted(workers, key=lambda w: -w.free.cores_milli)
         ids = tuple(w.entry.worker_id for w in workers[:MAX_ADVISED_WORKERS])
         step.advice_pending = True
+        step.restarted_workers.clear()
         step.advice_asked_at = now
         duration_s = step.job.queue.advice.duration(len(ids))
         self._cluster.orders.append(
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -109,6 +109,8 @@
         tickets: Newest ticket by worker id; it may have expired.
         advice_pending: Whether a call to the advice service is in flight.
         asked_workers: Ids of all workers named in calls to the advice service.
+        restarted_workers: Ids of the workers that restarted or were removed during the
+            call in flight, whose answer does not hold for them.
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
@@ -137,6 +139,7 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     advice_pending: bool = False
     asked_workers: set[str] = field(default_factory=set)
+    restarted_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -638,3 +638,20 @@
     assert bench.plan() == []
     give_advice(bench, call)
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_advice_asked_before_a_restart_does_not_count_after_it():
+    """Guards against a step that never asks about a restarted worker again."""
+    bench = Bench(1)
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.restart("w0")
+    bench.report("w0")
+    give_advice(bench, call, good=set())
+    bench.now += 1.1
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert call.workers == ("w0",)
+    give_advice(bench, call)
+    assert len(bench.plan()) == 1
