Keep a gang's reserved workers while its next call is delayed

A gang whose call to the advice service got no answer would lose the workers that were being freed for it to later tasks.

Cause: after a failed call a step is not planned for 0.1 s, and workers count as reserved only in passes in which their gang is planned. Passes follow each event, so whatever became free in between went to other steps, and the gang began to wait anew.

Evidence: in the test a task of a queue of lower priority started on the reserved worker.

A delayed gang now renews its reservation in each pass, but makes no call before the delay ends.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -90,6 +90,8 @@
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
+                if step.id in self._gang_reservations:
+                    self._reserve_workers(step, now)
                 self._log_wait(step, "retry delayed or takeover unfinished", now)
                 continue
             started += self._plan(step, now)
@@ -273,7 +275,8 @@
         reservation = (step, self.rank(step, now)[0])
         for candidate in chosen:
             self._reserved_by[candidate.worker_id] = reservation
-        if step.job.queue.advice is not None and not step.advice_pending:
+        may_ask = not step.advice_pending and step.retry_at <= now
+        if step.job.queue.advice is not None and may_ask:
             self._renew_tickets(step, chosen, now)
 
     def _drop_stale_reservations(self) -> None:
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -655,3 +655,24 @@
     assert call.workers == ("w0",)
     give_advice(bench, call)
     assert len(bench.plan()) == 1
+
+
+def test_a_gang_keeps_its_reserved_workers_after_a_call_without_answer():
+    """Guards against other tasks that take a gang's workers before its next call."""
+    bench = Bench(2)
+    bench.submit("s1", step(32), queue="sorts")
+    running = bench.plan()
+    bench.submit("aa", step(1, cpu=16_000, gang=True, estimate_s=5.0), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    bench.plan()
+    bench.now += 1.9
+    bench.plan()
+    (call,) = bench.advice_calls()
+    (reserved,) = call.workers
+    bench.cluster.on_no_advice(call.step, bench.now)
+    ended = next(r for r in running if r.worker.entry.worker_id == reserved)
+    bench.end(ended)
+    bench.submit("s2", step(1, estimate_s=50), queue="sorts")
+    assert bench.plan() == []
