--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -90,6 +90,8 @@
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
+                if step.id in self._gang_reservations:
+                    self._reserve_workers(step, now)
                 self._log_wait(step, "retry delayed or takeover unfinished", now)
                 continue
             started += self._plan(step, now)
@@ -190,6 +192,7 @@
         grown = self._free.grown
         if (
             step.blocked
+            and not step.avoids_failures
             and step.allowed_workers is not None
             and grown.isdisjoint(step.allowed_workers)
         ):
@@ -212,6 +215,10 @@
             return candidates
         others = [c for c in candidates if c.worker_id not in step.failed_workers]
         fits_later = any(slots_beside_lasting(step, c) for c in others)
+        if step.avoids_failures and not fits_later:
+            # The workers on which tasks failed have not been tried before.
+            step.blocked = False
+        step.avoids_failures = fits_later
         return others if fits_later else candidates
 
     def _unreserved(
@@ -288,7 +295,8 @@
         reservation = (step, self.rank(step, now)[0])
         for candidate in chosen:
             self._reserved_by[candidate.worker_id] = reservation
-        if step.job.queue.advice is not None and not step.advice_pending:
+        may_ask = not step.advice_pending and step.retry_at <= now
+        if step.job.queue.advice is not None and may_ask:
             self._renew_tickets(step, chosen, now)
 
     def _drop_stale_reservations(self) -> None:
@@ -349,6 +357,7 @@
         step.reserved = [(index, worker, amount) for index, worker in placements]
         for _, worker in placements:
             worker.used = worker.used + amount
+            worker.reserved_tasks += 1
         self._request_advice(
             step, list({id(w): w for _, w in placements}.values()), now
         )
@@ -362,6 +371,7 @@
             workers = sorted(workers, key=lambda w: -w.free.cores_milli)
         ids = tuple(w.entry.worker_id for w in workers[:MAX_ADVISED_WORKERS])
         step.advice_pending = True
+        step.restarted_workers.clear()
         step.advice_asked_at = now
         duration_s = step.job.queue.advice.duration(len(ids))
         self._cluster.orders.append(
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -112,10 +112,13 @@
         tickets: Newest ticket by worker id; it may have expired.
         advice_pending: Whether a call to the advice service is in flight.
         asked_workers: Ids of all workers named in calls to the advice service.
+        restarted_workers: Ids of the workers that restarted or were removed during the
+            call in flight, whose answer does not hold for them.
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
         failed_workers: Ids of the workers on which tasks of this step failed.
+        avoids_failures: Whether the planner's last pass excluded these workers.
         rejecting_workers: Ids of the workers that rejected an order of this step as
             invalid; others are preferred.
         rejected_at: Time of the last rejection that delayed the step.
@@ -143,9 +146,11 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     advice_pending: bool = False
     asked_workers: set[str] = field(default_factory=set)
+    restarted_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
+    avoids_failures: bool = False
     rejecting_workers: set[str] = field(default_factory=set)
     rejected_at: float = float("-inf")
     rejected_delay_s: float = REJECTED_DELAY_S
@@ -195,6 +200,7 @@
         """Free the resources that are reserved for this step."""
         for _, worker, amount in self.reserved:
             worker.used = worker.used - amount
+            worker.reserved_tasks -= 1
         self.reserved.clear()
 
     def progress(self) -> StepProgress:
@@ -268,6 +274,7 @@
     Attributes:
         token: Fencing token of orders; raised after an unanswered order.
         used: Resources of runs and reservations.
+        reserved_tasks: Number of tasks for which resources are reserved.
         orphans: Runs that the worker reports but the leader does not track, by task id
             and run number, with the time of the last stop order.
         settled: Whether it answered a poll with its current token.
@@ -287,6 +294,7 @@
     token: int
     health: WorkerHealth
     used: Resources = Resources()
+    reserved_tasks: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     settled: bool = False
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -605,3 +605,74 @@
     assert bench.plan() == []
     bench.end(running[1])
     assert {run.step.id for run in bench.plan()} == {"aa.0.0"}
+
+
+def test_a_failed_task_is_retried_where_it_failed_once_no_other_worker_is_left():
+    """Guards against a task that waits forever beside an idle worker."""
+    bench = Bench(2, Resources(1000, 64_000))
+    bench.submit("a1", step(1))
+    (first,) = bench.plan()
+    bench.submit("b2", step(1))
+    (other,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert bench.plan() == []
+    bench.now += 1.0
+    draining = replace(other.worker.entry, draining=True)
+    bench.cluster.set_worker(draining, bench.now)
+    (second,) = bench.plan()
+    assert (second.task_id, second.worker) == ("a1.0.0.0", first.worker)
+
+
+def test_a_probe_is_reserved_while_tickets_are_renewed():
+    """Guards against a step that loses a probing worker during each call."""
+    bench = Bench(1)
+    bench.worker("w0").health.quarantine(bench.now)
+    bench.submit("a1", step(1, estimate_s=5.0), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    bench.now += 2.1
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    bench.submit("b2", step(1), queue="checks")
+    assert bench.plan() == []
+    give_advice(bench, call)
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_advice_asked_before_a_restart_does_not_count_after_it():
+    """Guards against a step that never asks about a restarted worker again."""
+    bench = Bench(1)
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.restart("w0")
+    bench.report("w0")
+    give_advice(bench, call, good=set())
+    bench.now += 1.1
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert call.workers == ("w0",)
+    give_advice(bench, call)
+    assert len(bench.plan()) == 1
+
+
+def test_a_gang_keeps_its_reserved_workers_after_a_call_without_answer():
+    """Guards against other tasks that take a gang's workers before its next call."""
+    bench = Bench(2)
+    bench.submit("s1", step(32), queue="sorts")
+    running = bench.plan()
+    bench.submit("aa", step(1, cpu=16_000, gang=True, estimate_s=5.0), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call)
+    bench.plan()
+    bench.now += 1.9
+    bench.plan()
+    (call,) = bench.advice_calls()
+    (reserved,) = call.workers
+    bench.cluster.on_no_advice(call.step, bench.now)
+    ended = next(r for r in running if r.worker.entry.worker_id == reserved)
+    bench.end(ended)
+    bench.submit("s2", step(1, estimate_s=50), queue="sorts")
+    assert bench.plan() == []
