Place a step once unless workers have rejected its orders

A gang that did not fit was placed twice in each pass, on the workers that had not rejected its orders and on all, although the two are the same as long as no worker has. The second attempt, and the copies of the candidates, are left out in that case. The tests of planning, cluster, adapter and intake pass.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -260,15 +260,18 @@
     def _place(self, step: StepRun, candidates: Sequence[Candidate]) -> list[Placement]:
         """Place a step, if possible on workers that have not rejected its orders."""
         indexes = self._startable(step)
-        rejecting = step.rejecting_workers
-        preferred = [c for c in candidates if c.worker_id not in rejecting]
-        if step.spec.gang:
-            if len(indexes) < step.spec.count:
-                return []
-            return place_gang(step, preferred) or place_gang(step, candidates)
+        gang, rejecting = step.spec.gang, step.rejecting_workers
+        if gang and len(indexes) < step.spec.count:
+            return []
+        preferred = candidates
+        if rejecting:
+            preferred = [c for c in candidates if c.worker_id not in rejecting]
+        if gang:
+            placed = place_gang(step, preferred)
+            return placed or (place_gang(step, candidates) if rejecting else [])
         placed = place_tasks(step, indexes, preferred)
         # A step that makes progress waits for workers that accept its orders.
-        if step.spec.lasting or not (placed or step.live):
+        if rejecting and (step.spec.lasting or not (placed or step.live)):
             others = [c for c in candidates if c.worker_id in rejecting]
             placed += place_tasks(step, indexes[len(placed) :], others)
         return placed
