List two ways in which gangs still hold up work in core as known red

What callers would see, on flamingoway's own interface: a gang waits for as long as small tasks of its own member arrive, although most of the cores are idle, and a job of another member waits beside an empty worker for as long as long tasks keep a gang from starting.

Fixes change how quotas and reservations are counted in the hot path and need measurements that were not made.

--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -1,7 +1,7 @@
 """Guards gangs against partial placement, deadlock and starvation."""
 
 import pytest
-from scheduling import Rig, spec, worker
+from scheduling import Rig, document, spec, worker
 
 from flamingoway.model import Policy, Resources
 
@@ -207,3 +207,29 @@
     assert rig.schedule() == []
     rig.end("long1/0")
     assert rig.schedule() == [f"g1/{n}" for n in range(4)]
+
+
+def test_small_tasks_of_a_member_do_not_starve_its_gang_by_the_quota():
+    rig = Rig(["w1", "w2"])
+    rig.scheduler.set_document("e", document(quotas={"m": 4}), 1.0)
+    rig.submit(spec("s0"), spec("s1"))
+    running = rig.schedule()
+    rig.submit(gang("g", 4, kind="plan"))
+    for number in range(2, 302):
+        rig.submit(spec(f"s{number}"))
+        rig.end(running.pop(0))
+        running += rig.schedule(1.0)
+    assert rig.states("g")[0] == "assigned"
+
+
+def test_reservation_without_progress_does_not_hold_back_others_in_a_busy_shard():
+    rig = Rig(["w1", "w2", "w3", "w4"])
+    rig.submit(*(spec(f"long{n}", resources=Resources(4000, 4096)) for n in range(3)))
+    rig.schedule()
+    rig.submit(gang("wide", 8, member="a"))
+    rig.schedule()
+    rig.schedule(11.0)
+    rig.submit(spec("small", member="c"))
+    for _ in range(3600):
+        rig.schedule(1.0)
+    assert rig.states("small") == ["assigned"]
