Resolve each call for advice in whichever way it ends

In a test, a step whose call ended with an unexpected error stayed marked as waiting for advice, with its reservation, until the leader changed.

Cause: the dispatcher reported a result only after a FlamingowayError or a NoReply. Any other exception, a cancellation included, ended the task of the call before the report and before the next call was sent. One such error: a row without a ticket in an answer of the advice service raises IndexError.

Fix: the completion callback of the call's task reports the result. It runs even for a task that is cancelled before its first step. A missing result is logged with its reason. An answer that cannot be read raises NoReply, so it counts as no advice.

Evidence: test_no_error_of_a_call_leaves_its_step_waiting_for_advice (IndexError and CancelledError) and test_a_call_that_is_cancelled_before_it_is_sent_counts_as_missing_advice timed out or had no result before; test_an_unreadable_answer_of_the_advice_service_counts_as_none got IndexError or BadRequest before. All pass now.

--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -142,8 +142,8 @@
         """Return a ticket for each of the named workers that may run a step.
 
         Raises:
-            NoReply: No answer came in time, or the service refused the call because it
-                has too many callers.
+            NoReply: No readable answer came in time, or the service refused the call
+                because it has too many callers.
         """
         data = wire.ENCODER.encode({"step": step_id, "workers": workers})
         try:
@@ -154,6 +154,9 @@
             raise NoReply(str(exc)) from None
         if status != 200:
             raise NoReply(f"advice service answered with status {status}")
-        body = wire.parse(wire.AdviceAnswerBody, answer)
-        tickets = {row[0]: row[1] for row in body.good}
+        try:
+            body = wire.parse(wire.AdviceAnswerBody, answer)
+            tickets = {row[0]: row[1] for row in body.good}
+        except (BadRequest, IndexError) as exc:
+            raise NoReply(f"unreadable answer of the advice service: {exc}") from None
         return Advice(tickets, body.valid_ms / 1000)
--- a/flamingoway/queues/advice.py
+++ b/flamingoway/queues/advice.py
@@ -8,6 +8,7 @@
 import asyncio
 import heapq
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 
 from ..errors import FlamingowayError, Refused
 from ..peer import PeerClient
@@ -102,6 +103,7 @@
 
     def _dispatch(self) -> None:
         postponed = []
+        now = self._clock()
         while self._queue:
             entry = heapq.heappop(self._queue)
             name = choose_process(self._candidates(), self._busy, entry[2])
@@ -111,9 +113,9 @@
                     break
                 continue
             self._busy[name] = entry[2]
-            task = asyncio.create_task(self._ask(name, entry[2]))
+            task = asyncio.create_task(self._call(name, entry[2]))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(partial(self._resolve, name, entry[2], now))
         for entry in postponed:
             heapq.heappush(self._queue, entry)
 
@@ -122,28 +124,34 @@
         names = [self._name, *sorted(set(self._processes()) - {self._name})]
         return [n for n in names if self._paused_until.get(n, 0.0) <= now] or names
 
-    async def _ask(self, name: str, call: AdviceCall) -> None:
-        timeout_s = call.duration_s * CALL_SLACK_FACTOR + CALL_SLACK_S
+    def _resolve(
+        self, name: str, call: AdviceCall, sent_at: float, task: asyncio.Task
+    ) -> None:
+        """Report the result of a call, in whichever way its task ended."""
+        self._tasks.discard(task)
+        self._busy.pop(name, None)
         advice = None
-        sent_at = self._clock()
-        try:
-            advice = await self._call(name, call, timeout_s)
-        except (FlamingowayError, NoReply) as exc:
+        error = asyncio.CancelledError() if task.cancelled() else task.exception()
+        if error is None:
+            advice = task.result()
+        else:
             now = self._clock()
             self._paused_until[name] = now + FAILED_PROCESS_PAUSE_S
+            known = isinstance(error, FlamingowayError | NoReply)
             self._log.write(
                 "advice missing",
                 step=call.step.id,
                 asked_by=name,
                 after_s=round(now - sent_at, 3),
-                why=str(exc),
+                why=str(error) if known else repr(error),
             )
+        try:
+            self._done(call, advice)
         finally:
-            self._busy.pop(name, None)
-        self._done(call, advice)
-        self._dispatch()
+            self._dispatch()
 
-    async def _call(self, name: str, call: AdviceCall, timeout_s: float) -> Advice:
+    async def _call(self, name: str, call: AdviceCall) -> Advice:
+        timeout_s = call.duration_s * CALL_SLACK_FACTOR + CALL_SLACK_S
         if name == self._name:
             return await self._service.ask(call.step.id, list(call.workers), timeout_s)
         process = self._processes().get(name)
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -142,6 +142,18 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff\xfe", b'{"good":[["w1"]]}', b'{"good":[["w1",7]]}', b"[]"]
+)
+def test_an_unreadable_answer_of_the_advice_service_counts_as_none(body):
+    class Client:
+        async def call(self, *args):
+            return 200, body
+
+    with pytest.raises(NoReply, match="unreadable"):
+        asyncio.run(PlatformAdvice("1:2", Client()).ask("job.0.0", ["w1"], 1.0))
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/test_queue_advice.py
+++ b/tests/test_queue_advice.py
@@ -3,9 +3,12 @@
 import asyncio
 import time
 
+import pytest
+
 from flamingoway.errors import OutcomeUnknown
 from flamingoway.queues.advice import AdviceDispatcher
 from flamingoway.queues.model import Advice
+from flamingoway.queues.ports import NoReply
 from flamingoway.queues.records import ProcessRecord
 from flamingoway.queues.runs import AdviceCall
 from tests.queue_cluster import Bench, RecordingLog, step
@@ -32,6 +35,16 @@
         return Advice({}, 1.0)
 
 
+class FailingService:
+    """An advice service that fails each call in the same way."""
+
+    def __init__(self, error):
+        self.error = error
+
+    async def ask(self, step_id, workers, timeout_s):
+        raise self.error
+
+
 def advice_call(job_id):
     bench = Bench(1)
     bench.submit(job_id, step(1), queue="advised")
@@ -40,8 +53,8 @@
     return AdviceCall(call.step, call.workers, call.rank, 0.01)
 
 
-def dispatch(processes, peers):
-    """Return the results of two calls; the second is forwarded to a peer."""
+def dispatch(processes, peers, service=None, log=None):
+    """Return the results of two calls; the second is forwarded to a peer, if any."""
 
     async def main():
         results = []
@@ -54,12 +67,12 @@
 
         dispatcher = AdviceDispatcher(
             "n0",
-            Service(),
+            service or Service(),
             peers,
             processes,
             done,
             time.monotonic,
-            RecordingLog(),
+            log or RecordingLog(),
         )
         dispatcher.submit(advice_call("a1"))
         dispatcher.submit(advice_call("b2"))
@@ -85,3 +98,44 @@
     processes = {"n1": ProcessRecord("n1", "n1:1", "z")}
     error = OutcomeUnknown("the channel to peer n1:1 was closed")
     assert None in dispatch(lambda: processes, Peers(error))
+
+
+@pytest.mark.parametrize(
+    "error",
+    [IndexError("no ticket"), asyncio.CancelledError(), NoReply("timeout")],
+    ids=repr,
+)
+def test_no_error_of_a_call_leaves_its_step_waiting_for_advice(error):
+    """Guards against a step that waits for advice until the leader changes."""
+    log = RecordingLog()
+    processes = {"n1": ProcessRecord("n1", "n1:1", "z")}
+    assert dispatch(lambda: {}, None, FailingService(error), log) == [None, None]
+    assert dispatch(lambda: processes, Peers(error), FailingService(error), log) == [
+        None,
+        None,
+    ]
+    reasons = [
+        fields["why"] for event, fields in log.lines if event == "advice missing"
+    ]
+    assert len(reasons) == 4
+    assert all(reason in (repr(error), str(error)) for reason in reasons)
+
+
+def test_a_call_that_is_cancelled_before_it_is_sent_counts_as_missing_advice():
+    async def main():
+        results = []
+        dispatcher = AdviceDispatcher(
+            "n0",
+            Service(),
+            None,
+            dict,
+            lambda call, advice: results.append(advice),
+            time.monotonic,
+            RecordingLog(),
+        )
+        dispatcher.submit(advice_call("a1"))
+        dispatcher.close()
+        await asyncio.sleep(0.01)
+        return results
+
+    assert asyncio.run(main()) == [None]
