Repeat a failed call for advice after a growing delay

In a test with a service that fails each call at once, a step asks again about every 0.1 s, for as long as the service is down.

Cause: a step waits 0.1 s after each failed call. The dispatcher pauses a process whose call failed for a second, but no longer limits calls once all processes have failed. With many waiting steps, a process then sends one call after the other.

Fix: the delay of a step doubles with each further failed call, up to one second, and ends with an answer. The first repetition, which usually goes through another process, still comes after 0.1 s.

Evidence: test_a_call_for_advice_that_always_fails_is_repeated_ever_more_slowly failed before (0.12 s between calls) and passes now.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -52,6 +52,9 @@
 # Delay before a task whose start was refused is placed again, so that a worker that
 # refuses everything does not keep the planner busy.
 RESTART_DELAY_S = 0.1
+# A step's delay after a failed call for advice doubles with each further failure, up to
+# this time.
+ADVICE_RETRY_MAX_S = 1.0
 # A run without progress for this long is stalled, or for the time in which the slowest
 # sound run advances by one percent, whichever is longer.
 STALL_S = 1.5
@@ -795,6 +798,7 @@
     def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
         """Store which of the requested workers may run a step, with their tickets."""
         step.advice_pending = False
+        step.advice_retry_s = 0.0
         allowed = set(advice.tickets)
         step.asked_workers.update(asked)
         step.allowed_workers = ((step.allowed_workers or set()) - set(asked)) | allowed
@@ -818,7 +822,10 @@
         """Free a step's reservation after the advice service did not answer."""
         step.advice_pending = False
         step.release_reservation()
-        step.retry_at = now + RESTART_DELAY_S
+        step.advice_retry_s = min(
+            ADVICE_RETRY_MAX_S, max(RESTART_DELAY_S, step.advice_retry_s * 2)
+        )
+        step.retry_at = now + step.advice_retry_s
 
     # Look-ups
 
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -125,6 +125,35 @@
     assert bench.worker("w0").used == Resources()
 
 
+def test_a_call_for_advice_that_always_fails_is_repeated_ever_more_slowly():
+    """Guards against a flood of calls while the advice service is down."""
+    bench = Bench(2)
+    bench.submit("a1", step(2), queue="advised")
+    calls = []
+
+    def fail_calls(seconds):
+        end = bench.now + seconds
+        while bench.now < end:
+            bench.plan()
+            for call in bench.advice_calls():
+                calls.append(bench.now)
+                bench.cluster.on_no_advice(call.step, bench.now)
+            bench.now += 0.02
+
+    fail_calls(20.0)
+    gaps = [after - before for before, after in zip(calls, calls[1:], strict=False)]
+    assert gaps[0] < 0.15
+    assert max(gaps) < 1.1
+    assert min(gaps[5:]) > 0.95
+    bench.now += 1.0
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, valid_s=0.0)
+    calls.clear()
+    fail_calls(1.0)
+    assert calls[1] - calls[0] < 0.15
+
+
 def test_a_failed_task_moves_to_another_worker():
     bench = Bench(2)
     bench.submit("a1", step(1))
