Get the tickets of a gang on more than 100 workers in several calls

In a test, a gang of 120 tasks, one on a worker, never starts on 175 idle workers, while it keeps reserving 120 of them.

Cause: a call names at most 100 workers. A gang whose tickets had expired reserved its workers, asked about 100 of them, gave all up with the answer since 20 had no ticket, reserved the same ones and asked about the same 100 again. It started only if the tickets of its very first calls were all valid at the same time.

Fix: after an answer, a gang keeps its reservation and asks about the reserved workers that no call has named yet. Each worker is named once for a reservation, so it ends after a bounded number of calls. Other steps start with the tickets they have, as before.

Evidence: test_a_gang_on_more_workers_than_one_call_names_starts failed before in both cases (no start within 5 s) and passes now. test_a_wide_step_does_not_wait_for_tickets_of_all_its_workers passed before, and fails if the change is not limited to gangs.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -329,9 +329,14 @@
         step.reserved = [(index, worker, amount) for index, worker in placements]
         for _, worker in placements:
             worker.used = worker.used + amount
-        self._request_advice(
-            step, list({id(w): w for _, w in placements}.values()), now
-        )
+        step.unasked = list({id(w): w for _, w in placements}.values())
+        self._ask_about_reserved(step, now)
+
+    def _ask_about_reserved(self, step: StepRun, now: float) -> None:
+        """Renew the tickets of reserved workers that no call has named yet."""
+        workers = step.unasked[:MAX_ADVISED_WORKERS]
+        del step.unasked[:MAX_ADVISED_WORKERS]
+        self._request_advice(step, workers, now)
 
     def _request_advice(
         self, step: StepRun, workers: Sequence[WorkerState], now: float
@@ -362,6 +367,9 @@
         ]
         started = 0
         for step in sorted(answered, key=lambda s: self.rank(s, now)):
+            if step.spec.gang and step.unasked:
+                self._ask_about_reserved(step, now)
+                continue
             reserved = [(index, worker) for index, worker, _ in step.reserved]
             step.release_reservation()
             placements = self._still_valid(step, reserved, now)
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -112,6 +112,7 @@
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
+        unasked: Workers of the reservation that no call for renewal has named yet.
         failed_workers: Ids of the workers on which tasks of this step failed.
         blocked: Whether some tasks did not fit in the planner's last pass.
         critical_path_s: Declared duration of the critical path from this step on.
@@ -140,6 +141,7 @@
     asked_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
+    unasked: list["WorkerState"] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
     blocked: bool = False
     critical_path_s: float = 0.0
@@ -189,6 +191,7 @@
         for _, worker, amount in self.reserved:
             worker.used = worker.used - amount
         self.reserved.clear()
+        self.unasked.clear()
 
     def progress(self) -> StepProgress:
         """Return the progress of the step to store."""
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import replace
 
+import pytest
+
 from flamingoway.model import Resources
 from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
 from flamingoway.queues.runs import Ticket
@@ -442,6 +444,54 @@
     assert bench.plan() == []
 
 
+def plan_and_answer(bench, seconds, valid_s):
+    """Plan at intervals, answer calls after their duration, return the runs."""
+    end = bench.now + seconds
+    calls, runs = [], []
+    while bench.now < end:
+        for due_at, call in calls[:]:
+            if due_at <= bench.now:
+                calls.remove((due_at, call))
+                give_advice(bench, call, valid_s=valid_s)
+        runs += bench.plan()
+        for call in bench.advice_calls():
+            assert len(call.workers) <= 100
+            calls.append((bench.now + call.duration_s, call))
+        bench.now += 0.02
+    return runs
+
+
+@pytest.mark.parametrize(("full_s", "valid_s"), [(0.0, 0.8), (5.0, 2.0)])
+def test_a_gang_on_more_workers_than_one_call_names_starts(full_s, valid_s):
+    """Guards against a gang that asks about its first hundred workers forever."""
+    bench = Bench(175)
+    filling = fill(bench, 175) if full_s else []
+    bench.submit("a1", step(120, cpu=9000, gang=True, per_worker=1), queue="advised")
+    assert plan_and_answer(bench, full_s, valid_s) == []
+    for run in filling:
+        bench.end(run)
+    runs = plan_and_answer(bench, 5.0, valid_s)
+    assert sorted(run.index for run in runs) == list(range(120))
+    assert len({run.worker.entry.worker_id for run in runs}) == 120
+    for run in runs:
+        until = run.step.tickets[run.worker.entry.worker_id].valid_until
+        assert run.placed_at + 0.15 < until
+
+
+def test_a_wide_step_does_not_wait_for_tickets_of_all_its_workers():
+    bench = Bench(120)
+    bench.submit("a1", step(120, cpu=9000), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    expired = Advice(dict.fromkeys(bench.cluster.workers, "expired"), 0.0)
+    bench.cluster.on_advice(call.step, tuple(expired.tickets), expired, bench.now)
+    assert bench.plan() == []
+    (call,) = bench.advice_calls()
+    assert len(call.workers) == 100
+    give_advice(bench, call)
+    assert len(bench.plan()) == 100
+
+
 def limits(bench):
     return {
         worker_id: worker.health.limit(bench.now)
