--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -55,6 +55,9 @@
 # Maximum delay after an order was rejected repeatedly; by the users' rules, a job must
 # not have nothing running for 3 s while there is capacity.
 REJECTED_DELAY_MAX_S = 2.0
+# A step's delay after a failed call for advice doubles with each further failure, up to
+# this time.
+ADVICE_RETRY_MAX_S = 1.0
 # A run without progress for this long is stalled, or for the time in which the slowest
 # sound run advances by one percent, whichever is longer.
 STALL_S = 1.5
@@ -818,6 +821,7 @@
     def on_advice(self, step: StepRun, asked: tuple[str, ...], advice: Advice, now):
         """Store which of the requested workers may run a step, with their tickets."""
         step.advice_pending = False
+        step.advice_retry_s = 0.0
         answered = set(asked) - step.restarted_workers
         allowed = answered & advice.tickets.keys()
         step.asked_workers |= answered
@@ -844,7 +848,10 @@
         """Free a step's reservation after the advice service did not answer."""
         step.advice_pending = False
         step.release_reservation()
-        step.retry_at = now + RESTART_DELAY_S
+        step.advice_retry_s = min(
+            ADVICE_RETRY_MAX_S, max(RESTART_DELAY_S, step.advice_retry_s * 2)
+        )
+        step.retry_at = now + step.advice_retry_s
 
     # Look-ups
 
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -117,6 +117,7 @@
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
+        unasked: Workers of the reservation that no call for renewal has named yet.
         failed_workers: Ids of the workers on which tasks of this step failed.
         avoids_failures: Whether the planner's last pass excluded these workers.
         rejecting_workers: Ids of the workers that rejected an order of this step as
@@ -128,6 +129,8 @@
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
         wait_logged_at: Time at which the log last told why the step waits.
         advice_asked_at: Time of the last call to the advice service.
+        advice_retry_s: Delay after the last call to the advice service; 0 unless it
+            failed.
     """
 
     job: "OpenJob"
@@ -149,6 +152,7 @@
     restarted_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
+    unasked: list["WorkerState"] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
     avoids_failures: bool = False
     rejecting_workers: set[str] = field(default_factory=set)
@@ -159,6 +163,7 @@
     slots_when_empty: dict[Resources, int] = field(default_factory=dict)
     wait_logged_at: float = float("-inf")
     advice_asked_at: float = float("-inf")
+    advice_retry_s: float = 0.0
     id: str = field(init=False)
 
     def __post_init__(self):
@@ -202,6 +207,7 @@
             worker.used = worker.used - amount
             worker.reserved_tasks -= 1
         self.reserved.clear()
+        self.unasked.clear()
 
     def progress(self) -> StepProgress:
         """Return the progress of the step to store."""
