Let the leases expire of a worker that refuses its polls

Tasks of a worker that answers each poll with 429 or 503 would wait until it accepts polls again, although their leases have expired, and new tasks would still be placed on it.

Cause: only a missing answer ended the state in which a worker counts as reachable. After a refusal it stayed usable, each further poll moved the expected end of its leases forward, and neither its runs nor its leases were ever given up.

Evidence: in the test the task was still assigned to the refusing worker two lease durations later.

A refused poll now counts as a missing answer: the lease is no longer renewed, its runs are given up when it has expired, and the next answered poll makes the worker usable.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -407,6 +407,9 @@
                 worker, self._clock(), "another incarnation of the worker answered"
             )
             self._after_event()
+        else:
+            # The worker has not renewed its leases, so its runs may expire.
+            self._on_no_answer(worker, f"it refused a poll: {reply.value}")
 
     def _drop_if_expired(self, worker: WorkerState) -> None:
         now = self._clock()
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -3,8 +3,11 @@
 import asyncio
 import gc
 
+from flamingoway.model import Resources
+from flamingoway.queues.model import StartReply, Step, StepJobSpec
+from flamingoway.queues.ports import PollRefused
 from flamingoway.queues.term import LeadershipLost
-from tests.queue_world import World
+from tests.queue_world import LATENCY_S, LEASE_S, World
 from tests.virtual import run_virtual
 
 
@@ -70,3 +73,36 @@
     assert 57 in first_life
     assert second_life
     assert second_life[0] == 0
+
+
+def test_tasks_of_a_worker_that_refuses_all_polls_run_elsewhere():
+    """Guards against tasks that wait for a worker that does not renew their leases."""
+
+    async def main():
+        world, term = await leading_world([])
+        port = world.ports[world.leader()]
+        poll = port.poll
+        refusing = set()
+
+        async def refuse(entry, *args):
+            if entry.worker_id in refusing:
+                await asyncio.sleep(LATENCY_S)
+                raise PollRefused(StartReply.UNHEALTHY)
+            return await poll(entry, *args)
+
+        port.poll = refuse
+        world.duration = lambda task_id: 2 * LEASE_S
+        step = Step(1, Resources(1000, 1000), 1.0, lasting=True)
+        await world.submit(world.leader(), StepJobSpec("a1", "checks", "x", (step,)))
+        await asyncio.sleep(1.0)
+        (run,) = (r for w in term.cluster.workers.values() for r in w.runs.values())
+        refusing.add(run.worker.entry.worker_id)
+        await asyncio.sleep(2 * LEASE_S)
+        live = term.cluster.jobs["a1"].steps[0, 0].live
+        await world.end()
+        ids = [r.worker.entry.worker_id for r in (run, live[0])]
+        return *ids, world.checker.violations
+
+    first, second, violations = run_virtual(main)
+    assert second != first
+    assert violations == []
