Search for ticketed workers only if a step has valid tickets

Callers would see: a leader that is slower to start tasks while many steps wait.

Cause: since starts prefer workers with valid tickets, each pass of the planner compared all workers with the tickets of each waiting step, also on queues without an advice policy and after all tickets had expired.

The test found the search in both cases.

The valid tickets are now determined first, and without any no worker is looked at.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -120,7 +120,9 @@
         if step.advice_pending:
             return self._plan_during_call(step, now)
         candidates = self._candidates(step)
-        placements = self._place_with_tickets(step, candidates, now)
+        placements: list[Placement] = []
+        if advised:
+            placements = self._place_with_tickets(step, candidates, now)
         if placements:
             # Tasks that are left have not been tried on the other workers.
             step.blocked = False
@@ -145,7 +147,7 @@
         # Resources freed meanwhile would not count as gained after the answer.
         step.blocked = False
         placements: list[Placement] = []
-        if not step.reserved and step.allowed_workers:
+        if not step.reserved and self._ticketed_workers(step, now):
             placements = self._place_with_tickets(step, self._candidates(step), now)
         if placements:
             return self._start(step, placements, now)
@@ -235,10 +237,17 @@
         self, step: StepRun, candidates: Sequence[Candidate], now: float
     ) -> list[Placement]:
         """Place a step on the workers for which it has valid tickets."""
-        at = now + TICKET_MARGIN_S
-        usable = [c for c in candidates if step.has_ticket(c.worker_id, at)]
+        ticketed = self._ticketed_workers(step, now)
+        if not ticketed:
+            return []
+        usable = [c for c in candidates if c.worker_id in ticketed]
         return self._place(step, usable) if usable else []
 
+    def _ticketed_workers(self, step: StepRun, now: float) -> set[str]:
+        """Return the workers for which a step has tickets that stay valid."""
+        at = now + TICKET_MARGIN_S
+        return {w for w, ticket in step.tickets.items() if at < ticket.valid_until}
+
     def _startable(self, step: StepRun) -> list[int]:
         """Return the tasks to start, except those of which an orphan may exist."""
         orphaned = self._orphaned_tasks
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -1,8 +1,11 @@
 """Checks the order of the queue and the choice of workers under load."""
 
+import functools
 import random
 from dataclasses import replace
 
+import pytest
+
 from flamingoway.model import Resources
 from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
 from flamingoway.queues.runs import Ticket
@@ -676,3 +679,31 @@
     bench.end(ended)
     bench.submit("s2", step(1, estimate_s=50), queue="sorts")
     assert bench.plan() == []
+
+
+@pytest.mark.parametrize("advised", [True, False])
+def test_a_step_without_valid_tickets_is_not_searched_for_ticketed_workers(advised):
+    """Guards against passes that look at each worker again for each waiting step."""
+    bench = Bench(4)
+    bench.submit("s1", step(64), queue="sorts")
+    bench.plan()
+    bench.submit("a1", step(4), queue="advised" if advised else "plans")
+    bench.plan()
+    for call in bench.advice_calls():
+        give_advice(bench, call)
+    bench.now += 2.1
+    bench.add_worker("w4", Resources(500, 64_000))
+    bench.plan()
+    searched = []
+    for name in ("_candidates", "_place_with_tickets"):
+        function = getattr(bench.planner, name)
+        search = functools.partial(_record, searched, name, function)
+        setattr(bench.planner, name, search)
+    bench.report("w4")
+    assert bench.plan() == []
+    assert searched == ([] if advised else ["_candidates"])
+
+
+def _record(calls, name, function, *args):
+    calls.append(name)
+    return function(*args)
