--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -55,6 +55,9 @@
 USELESS_FACTOR = 3.0
 # Interval at which the log tells why a step waits, for as long as it does.
 WAIT_LOG_S = 2.0
+# Most such lines in one pass. Each looks at all workers, and a backlog of hundreds of
+# steps would otherwise block the process for most of a second.
+MAX_WAIT_LINES_PER_PASS = 5
 
 
 class Planner:
@@ -75,10 +78,12 @@
         # The gang that reserved a worker and the first part of its rank, by worker id.
         self._reserved_by: dict[str, tuple[StepRun, int]] = {}
         self._orphaned_tasks: set[str] = set()
+        self._wait_lines_left = 0
 
     def run(self, now: float) -> int:
         """Order all starts that are possible now; return their number."""
         cluster = self._cluster
+        self._wait_lines_left = MAX_WAIT_LINES_PER_PASS
         self._drop_stale_reservations()
         self._orphaned_tasks = cluster.orphaned_tasks()
         started = self._start_reserved(now)
@@ -120,7 +125,9 @@
         if step.advice_pending:
             return self._plan_during_call(step, now)
         candidates = self._candidates(step)
-        placements = self._place_with_tickets(step, candidates, now)
+        placements: list[Placement] = []
+        if advised:
+            placements = self._place_with_tickets(step, candidates, now)
         if placements:
             # Tasks that are left have not been tried on the other workers.
             step.blocked = False
@@ -148,7 +155,7 @@
         # Resources freed meanwhile would not count as gained after the answer.
         step.blocked = False
         placements: list[Placement] = []
-        if not step.reserved and step.allowed_workers:
+        if not step.reserved and self._ticketed_workers(step, now):
             placements = self._place_with_tickets(step, self._candidates(step), now)
         if placements:
             return self._start(step, placements, now)
@@ -160,8 +167,9 @@
     def _log_wait(self, step: StepRun, why: str, now: float) -> None:
         """Log at intervals why a step waits, with the inputs of the decision."""
         since = max(step.due_at, step.wait_logged_at)
-        if now - since < WAIT_LOG_S:
+        if now - since < WAIT_LOG_S or not self._wait_lines_left:
             return
+        self._wait_lines_left -= 1
         step.wait_logged_at = now
         eligible = self._free.eligible(step)
         needs = allocated_resources(step.spec)
@@ -241,15 +249,17 @@
 
         Without those that rejected its orders: other workers may lack only a ticket.
         """
-        at = now + TICKET_MARGIN_S
-        usable = [
-            c
-            for c in candidates
-            if step.has_ticket(c.worker_id, at)
-            and c.worker_id not in step.rejecting_workers
-        ]
+        ticketed = self._ticketed_workers(step, now) - step.rejecting_workers
+        if not ticketed:
+            return []
+        usable = [c for c in candidates if c.worker_id in ticketed]
         return self._place(step, usable) if usable else []
 
+    def _ticketed_workers(self, step: StepRun, now: float) -> set[str]:
+        """Return the workers for which a step has tickets that stay valid."""
+        at = now + TICKET_MARGIN_S
+        return {w for w, ticket in step.tickets.items() if at < ticket.valid_until}
+
     def _startable(self, step: StepRun) -> list[int]:
         """Return the tasks to start, except those of which an orphan may exist."""
         orphaned = self._orphaned_tasks
