Ask about further workers although tickets are renewed all the time

Callers would see: a gang that waits on a queue whose tickets are valid for about a second or less, although workers that it may use are idle.

Cause: a step asks about workers not named before at most once a second, counted from its last call of any kind. A gang with reserved workers renews its tickets more often than that, so it never asked.

Evidence: test_a_gang_with_short_tickets_asks_about_workers_not_named_before failed before (the worker that joined was not named within 6 s) and passes now.

The second is now counted from the last call about workers not named before.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -343,7 +343,7 @@
         candidates = self._free.candidates
         if candidates.keys() <= step.asked_workers:
             return
-        if now - step.advice_asked_at < ASK_AGAIN_S:
+        if now - step.others_asked_at < ASK_AGAIN_S:
             return
         workers = [
             candidate.worker
@@ -351,7 +351,9 @@
             if worker_id not in step.asked_workers
             and step.may_run_on(candidate.worker.entry)
         ]
-        self._request_advice(step, workers, now)
+        if workers:
+            step.others_asked_at = now
+            self._request_advice(step, workers, now)
 
     def _renew_tickets(
         self, step: StepRun, candidates: Sequence[Candidate], now: float
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -803,3 +803,23 @@
         waiting.append([f["step"] for event, f in lines if event == "step waits"])
     assert [len(steps) for steps in waiting] == [5, 5, 5, 5]
     assert len({name for steps in waiting for name in steps}) == 20
+
+
+def test_a_gang_with_short_tickets_asks_about_workers_not_named_before():
+    """Guards against renewals that leave no time to ask about further workers."""
+    bench = Bench(4)
+    bench.submit("s1", step(64), queue="sorts")
+    bench.plan()
+    bench.submit("aa", step(2, cpu=16_000, gang=True, estimate_s=9.0), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    give_advice(bench, call, valid_s=1.0)
+    bench.add_worker("x1", Resources(500, 64_000))
+    named = set()
+    for _ in range(60):
+        bench.now += 0.1
+        bench.plan()
+        for call in bench.advice_calls():
+            named.update(call.workers)
+            give_advice(bench, call, valid_s=1.0)
+    assert "x1" in named
