Repeat a first call for advice for all workers if it had no answer

Callers would see: an urgent job that starts more than a second late after one lost call to the advice service.

After a call without an answer the step therefore asked only about the workers that it would use, which its queue's policy may not allow, and about the others a second later.

Evidence: test_a_first_call_for_advice_without_answer_is_repeated_for_all_workers failed before (only one of three workers was named) and passes now.

A call without an answer no longer counts for that time; the delay of failed calls holds.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -847,6 +847,7 @@
     def on_no_advice(self, step: StepRun, now: float) -> None:
         """Free a step's reservation after the advice service did not answer."""
         step.advice_pending = False
+        step.others_asked_at = float("-inf")
         step.release_reservation()
         step.advice_retry_s = min(
             ADVICE_RETRY_MAX_S, max(RESTART_DELAY_S, step.advice_retry_s * 2)
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -129,7 +129,7 @@
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
         wait_logged_at: Time at which the log last told why the step waits.
         advice_asked_at: Time of the last call to the advice service.
-        others_asked_at: Time of the last call about workers not named before.
+        others_asked_at: Time of the last answered call about workers not named before.
         advice_retry_s: Delay after the last call to the advice service; 0 unless it
             failed.
     """
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -823,3 +823,16 @@
             named.update(call.workers)
             give_advice(bench, call, valid_s=1.0)
     assert "x1" in named
+
+
+def test_a_first_call_for_advice_without_answer_is_repeated_for_all_workers():
+    """Guards against calls about the chosen workers only, which may not be allowed."""
+    bench = Bench(3)
+    bench.submit("a1", step(1), queue="advised")
+    bench.plan()
+    (call,) = bench.advice_calls()
+    bench.cluster.on_no_advice(call.step, bench.now)
+    bench.now += 0.11
+    bench.plan()
+    (call,) = bench.advice_calls()
+    assert set(call.workers) == {"w0", "w1", "w2"}
