Do not hold back tasks of a step whose orders all workers have rejected

While a task of a step ran, no other was placed on workers that had rejected an order of the step, even if there were no other workers. One task that every worker rejects so kept the rest of its step waiting.

The step waits for workers that accept its orders only if there are any.

The new test failed before: nothing was placed on the only worker.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -260,8 +260,8 @@
                 return []
             return place_gang(step, preferred) or place_gang(step, candidates)
         placed = place_tasks(step, indexes, preferred)
-        # A step that makes progress waits for workers that accept its orders.
-        if step.spec.lasting or not (placed or step.live):
+        # A step that makes progress waits for workers that accept its orders, if any.
+        if step.spec.lasting or not preferred or not (placed or step.live):
             others = [c for c in candidates if c.worker_id in rejecting]
             placed += place_tasks(step, indexes[len(placed) :], others)
         return placed
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -190,6 +190,17 @@
     assert (starts, rejected) == (40, 2)
 
 
+def test_a_task_that_all_workers_reject_does_not_hold_back_the_others_of_its_step():
+    bench = Bench(1)
+    bench.submit("a1", step(4, cpu=8000))
+    rejected, lasts = bench.plan()
+    bench.cluster.on_start_reply(lasts, StartReply.RUNNING, bench.now)
+    bench.cluster.on_start_reply(rejected, StartReply.INVALID, bench.now)
+    bench.now += 1
+    (other,) = bench.plan()
+    assert other.index not in (rejected.index, lasts.index)
+
+
 def test_a_valid_ticket_does_not_lead_back_to_a_worker_that_rejected_the_order():
     bench = Bench(2)
     bench.submit("a1", step(1), queue="advised")
