--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -280,8 +280,10 @@
             placed = place_gang(step, preferred)
             return placed or (place_gang(step, candidates) if rejecting else [])
         placed = place_tasks(step, indexes, preferred)
-        # A step that makes progress waits for workers that accept its orders.
-        if rejecting and (step.spec.lasting or not (placed or step.live)):
+        # A step that makes progress waits for workers that accept its orders, if any.
+        if rejecting and (
+            step.spec.lasting or not (preferred and (placed or step.live))
+        ):
             others = [c for c in candidates if c.worker_id in rejecting]
             placed += place_tasks(step, indexes[len(placed) :], others)
         return placed
