Do not keep a failed task waiting for busy workers beside idle ones

Callers would see: a job whose task failed on one worker waits for as long as tasks run on the others, beside the idle worker on which it failed, which is LOST by the users' rules after 3 s.

Cause: a failed task avoids the workers on which tasks of its step failed while any other worker could hold it once its tasks have ended, however long these run.

Evidence: test_a_failed_task_does_not_wait_for_busy_workers_beside_an_idle_one failed before (nothing placed) and passes now.

The task now returns to such a worker after 2 s if no other has room and less than 60% of the processors is in use. While the cluster is busy it waits as before, so that its attempts are not used up on one failing worker.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -629,6 +629,7 @@
     ) -> None:
         job = step.job
         step.failed_workers.add(worker.entry.worker_id)
+        step.failed_at = now
         if worker.health.note_failure(now):
             self._log.write(
                 "worker quarantined",
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -47,7 +47,12 @@
 ASK_AGAIN_S = 1.0
 # Largest fraction of the workers that all gangs together may reserve.
 MAX_RESERVED_SHARE = 0.5
-# Below this CPU utilization only the first gang reserves workers, so that other work
+# A failed task avoids the workers on which tasks of its step failed for this long, and
+# longer while most of the cluster is in use. By the users' rules, a job must not have
+# nothing running for 3 s beside free capacity.
+AVOID_FAILURES_S = 2.0
+# Below this CPU utilization most of the cluster is free: only the first gang reserves
+# workers, and failed tasks soon return to workers on which they failed, so that work
 # does not wait for idle resources.
 MIN_USED_SHARE = 0.6
 # By the users' rules, a job that takes more than this many times its objective is of
@@ -124,7 +129,7 @@
             self._ask_about_others(step, now)
         if step.advice_pending:
             return self._plan_during_call(step, now)
-        candidates = self._candidates(step)
+        candidates = self._candidates(step, now)
         placements: list[Placement] = []
         if advised:
             placements = self._place_with_tickets(step, candidates, now)
@@ -156,7 +161,9 @@
         step.blocked = False
         placements: list[Placement] = []
         if not step.reserved and self._ticketed_workers(step, now):
-            placements = self._place_with_tickets(step, self._candidates(step), now)
+            placements = self._place_with_tickets(
+                step, self._candidates(step, now), now
+            )
         if placements:
             return self._start(step, placements, now)
         if step.id in self._gang_reservations:
@@ -195,7 +202,7 @@
 
     # Placement
 
-    def _candidates(self, step: StepRun) -> list[Candidate]:
+    def _candidates(self, step: StepRun, now: float) -> list[Candidate]:
         """Return the workers that may have resources for a step now."""
         grown = self._free.grown
         if (
@@ -205,29 +212,35 @@
             and grown.isdisjoint(step.allowed_workers)
         ):
             return []
-        candidates = self._unreserved(step, self._without_failures(step))
+        candidates = self._unreserved(step, self._without_failures(step, now))
         if not step.blocked:
             return candidates
         if step.spec.gang:
             return candidates if any(c.worker_id in grown for c in candidates) else []
         return [c for c in candidates if c.worker_id in grown]
 
-    def _without_failures(self, step: StepRun) -> list[Candidate]:
+    def _without_failures(self, step: StepRun, now: float) -> list[Candidate]:
         """Return the workers on which no task of a step failed.
 
-        All if none of those can get room for a task. Gangs and steps with lasting
-        tasks, which are to run at any time, are not restricted.
+        All if none of those can get room for a task, or if most of the cluster is free
+        but none of those has had room for ``AVOID_FAILURES_S``. Gangs and steps with
+        lasting tasks, which are to run at any time, are not restricted.
         """
         candidates = self._free.eligible(step)
         if not step.failed_workers or step.spec.gang or step.spec.lasting:
             return candidates
         others = [c for c in candidates if c.worker_id not in step.failed_workers]
-        fits_later = any(slots_beside_lasting(step, c) for c in others)
-        if step.avoids_failures and not fits_later:
+        waited = now - step.failed_at >= AVOID_FAILURES_S
+        if waited and self._free.used_share < MIN_USED_SHARE:
+            needs = allocated_resources(step.spec)
+            avoids = any(c.slots(needs) for c in others)
+        else:
+            avoids = any(slots_beside_lasting(step, c) for c in others)
+        if step.avoids_failures and not avoids:
             # The workers on which tasks failed have not been tried before.
             step.blocked = False
-        step.avoids_failures = fits_later
-        return others if fits_later else candidates
+        step.avoids_failures = avoids
+        return others if avoids else candidates
 
     def _unreserved(
         self, step: StepRun, candidates: Iterable[Candidate]
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -119,6 +119,7 @@
             renewed.
         unasked: Workers of the reservation that no call for renewal has named yet.
         failed_workers: Ids of the workers on which tasks of this step failed.
+        failed_at: Time of the last failure of a task.
         avoids_failures: Whether the planner's last pass excluded these workers.
         rejecting_workers: Ids of the workers that rejected an order of this step as
             invalid; others are preferred.
@@ -155,6 +156,7 @@
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     unasked: list["WorkerState"] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
+    failed_at: float = float("-inf")
     avoids_failures: bool = False
     rejecting_workers: set[str] = field(default_factory=set)
     rejected_at: float = float("-inf")
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -836,3 +836,17 @@
     bench.plan()
     (call,) = bench.advice_calls()
     assert set(call.workers) == {"w0", "w1", "w2"}
+
+
+def test_a_failed_task_does_not_wait_for_busy_workers_beside_an_idle_one():
+    """Guards against a job that waits for minutes although a worker is free."""
+    bench = Bench(1, Resources(1000, 64_000))
+    bench.submit("b2", step(1, estimate_s=60.0))
+    bench.plan()
+    bench.add_worker("w9")
+    bench.submit("a1", step(1))
+    (first,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert bench.plan() == []
+    bench.now += 2.1
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
