Forget the rejections of a worker when it restarts

Callers would see: a job that runs one task after the other beside an idle worker, which rejected one order of the job before it restarted.

Evidence: test_a_rejection_does_not_count_after_a_restart_of_the_worker failed before (no task was started 3 s after the restart) and passes now.

The rejections are now forgotten together with the advice about the incarnation.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -328,7 +328,7 @@
         """Remove a worker that can no longer run anything."""
         self._workers.pop(worker.entry.worker_id, None)
         self._unsettled.pop(worker.entry.worker_id, None)
-        self._forget_advice(worker.entry.worker_id)
+        self._forget_incarnation(worker.entry.worker_id)
 
     def all_runs_expired(self, worker: WorkerState, now: float) -> bool:
         """Return whether no run can exist on a worker that does not answer."""
@@ -385,7 +385,7 @@
         worker.orphans.clear()
         for run in reported:
             self._release_run(run, now)
-        self._forget_advice(entry.worker_id)
+        self._forget_incarnation(entry.worker_id)
         worker.entry = entry
         worker.health = WorkerHealth()
         worker.processed = worker.acknowledged = 0
@@ -832,12 +832,13 @@
             step.tickets[worker_id] = Ticket(advice.tickets[worker_id], until)
         step.blocked = False
 
-    def _forget_advice(self, worker_id: str) -> None:
-        """Forget all advice about a worker, which holds for one incarnation."""
+    def _forget_incarnation(self, worker_id: str) -> None:
+        """Forget all advice about a worker's incarnation and its rejections."""
         for job in self._jobs.values():
-            if job.queue.advice is None:
-                continue
             for step in job.steps.values():
+                step.rejecting_workers.discard(worker_id)
+                if job.queue.advice is None:
+                    continue
                 if step.advice_pending:
                     step.restarted_workers.add(worker_id)
                 step.asked_workers.discard(worker_id)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -850,3 +850,18 @@
     assert bench.plan() == []
     bench.now += 2.1
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_a_rejection_does_not_count_after_a_restart_of_the_worker():
+    """Guards against a task that avoids an idle worker of another incarnation."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, cpu=9000))
+    rejected, other = bench.plan()
+    bench.cluster.on_start_reply(rejected, StartReply.INVALID, bench.now)
+    bench.cluster.on_start_reply(other, StartReply.RUNNING, bench.now)
+    bench.now += 0.2
+    assert bench.plan() == []
+    bench.restart(rejected.worker.entry.worker_id)
+    bench.report(rejected.worker.entry.worker_id)
+    bench.now += 3.0
+    assert [run.task_id for run in bench.plan()] == [rejected.task_id]
