Return a failed task to its worker if all others reject its orders

Callers would see: a job that does not end although a worker that would run it is idle.

Cause: a task that failed avoids the workers on which its step failed while any other worker can get room for it. A worker that had rejected the step's orders counted as such. If it was the only other one, each order went there, and the task never returned to the worker that accepts it.

Evidence: test_a_failed_task_does_not_wait_for_workers_that_reject_its_orders failed before (all orders of 10 s went to the worker that rejects them) and passes now.

Workers that rejected the step's orders no longer keep a failed task from the others.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -223,19 +223,21 @@
         """Return the workers on which no task of a step failed.
 
         All if none of those can get room for a task, or if most of the cluster is free
-        but none of those has had room for ``AVOID_FAILURES_S``. Gangs and steps with
-        lasting tasks, which are to run at any time, are not restricted.
+        but none of those has had room for ``AVOID_FAILURES_S``. Workers that rejected
+        the step's orders are not counted. Gangs and steps with lasting tasks, which
+        are to run at any time, are not restricted.
         """
         candidates = self._free.eligible(step)
         if not step.failed_workers or step.spec.gang or step.spec.lasting:
             return candidates
         others = [c for c in candidates if c.worker_id not in step.failed_workers]
+        accepting = [c for c in others if c.worker_id not in step.rejecting_workers]
         waited = now - step.failed_at >= AVOID_FAILURES_S
         if waited and self._free.used_share < MIN_USED_SHARE:
             needs = allocated_resources(step.spec)
-            avoids = any(c.slots(needs) for c in others)
+            avoids = any(c.slots(needs) for c in accepting)
         else:
-            avoids = any(slots_beside_lasting(step, c) for c in others)
+            avoids = any(slots_beside_lasting(step, c) for c in accepting)
         if step.avoids_failures and not avoids:
             # The workers on which tasks failed have not been tried before.
             step.blocked = False
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -865,3 +865,20 @@
     bench.report(rejected.worker.entry.worker_id)
     bench.now += 3.0
     assert [run.task_id for run in bench.plan()] == [rejected.task_id]
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_reject_its_orders():
+    """Guards against a task that never returns to the only worker that accepts it."""
+    bench = Bench(2)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    accepting = run.worker
+    bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+    bench.end(run, EndKind.FAILED)
+    for _ in range(100):
+        bench.now += 0.1
+        for run in bench.plan():
+            if run.worker is accepting:
+                return
+            bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
+    raise AssertionError("the failed task was not started again")
