Do not keep a failed task waiting for room that it cannot use

Callers would see: a job whose failed task waits for minutes beside an idle worker, until a gang has started or another task of its step has ended.

Workers that a gang has reserved counted as room, and so did those that run as many tasks of the step as its limit per worker allows; the placement uses neither.

Evidence: test_a_failed_task_does_not_wait_for_workers_that_a_gang_reserved and test_a_failed_task_does_not_wait_for_workers_that_run_its_step failed before (not started within 3 s) and pass now.

Room is now counted as the placement counts it.

--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -159,20 +159,20 @@
     step: StepRun, indexes: Sequence[int], candidates: Iterable[Candidate]
 ) -> list[Placement]:
     """Place as many tasks as fit, on the fullest workers first."""
-    return _pack(step, indexes, _available_slots(step, candidates), step.spec.data_rack)
+    return _pack(step, indexes, available_slots(step, candidates), step.spec.data_rack)
 
 
 def place_gang(step: StepRun, candidates: Iterable[Candidate]) -> list[Placement]:
     """Place all tasks of a gang, or none."""
     count = step.spec.count
-    available = _available_slots(step, candidates)
+    available = available_slots(step, candidates)
     if sum(slots for slots, _ in available) < count:
         return []
     rack = _gang_rack(step, available)
     return _pack(step, range(count), available, rack)
 
 
-def _available_slots(
+def available_slots(
     step: StepRun, candidates: Iterable[Candidate]
 ) -> list[tuple[int, Candidate]]:
     """Return the workers on which tasks of a step fit, with the number of tasks."""
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -30,6 +30,7 @@
     FreeCapacity,
     Placement,
     allocated_resources,
+    available_slots,
     choose_gang_workers,
     place_gang,
     place_tasks,
@@ -234,8 +235,7 @@
         accepting = [c for c in others if c.worker_id not in step.rejecting_workers]
         waited = now - step.failed_at >= AVOID_FAILURES_S
         if waited and self._free.used_share < MIN_USED_SHARE:
-            needs = allocated_resources(step.spec)
-            avoids = any(c.slots(needs) for c in accepting)
+            avoids = bool(available_slots(step, self._unreserved(step, accepting)))
         else:
             avoids = any(slots_beside_lasting(step, c) for c in accepting)
         if step.avoids_failures and not avoids:
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -882,3 +882,35 @@
                 return
             bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
     raise AssertionError("the failed task was not started again")
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_a_gang_reserved():
+    """Guards against a job that waits for a gang's start although a worker is free."""
+    bench = Bench(1)
+    bench.submit("b2", step(1, cpu=1000, estimate_s=60.0))
+    (busy,) = bench.plan()
+    assert busy.worker.entry.worker_id == "w0"
+    bench.submit("aa", step(1, cpu=16_000, gang=True))
+    bench.add_worker("w9", Resources(1000, 64_000))
+    bench.submit("a1", step(1, cpu=1000), queue="sorts")
+    (first,) = bench.plan()
+    assert first.worker.entry.worker_id == "w9"
+    bench.end(first, EndKind.FAILED)
+    for _ in range(30):
+        bench.now += 0.1
+        if [run.task_id for run in bench.plan()] == ["a1.0.0.0"]:
+            return
+    raise AssertionError("the failed task was not started again")
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_run_its_step():
+    """Guards against an idle worker next to a limit on the tasks of each worker."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, per_worker=1, estimate_s=60.0))
+    first, _ = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    for _ in range(30):
+        bench.now += 0.1
+        if [run.task_id for run in bench.plan()] == [first.task_id]:
+            return
+    raise AssertionError("the failed task was not started again")
