Do not reserve a worker for a gang whose orders it rejected

Callers would see: a gang that never starts while one worker rejects its orders and the others are busy.

Cause: a gang that does not fit reserves the workers with the most room, also those that rejected its orders. Other steps then use the workers that accept them, the gang is started on the reserved worker, is rejected, and reserves it again.

Evidence: test_a_gang_does_not_reserve_a_worker_that_rejected_its_orders_beside_others failed before (other work took the room freed on the accepting worker) and passes now.

The reservation names workers that have not rejected the gang's orders if it fits there.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -315,10 +315,16 @@
             self._reserved_by
         )
         kept = self._gang_reservations.pop(step.id, ())
+        rejecting = step.rejecting_workers
         chosen = self._still_available(step, kept)
-        if not chosen and limit > 0:
+        if limit > 0 and (not chosen or any(c.worker_id in rejecting for c in chosen)):
             candidates = self._unreserved(step, self._free.eligible(step))
-            chosen = choose_gang_workers(step, candidates, limit)
+            accepting = [c for c in candidates if c.worker_id not in rejecting]
+            chosen = (
+                choose_gang_workers(step, accepting, limit)
+                or chosen
+                or choose_gang_workers(step, candidates, limit)
+            )
         if not chosen or len(chosen) > limit:
             return
         self._gang_reservations[step.id] = chosen
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -914,3 +914,20 @@
         if [run.task_id for run in bench.plan()] == [first.task_id]:
             return
     raise AssertionError("the failed task was not started again")
+
+
+def test_a_gang_does_not_reserve_a_worker_that_rejected_its_orders_beside_others():
+    """Guards against a gang that waits again and again for a worker that rejects it."""
+    bench = Bench(2)
+    bench.submit("s1", step(16), queue="sorts")
+    running = bench.plan()
+    bench.submit("aa", step(1, cpu=16_000, gang=True, estimate_s=5.0))
+    (rejected,) = bench.plan()
+    bench.cluster.on_start_reply(rejected, StartReply.INVALID, bench.now)
+    bench.submit("s2", step(1), queue="sorts")
+    assert [run.worker for run in bench.plan()] == [rejected.worker]
+    bench.now += 0.2
+    assert bench.plan() == []
+    bench.end(running[0])
+    bench.submit("s3", step(1), queue="sorts")
+    assert [run.worker for run in bench.plan()] == [rejected.worker]
