--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -850,3 +850,84 @@
     assert bench.plan() == []
     bench.now += 2.1
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
+def test_a_rejection_does_not_count_after_a_restart_of_the_worker():
+    """Guards against a task that avoids an idle worker of another incarnation."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, cpu=9000))
+    rejected, other = bench.plan()
+    bench.cluster.on_start_reply(rejected, StartReply.INVALID, bench.now)
+    bench.cluster.on_start_reply(other, StartReply.RUNNING, bench.now)
+    bench.now += 0.2
+    assert bench.plan() == []
+    bench.restart(rejected.worker.entry.worker_id)
+    bench.report(rejected.worker.entry.worker_id)
+    bench.now += 3.0
+    assert [run.task_id for run in bench.plan()] == [rejected.task_id]
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_reject_its_orders():
+    """Guards against a task that never returns to the only worker that accepts it."""
+    bench = Bench(2)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    accepting = run.worker
+    bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+    bench.end(run, EndKind.FAILED)
+    for _ in range(100):
+        bench.now += 0.1
+        for run in bench.plan():
+            if run.worker is accepting:
+                return
+            bench.cluster.on_start_reply(run, StartReply.INVALID, bench.now)
+    raise AssertionError("the failed task was not started again")
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_a_gang_reserved():
+    """Guards against a job that waits for a gang's start although a worker is free."""
+    bench = Bench(1)
+    bench.submit("b2", step(1, cpu=1000, estimate_s=60.0))
+    (busy,) = bench.plan()
+    assert busy.worker.entry.worker_id == "w0"
+    bench.submit("aa", step(1, cpu=16_000, gang=True))
+    bench.add_worker("w9", Resources(1000, 64_000))
+    bench.submit("a1", step(1, cpu=1000), queue="sorts")
+    (first,) = bench.plan()
+    assert first.worker.entry.worker_id == "w9"
+    bench.end(first, EndKind.FAILED)
+    for _ in range(30):
+        bench.now += 0.1
+        if [run.task_id for run in bench.plan()] == ["a1.0.0.0"]:
+            return
+    raise AssertionError("the failed task was not started again")
+
+
+def test_a_failed_task_does_not_wait_for_workers_that_run_its_step():
+    """Guards against an idle worker next to a limit on the tasks of each worker."""
+    bench = Bench(2)
+    bench.submit("a1", step(2, per_worker=1, estimate_s=60.0))
+    first, _ = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    for _ in range(30):
+        bench.now += 0.1
+        if [run.task_id for run in bench.plan()] == [first.task_id]:
+            return
+    raise AssertionError("the failed task was not started again")
+
+
+def test_a_gang_does_not_reserve_a_worker_that_rejected_its_orders_beside_others():
+    """Guards against a gang that waits again and again for a worker that rejects it."""
+    bench = Bench(2)
+    bench.submit("s1", step(16), queue="sorts")
+    running = bench.plan()
+    bench.submit("aa", step(1, cpu=16_000, gang=True, estimate_s=5.0))
+    (rejected,) = bench.plan()
+    bench.cluster.on_start_reply(rejected, StartReply.INVALID, bench.now)
+    bench.submit("s2", step(1), queue="sorts")
+    assert [run.worker for run in bench.plan()] == [rejected.worker]
+    bench.now += 0.2
+    assert bench.plan() == []
+    bench.end(running[0])
+    bench.submit("s3", step(1), queue="sorts")
+    assert [run.worker for run in bench.plan()] == [rejected.worker]
