Separate the choice of workers to reserve, and name what the review stumbled over

The choice of the workers that a gang reserves becomes a method of its own, which looks for others only if a reserved one rejected the gang's orders: the merged version chose twice for each gang that fits nowhere. Names and comments follow the reviewer's proposals. Behaviour is the same; the tests of planning, cluster, advice, adapter, preemption and scheduler pass.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -21,8 +21,8 @@
 RESERVATION_DELAY_S = 10.0
 # Delay before the next plan for a gang after one that found too little capacity.
 REPLAN_DELAY_S = 5.0
-# Time for which a gang may keep capacity unused while most of the shard is idle, at
-# first and at most. Other work may use it for as long afterwards.
+# Time for which a gang may keep capacity unused while most of the resources that it
+# needs are idle, at first and at most. Other work may use it for as long afterwards.
 FIRST_HOLD_S = 30.0
 MAX_HOLD_S = 600.0
 BUSY_SHARE = 0.5
@@ -36,7 +36,8 @@
         shape: Amount that one task takes.
         tasks: Number of tasks by worker id.
         avoid: Workers that receive none of the tasks.
-        hold_until: Monotonic time from which it ends if most of the shard is idle.
+        hold_until: Monotonic time from which it ends if most of the resources that the
+            gang needs are idle.
     """
 
     job_id: str
--- a/flamingoway/core/placement.py
+++ b/flamingoway/core/placement.py
@@ -36,7 +36,7 @@
         self._state = state
         self._gangs = GangReserver(state)
         self._preemptor = Preemptor(state)
-        # Monotonic time at which an entry was first put off to avoid workers.
+        # Monotonic time at which an entry was first delayed to avoid workers.
         self._avoiding_since: dict[str, float] = {}
         self._has_more = False
 
@@ -170,7 +170,8 @@
         Returns:
             Worker ids; ``None`` without room; or an empty list to try later, if only
             workers on which a task failed have room and others could hold the tasks.
-            The latter is returned for ``AVOID_S_PER_FAILURE`` times their failures.
+            An empty list is returned for at most ``AVOID_S_PER_FAILURE`` times their
+            failures.
         """
         index = self._state.index
         policy = policies.get(lane.group.policy)
--- a/flamingoway/core/preemption.py
+++ b/flamingoway/core/preemption.py
@@ -79,7 +79,8 @@
     def make_room(self, lane: Lane) -> None:
         """Preempt for the first tasks of an urgent lane whose shape fits nowhere.
 
-        Workers on which a task failed are preempted on only if no other one can be.
+        Tasks are stopped on a worker where the urgent task failed only if no other
+        worker qualifies.
         """
         need = lane.group.shape
         pending = sum(c.member == lane.member for c in self._claims.values())
--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -12,7 +12,7 @@
 ORDER_TIMEOUT_S = 0.6
 # Time added to the duration of a long poll for its timeout.
 POLL_TIMEOUT_MARGIN_S = 0.4
-# Each unknown reason is logged once; texts that differ each time end at this number.
+# Limit on the unknown reasons that are logged, each once, in case the text varies.
 MAX_LOGGED_REASONS = 20
 
 REPLIES_BY_REASON = {
@@ -64,7 +64,7 @@
         except ResponseLost:
             return StartReply.UNKNOWN
         if status == 409:
-            return self._refusal(worker, data) or StartReply.INVALID
+            return self._parse_refusal(worker, data) or StartReply.INVALID
         return REPLIES_BY_STATUS.get(status, StartReply.UNKNOWN)
 
     async def stop(
@@ -114,14 +114,14 @@
         if status != 200:
             reply = REPLIES_BY_STATUS.get(status)
             if status == 409:
-                reply = self._refusal(worker, data)
+                reply = self._parse_refusal(worker, data)
             raise PollRefused(reply or StartReply.UNKNOWN)
         try:
             return wire.to_report(data)
         except BadRequest as exc:
             raise NoReply(exc.message) from None
 
-    def _refusal(self, worker: WorkerEntry, data: bytes) -> StartReply | None:
+    def _parse_refusal(self, worker: WorkerEntry, data: bytes) -> StartReply | None:
         """Return the reply for the body of status 409, ``None`` for unknown reasons."""
         try:
             reason = wire.parse(wire.OrderAnswerBody, data).reason
--- a/flamingoway/queues/advice.py
+++ b/flamingoway/queues/advice.py
@@ -115,7 +115,7 @@
             self._busy[name] = entry[2]
             task = asyncio.create_task(self._call(name, entry[2]))
             self._tasks.add(task)
-            task.add_done_callback(partial(self._resolve, name, entry[2], now))
+            task.add_done_callback(partial(self._on_call_done, name, entry[2], now))
         for entry in postponed:
             heapq.heappush(self._queue, entry)
 
@@ -124,7 +124,7 @@
         names = [self._name, *sorted(set(self._processes()) - {self._name})]
         return [n for n in names if self._paused_until.get(n, 0.0) <= now] or names
 
-    def _resolve(
+    def _on_call_done(
         self, name: str, call: AdviceCall, sent_at: float, task: asyncio.Task
     ) -> None:
         """Report the result of a call, in whichever way its task ended."""
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -48,7 +48,7 @@
 ASK_AGAIN_S = 1.0
 # Largest fraction of the workers that all gangs together may reserve.
 MAX_RESERVED_SHARE = 0.5
-# A failed task avoids the workers on which tasks of its step failed for this long, and
+# For this long, a failed task avoids the workers on which tasks of its step failed; for
 # longer while most of the cluster is in use. By the users' rules, a job must not have
 # nothing running for 3 s beside free capacity.
 AVOID_FAILURES_S = 2.0
@@ -221,7 +221,7 @@
         return [c for c in candidates if c.worker_id in grown]
 
     def _without_failures(self, step: StepRun, now: float) -> list[Candidate]:
-        """Return the workers on which no task of a step failed.
+        """Return the workers on which no task of a step failed, and note the exclusion.
 
         All if none of those can get room for a task, or if most of the cluster is free
         but none of those has had room for ``AVOID_FAILURES_S``. Workers that rejected
@@ -314,17 +314,7 @@
         limit = int(MAX_RESERVED_SHARE * len(self._cluster.workers)) - len(
             self._reserved_by
         )
-        kept = self._gang_reservations.pop(step.id, ())
-        rejecting = step.rejecting_workers
-        chosen = self._still_available(step, kept)
-        if limit > 0 and (not chosen or any(c.worker_id in rejecting for c in chosen)):
-            candidates = self._unreserved(step, self._free.eligible(step))
-            accepting = [c for c in candidates if c.worker_id not in rejecting]
-            chosen = (
-                choose_gang_workers(step, accepting, limit)
-                or chosen
-                or choose_gang_workers(step, candidates, limit)
-            )
+        chosen = self._workers_to_reserve(step, limit)
         if not chosen or len(chosen) > limit:
             return
         self._gang_reservations[step.id] = chosen
@@ -335,6 +325,24 @@
         if step.job.queue.advice is not None and may_ask:
             self._renew_tickets(step, chosen, now)
 
+    def _workers_to_reserve(self, step: StepRun, limit: int) -> list[Candidate]:
+        """Return the workers to reserve for a gang, if possible the same as before.
+
+        Workers that rejected the gang's orders are reserved only if it does not fit on
+        others.
+        """
+        kept = self._gang_reservations.pop(step.id, ())
+        chosen = self._still_available(step, kept)
+        rejecting = step.rejecting_workers
+        if limit <= 0 or (chosen and not _includes_any(chosen, rejecting)):
+            return chosen
+        candidates = self._unreserved(step, self._free.eligible(step))
+        chosen = chosen or choose_gang_workers(step, candidates, limit)
+        if not _includes_any(chosen, rejecting):
+            return chosen
+        accepting = [c for c in candidates if c.worker_id not in rejecting]
+        return choose_gang_workers(step, accepting, limit) or chosen
+
     def _drop_stale_reservations(self) -> None:
         """Drop the reservations of gangs that are no longer waiting."""
         for step_id in self._gang_reservations.keys() - self._cluster.waiting.keys():
@@ -396,13 +404,13 @@
         for _, worker in placements:
             worker.used = worker.used + amount
             worker.reserved_tasks += 1
-        step.unasked = list({id(w): w for _, w in placements}.values())
+        step.unasked_workers = list({id(w): w for _, w in placements}.values())
         self._ask_about_reserved(step, now)
 
     def _ask_about_reserved(self, step: StepRun, now: float) -> None:
         """Renew the tickets of reserved workers that no call has named yet."""
-        workers = step.unasked[:MAX_ADVISED_WORKERS]
-        del step.unasked[:MAX_ADVISED_WORKERS]
+        workers = step.unasked_workers[:MAX_ADVISED_WORKERS]
+        del step.unasked_workers[:MAX_ADVISED_WORKERS]
         self._request_advice(step, workers, now)
 
     def _request_advice(
@@ -435,7 +443,7 @@
         ]
         started = 0
         for step in sorted(answered, key=lambda s: self.rank(s, now)):
-            if step.spec.gang and step.unasked:
+            if step.spec.gang and step.unasked_workers:
                 self._ask_about_reserved(step, now)
                 continue
             reserved = [(index, worker) for index, worker, _ in step.reserved]
@@ -496,6 +504,10 @@
         return len(placements)
 
 
+def _includes_any(candidates: Iterable[Candidate], worker_ids: set[str]) -> bool:
+    return not worker_ids.isdisjoint(c.worker_id for c in candidates)
+
+
 def _ticket_left_s(step: StepRun, now: float) -> float | None:
     """Return how long the newest ticket of a step is valid, ``None`` without one."""
     until = max((t.valid_until for t in step.tickets.values()), default=None)
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -113,11 +113,11 @@
         advice_pending: Whether a call to the advice service is in flight.
         asked_workers: Ids of all workers named in calls to the advice service.
         restarted_workers: Ids of the workers that restarted or were removed during the
-            call in flight, whose answer does not hold for them.
+            call in flight; its answer is ignored for these.
         retry_at: Time before which no task is started.
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
-        unasked: Workers of the reservation that no call for renewal has named yet.
+        unasked_workers: Workers of the reservation that no call for renewal has named.
         failed_workers: Ids of the workers on which tasks of this step failed.
         failed_at: Time of the last failure of a task.
         avoids_failures: Whether the planner's last pass excluded these workers.
@@ -130,7 +130,8 @@
         slots_when_empty: Number of tasks that fit on an empty worker, by its capacity.
         wait_logged_at: Time at which the log last told why the step waits.
         advice_asked_at: Time of the last call to the advice service.
-        others_asked_at: Time of the last answered call about workers not named before.
+        others_asked_at: Time of the last call about workers not named before, unless it
+            failed.
         advice_retry_s: Delay after the last call to the advice service; 0 unless it
             failed.
     """
@@ -154,7 +155,7 @@
     restarted_workers: set[str] = field(default_factory=set)
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
-    unasked: list["WorkerState"] = field(default_factory=list)
+    unasked_workers: list["WorkerState"] = field(default_factory=list)
     failed_workers: set[str] = field(default_factory=set)
     failed_at: float = float("-inf")
     avoids_failures: bool = False
@@ -211,7 +212,7 @@
             worker.used = worker.used - amount
             worker.reserved_tasks -= 1
         self.reserved.clear()
-        self.unasked.clear()
+        self.unasked_workers.clear()
 
     def progress(self) -> StepProgress:
         """Return the progress of the step to store."""
