Do not hold back all inherited jobs for a worker that was lost before a takeover

What callers saw: after a planned restart of the leader, jobs had nothing running for 10 s beside idle workers.

Cause: a new leader does not know which tasks run on a worker that does not answer. It held back all inherited work until the leases on each such worker must have expired, which takes 10 s there after a planned stop, and 15 s if the old leader was killed.

Change: the leader records the tasks of a worker that has been silent for 0.3 s with the worker, and starts nothing there until a later write has removed them. A successor holds back just these tasks. A worker lost less than 0.3 s before its leader is killed still holds back all inherited work.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -34,6 +34,7 @@
     MAX_ORDER_DELAY_S,
     MIN_CLOCK_RATE,
     TOKENS_PER_EPOCH,
+    InheritedRuns,
     OpenJob,
     Order,
     PollNow,
@@ -73,6 +74,9 @@
 # Progress of a task that has nothing left to do. A task of a gang shows it while the
 # tasks on slower workers still work.
 COMPLETE_PERCENT = 100.0
+# A worker that has not answered for this long is recorded with its tasks, so that a
+# lease that is renewed late does not cause a write.
+SILENT_S = 0.3
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
@@ -102,7 +106,7 @@
         self._desired: DesiredState | None = None
         self._jobs: dict[str, OpenJob] = {}
         self._workers: dict[str, WorkerState] = {}
-        self._unsettled: dict[str, float] = {}
+        self._unsettled: dict[str, InheritedRuns] = {}
         self._waiting: dict[str, StepRun] = {}
         self._scheduled: dict[str, OpenJob] = {}
 
@@ -127,10 +131,15 @@
         return self._waiting
 
     @property
-    def unsettled(self) -> dict[str, float]:
-        """Workers that may still run tasks of a former leader, and until when."""
+    def unsettled(self) -> dict[str, InheritedRuns]:
+        """Runs of a former leader that may still exist, by worker id."""
         return self._unsettled
 
+    @property
+    def may_have_unknown_runs(self) -> bool:
+        """Whether any inherited task may be running on a worker that is unsettled."""
+        return any(runs.tasks is None for runs in self._unsettled.values())
+
     def take_orders(self) -> list[Order]:
         """Return the orders decided since the last call."""
         orders, self.orders = self.orders, []
@@ -288,17 +297,20 @@
 
     # Workers
 
-    def restore_worker(self, entry: WorkerEntry, until: float) -> None:
+    def restore_worker(
+        self, entry: WorkerEntry, until: float, tasks: frozenset[str] | None = None
+    ) -> None:
         """Add a worker on which runs of a former leader may exist.
 
         Args:
             entry: The worker as recorded in the store.
             until: Time by which all such runs have ended.
+            tasks: Ids of the only tasks that may run there, if they are known.
         """
         worker = self._worker(entry)
         worker.recorded = True
         worker.listed = False
-        self._unsettled[entry.worker_id] = until
+        self._unsettled[entry.worker_id] = InheritedRuns(until, tasks)
 
     def set_worker(self, entry: WorkerEntry, now: float) -> WorkerState:
         """Add a worker or update it from its registry entry."""
@@ -332,9 +344,9 @@
 
     def all_runs_expired(self, worker: WorkerState, now: float) -> bool:
         """Return whether no run can exist on a worker that does not answer."""
-        until = self._unsettled.get(worker.entry.worker_id)
-        if until is not None:
-            return now >= until
+        inherited = self._unsettled.get(worker.entry.worker_id)
+        if inherited is not None:
+            return now >= inherited.until
         # An unanswered start order counts as a run.
         return not worker.runs or now >= worker.leases_expire_at()
 
@@ -858,13 +870,37 @@
 
     # Look-ups
 
-    def orphaned_tasks(self) -> set[str]:
-        """Return the tasks with orphaned runs that are being stopped."""
-        return {
+    def untracked_tasks(self) -> set[str]:
+        """Return the tasks that may be running although no run of them is tracked.
+
+        Their runs are orphans that are being stopped, or runs of a former leader on a
+        worker that has not answered.
+        """
+        tasks = {
             task_id
             for worker in self._workers.values()
             for task_id, _ in worker.orphans
         }
+        return tasks.union(*(runs.tasks or () for runs in self._unsettled.values()))
+
+    def tasks_to_record(self, worker: WorkerState, now: float) -> frozenset[str] | None:
+        """Return the ids of the only tasks that may run on a worker that is silent.
+
+        A successor of this leader then need not hold back all others until the worker
+        answers or its leases have expired.
+
+        Returns:
+            ``None`` if the worker answers, or if the tasks are not known.
+        """
+        inherited = self._unsettled.get(worker.entry.worker_id)
+        if inherited is not None:
+            return inherited.tasks
+        silent = now - worker.last_answer_at >= SILENT_S
+        never_answered = worker.last_answer_at == float("-inf")
+        # An ended run whose end is not stored is not tracked any more.
+        if worker.settled or never_answered or not silent or worker.unstored:
+            return None
+        return frozenset(task_id for task_id, _ in (*worker.runs, *worker.orphans))
 
     def _find_task(self, task_id: str) -> tuple[StepRun, int] | None:
         """Return the step and the index of a task of an open job."""
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -83,7 +83,7 @@
         self._gang_reservations: dict[str, list[Candidate]] = {}
         # The gang that reserved a worker and the first part of its rank, by worker id.
         self._reserved_by: dict[str, tuple[StepRun, int]] = {}
-        self._orphaned_tasks: set[str] = set()
+        self._untracked_tasks: set[str] = set()
         self._wait_lines_left = 0
 
     def run(self, now: float) -> int:
@@ -91,13 +91,14 @@
         cluster = self._cluster
         self._wait_lines_left = MAX_WAIT_LINES_PER_PASS
         self._drop_stale_reservations()
-        self._orphaned_tasks = cluster.orphaned_tasks()
+        self._untracked_tasks = cluster.untracked_tasks()
+        takeover_unfinished = cluster.may_have_unknown_runs
         started = self._start_reserved(now)
         free = self._free = FreeCapacity(cluster.workers.values(), self._snapshots, now)
         reserved_before, self._reserved_by = self._reserved_by, {}
         steps = sorted(cluster.waiting.values(), key=lambda s: self.rank(s, now))
         for step in steps:
-            if step.retry_at > now or (step.job.inherited and cluster.unsettled):
+            if step.retry_at > now or (step.job.inherited and takeover_unfinished):
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
@@ -140,9 +141,10 @@
             return self._start(step, placements, now)
         if candidates:
             placements = self._place(step, candidates)
-        # Workers that reject the step's orders are tried even if they gain nothing.
+        # Workers that reject the step's orders are tried even if they gain nothing, and
+        # so are all once an untracked run of the step has ended.
         step.blocked = len(placements) < len(step.pending) and not (
-            self._orphaned_tasks or step.rejecting_workers
+            step.rejecting_workers or len(self._startable(step)) < len(step.pending)
         )
         if not placements:
             self._reserve_workers(step, now)
@@ -276,11 +278,11 @@
         return {w for w, ticket in step.tickets.items() if at < ticket.valid_until}
 
     def _startable(self, step: StepRun) -> list[int]:
-        """Return the tasks to start, except those of which an orphan may exist."""
-        orphaned = self._orphaned_tasks
-        if not orphaned:
+        """Return the tasks to start, except those that may be running untracked."""
+        untracked = self._untracked_tasks
+        if not untracked:
             return step.pending
-        return [i for i in step.pending if step.task_id(i) not in orphaned]
+        return [i for i in step.pending if step.task_id(i) not in untracked]
 
     def _place(self, step: StepRun, candidates: Sequence[Candidate]) -> list[Placement]:
         """Place a step, if possible on workers that have not rejected its orders."""
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -92,9 +92,17 @@
 
 
 class WorkerRecord(msgspec.Struct, frozen=True):
-    """A worker that may have runs; kept until it is certain that it has none."""
+    """A worker that may have runs; kept until it is certain that it has none.
+
+    Attributes:
+        epoch: Epoch of the leader that wrote ``tasks``.
+        tasks: Ids of the only tasks that may run there, written while the worker does
+            not answer; ``None`` if it may run any.
+    """
 
     entry: WorkerEntry
+    epoch: int = 0
+    tasks: tuple[str, ...] | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -82,6 +82,19 @@
         return self.percent >= 0
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedRuns:
+    """Runs of a former leader that may exist on a worker.
+
+    Attributes:
+        until: Time by which all of them have ended.
+        tasks: Ids of the only tasks that may run there; ``None`` if it may run any.
+    """
+
+    until: float
+    tasks: frozenset[str] | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """Permission of the advice service to run a step on a worker.
@@ -290,6 +303,8 @@
             and run number, with the time of the last stop order.
         settled: Whether it answered a poll with its current token.
         recorded: Whether the store records it as a worker on which runs may exist.
+        recorded_tasks: Ids of the tasks that the store may name as the only ones on it;
+            ``None`` if it names none.
         listed: Whether the registry lists it.
         clock_ms: The worker's clock at ``clock_at``.
         lease_ms: Latest end of a lease that was sent, on the worker's clock.
@@ -310,6 +325,7 @@
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     settled: bool = False
     recorded: bool = False
+    recorded_tasks: frozenset[str] | None = None
     listed: bool = True
     clock_ms: int = 0
     clock_at: float = float("-inf")
@@ -331,6 +347,7 @@
         return (
             self.settled
             and self.recorded
+            and self.recorded_tasks is None
             and self.listed
             and not self.entry.draining
             and not self.orphans
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -7,7 +7,7 @@
 from . import records
 from .decisions import DecisionLog
 from .mirror import decode_or_skip
-from .model import StepJobState, WorkerEntry
+from .model import StepJobState
 from .records import (
     JobRecord,
     LeaderRecord,
@@ -78,7 +78,7 @@
         self._log = log
         self._jobs: dict[str, TableJob] = {}
         self._processes: dict[str, ProcessRecord] = {}
-        self._workers: dict[str, WorkerEntry] = {}
+        self._workers: dict[str, WorkerRecord] = {}
         self._leader: tuple[LeaderRecord, KeyValue] | None = None
         self._epoch_item: KeyValue | None = None
 
@@ -93,7 +93,7 @@
         return self._processes
 
     @property
-    def workers(self) -> dict[str, WorkerEntry]:
+    def workers(self) -> dict[str, WorkerRecord]:
         """Workers that may have runs, by id."""
         return self._workers
 
@@ -218,7 +218,7 @@
             return
         record = decode_or_skip(self._log, item, records.decode, WorkerRecord)
         if record is not None:
-            self._workers[worker_id] = record.entry
+            self._workers[worker_id] = record
 
     def _set_leader(self, item: KeyValue | None) -> None:
         record = None
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -249,8 +249,12 @@
         self._cluster.set_desired_state(self._intake.desired)
         overlap_s = 0.0 if self._leadership.predecessors_stopped else MAX_STORE_AGE_S
         until = now + overlap_s + self._lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
-        for entry in self._table.workers.values():
-            self._cluster.restore_worker(entry, until)
+        for record in self._table.workers.values():
+            # Tasks that an earlier leader wrote do not include its successors' runs.
+            current = record.epoch == self._leadership.epoch - 1
+            known = current and record.tasks is not None
+            tasks = frozenset(record.tasks) if known else None
+            self._cluster.restore_worker(record.entry, until, tasks)
         self._update_workers()
         for job in list(self._table.jobs.values()):
             if job.accepted:
@@ -588,11 +592,7 @@
             self._flush_needed.clear()
             while True:
                 jobs = self._jobs_to_store()
-                workers = [
-                    w
-                    for w in self._cluster.workers.values()
-                    if w.listed and not w.recorded
-                ]
+                workers = self._workers_to_record()
                 removed = self._take_deletions()
                 if not jobs and not workers and not removed:
                     break
@@ -609,6 +609,30 @@
         dirty.sort(key=lambda job: (not job.urgent, job.changed_at))
         return dirty
 
+    def _workers_to_record(self) -> list[WorkerState]:
+        """Return new workers, and those whose recorded tasks have changed."""
+        now, cluster = self._clock(), self._cluster
+        workers = cluster.workers.values()
+        new = [w for w in workers if w.listed and not w.recorded]
+        changed = [
+            w
+            for w in workers
+            if w.recorded and w.recorded_tasks != cluster.tasks_to_record(w, now)
+        ]
+        return new + changed
+
+    def _record(self, worker: WorkerState) -> WorkerRecord:
+        """Return the record to store for a worker.
+
+        Nothing may start on the worker from now on if the record names its tasks, as
+        the write may be applied although its answer is lost.
+        """
+        tasks = self._cluster.tasks_to_record(worker, self._clock())
+        if tasks is None:
+            return WorkerRecord(worker.entry)
+        worker.recorded_tasks = tasks
+        return WorkerRecord(worker.entry, self._leadership.epoch, tuple(sorted(tasks)))
+
     def _take_deletions(self) -> list[str]:
         """Return keys to delete, of forgotten workers and expired jobs."""
         keys = [
@@ -635,16 +659,14 @@
         workers = workers[: MAX_FLUSH_OPERATIONS - len(removed)]
         jobs = jobs[: MAX_FLUSH_OPERATIONS - len(workers) - len(removed)]
         versions = [job.version for job in jobs]
+        worker_records = [self._record(worker) for worker in workers]
         puts: list[Put | Delete] = [
             Put(records.PROGRESS_PREFIX + job.spec.job_id, records.encode(job.record()))
             for job in jobs
         ]
         puts += [
-            Put(
-                records.WORKER_PREFIX + worker.entry.worker_id,
-                records.encode(WorkerRecord(worker.entry)),
-            )
-            for worker in workers
+            Put(records.WORKER_PREFIX + record.entry.worker_id, records.encode(record))
+            for record in worker_records
         ]
         puts += [Delete(key) for key in removed]
         began = self._clock()
@@ -657,8 +679,10 @@
                 job.urgent = False
                 if job.state.final:
                     self._cluster.remove_job(job)
-        for worker in workers:
+        for worker, record in zip(workers, worker_records, strict=True):
             worker.recorded = True
+            if record.tasks is None:
+                worker.recorded_tasks = None
         self._advance_acknowledged()
         if workers:
             self._plan_needed.set()
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -3,6 +3,8 @@
 import asyncio
 import gc
 
+import pytest
+
 from flamingoway.model import Resources
 from flamingoway.queues.model import StartReply, Step, StepJobSpec
 from flamingoway.queues.ports import PollRefused
@@ -10,6 +12,9 @@
 from tests.queue_world import LATENCY_S, LEASE_S, World
 from tests.virtual import run_virtual
 
+# Longest time for which a job may have nothing running beside idle workers.
+MAX_IDLE_S = 3.0
+
 
 async def leading_world(errors):
     """Return a world and its leader's term; unhandled errors go to ``errors``."""
@@ -106,3 +111,66 @@
     first, second, violations = run_virtual(main)
     assert second != first
     assert violations == []
+
+
+async def world_with_lost_worker(planned):
+    """Return a world whose leader is gone, and when the next step is due.
+
+    Before the leader, a worker was lost that runs another job's only task.
+    """
+    world, term = await leading_world([])
+    world.failure_share = 0.0
+    world.duration = lambda task_id: 60.0 if task_id.startswith("a1") else 4.0
+    small = Step(1, Resources(1000, 1000), 1.0)
+    after = Step(1, Resources(1000, 1000), 1.0, after=(0,))
+    leader = world.leader()
+    await world.submit(leader, StepJobSpec("a1", "checks", "x", (small,)))
+    await asyncio.sleep(1.0)
+    (run,) = (r for w in term.cluster.workers.values() for r in w.runs.values())
+    lost = world.workers[run.worker.entry.worker_id]
+    lost.draining = True
+    await world.register_worker(lost)
+    await asyncio.sleep(0.5)
+    await world.submit(leader, StepJobSpec("b2", "checks", "x", (small, after)))
+    due_at = world.now + 4.0
+    await asyncio.sleep(1.0)
+    for port in world.ports.values():
+        port.unreachable.add(lost.worker_id)
+    await world.unregister_worker(lost)
+    await asyncio.sleep(2.0)
+    if planned:
+        await world.nodes[leader].stop()
+    await world.kill_node(leader)
+    return world, due_at
+
+
+@pytest.mark.parametrize("planned", [True, False], ids=["planned", "killed"])
+def test_inherited_jobs_do_not_wait_for_a_worker_lost_before_the_takeover(planned):
+    """Guards against jobs that have nothing running beside idle workers."""
+
+    async def main():
+        world, due_at = await world_with_lost_worker(planned)
+        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
+        running = {t for w in world.workers.values() for t in w.runs}
+        await world.end()
+        return running, world.checker.violations
+
+    running, violations = run_virtual(main)
+    assert "b2.0.1.0" in running
+    assert violations == []
+
+
+@pytest.mark.parametrize("planned", [True, False], ids=["planned", "killed"])
+def test_a_task_on_a_worker_lost_before_the_takeover_starts_after_its_lease(planned):
+    """Guards against a second run of a task that a lost worker still runs."""
+
+    async def main():
+        world, _ = await world_with_lost_worker(planned)
+        await asyncio.sleep(4 * LEASE_S)
+        running = [t for w in world.workers.values() for t in w.runs]
+        await world.end()
+        return running, world.checker.violations
+
+    running, violations = run_virtual(main)
+    assert running.count("a1.0.0.0") == 1
+    assert violations == []
