--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -267,6 +267,9 @@
             jobs=len(self._cluster.jobs),
             workers=len(self._cluster.workers),
             unsettled=len(self._cluster.unsettled),
+            unsettled_with_known_tasks=sum(
+                runs.tasks is not None for runs in self._cluster.unsettled.values()
+            ),
             mirror_revision=self._mirror.revision,
         )
 
@@ -631,6 +634,9 @@
         if tasks is None:
             return WorkerRecord(worker.entry)
         worker.recorded_tasks = tasks
+        self._log.write(
+            "silent worker recorded", worker=worker.entry.worker_id, tasks=len(tasks)
+        )
         return WorkerRecord(worker.entry, self._leadership.epoch, tuple(sorted(tasks)))
 
     def _take_deletions(self) -> list[str]:
