Keep a silent worker's orphans until their leases expire, and no longer

In virtual time, a task with an orphaned run (one that a worker reports although the task has another run) either ran twice at the same time or never started again, once the worker with the orphan had stopped answering and the other run had failed.

Cause: whether a silent worker can still run anything was decided by the runs that the leader tracks, without its orphans. - A worker with only orphans was forgotten as soon as the registry no longer listed it. The orphan's task then started elsewhere during the orphan's lease. - If the registry still listed it, its orphans were never dropped, because that happened only together with tracked runs. While a task has an orphan it is not started, so it, or its whole gang, waited until the worker answered again.

The orphan in these tests is put on the worker directly; that faults alone lead to one was not shown.

Why it works: leases of orphans are covered by the same limit as those of other runs, since polls renew both. The worker now counts as empty only after that limit, and its orphans are dropped then.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -336,7 +336,8 @@
         if until is not None:
             return now >= until
         # An unanswered start order counts as a run.
-        return not worker.runs or now >= worker.leases_expire_at()
+        may_run = worker.runs or worker.orphans
+        return not may_run or now >= worker.leases_expire_at()
 
     def drop_runs(self, worker: WorkerState, now: float, why: str) -> None:
         """Treat all runs of a worker as ended with unknown outcome."""
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -415,7 +415,8 @@
         now = self._clock()
         if worker.settled or not self._cluster.all_runs_expired(worker, now):
             return
-        if worker.runs or worker.entry.worker_id in self._cluster.unsettled:
+        unsettled = worker.entry.worker_id in self._cluster.unsettled
+        if worker.runs or worker.orphans or unsettled:
             self._cluster.drop_runs(worker, now, "its lease has expired")
             self._after_event()
         if not worker.listed and not worker.runs:
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -4,10 +4,10 @@
 import gc
 
 from flamingoway.model import Resources
-from flamingoway.queues.model import StartReply, Step, StepJobSpec
+from flamingoway.queues.model import EndKind, StartReply, Step, StepJobSpec
 from flamingoway.queues.ports import PollRefused
 from flamingoway.queues.term import LeadershipLost
-from tests.queue_world import LATENCY_S, LEASE_S, World
+from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, World
 from tests.virtual import run_virtual
 
 
@@ -106,3 +106,65 @@
     first, second, violations = run_virtual(main)
     assert second != first
     assert violations == []
+
+
+async def world_with_orphan():
+    """Return a world, its leader's term, and a silent worker with an orphan.
+
+    The other run of the orphan's task has failed, so that the task has to start again.
+    """
+    world, term = await leading_world([])
+    world.duration = lambda task_id: 10 * LEASE_S
+    step = Step(1, Resources(1000, 1000), 1.0)
+    await world.submit(world.leader(), StepJobSpec("a1", "checks", "x", (step,)))
+    await asyncio.sleep(1.0)
+    (run,) = (r for w in term.cluster.workers.values() for r in w.runs.values())
+    holder = world.workers[run.worker.entry.worker_id]
+    silent = next(w for w in world.workers.values() if w is not holder)
+    port = world.ports[world.leader()]
+    stop = port.stop
+
+    async def lose_stops(entry, *args):
+        return entry.worker_id != silent.worker_id and await stop(entry, *args)
+
+    port.stop = lose_stops
+    orphan = FakeRun(run.task_id, run.number + 1, step.resources, 10 * LEASE_S)
+    silent.runs[run.task_id] = orphan
+    silent.changed.set()
+    await asyncio.sleep(2.0)
+    assert term.cluster.workers[silent.worker_id].orphans
+    port.unreachable.add(silent.worker_id)
+    await asyncio.sleep(2.0)
+    holder.end(holder.runs[run.task_id], EndKind.FAILED)
+    return world, term, silent
+
+
+def test_a_task_is_not_started_beside_its_orphan_on_an_unlisted_worker():
+    """Guards against two runs of a task after a silent worker was forgotten."""
+
+    async def main():
+        world, term, silent = await world_with_orphan()
+        await world.unregister_worker(silent)
+        await asyncio.sleep(2 * LEASE_S)
+        live = term.cluster.jobs["a1"].steps[0, 0].live
+        await world.end()
+        return len(live), world.checker.violations
+
+    live, violations = run_virtual(main)
+    assert violations == []
+    assert live == 1
+
+
+def test_a_task_starts_again_once_the_lease_of_its_orphan_has_expired():
+    """Guards against a task that waits for a worker that stays listed but silent."""
+
+    async def main():
+        world, term, _ = await world_with_orphan()
+        await asyncio.sleep(2 * LEASE_S)
+        live = term.cluster.jobs["a1"].steps[0, 0].live
+        await world.end()
+        return len(live), world.checker.violations
+
+    live, violations = run_virtual(main)
+    assert violations == []
+    assert live == 1
