Suspend a gang's reservation that makes no progress in a busy shard too

Callers saw a small job that stayed queued beside an empty worker for an hour and longer. Three of four workers ran one long task each; a gang that needed two workers had reserved the empty one and one of the busy ones.

Cause: a reservation was suspended only while less than half of the shard was in use. This says nothing about the reservation: work elsewhere made it last for ever.

Now a reservation is reviewed by what it holds: it is suspended if part of it is free and no more became free since the last review. One that gains capacity, or that keeps nothing idle, lasts. The time until a suspension starts at 30 s and doubles each time; in a busy shard it has no limit, as the backlog takes what a suspended reservation had gained.

--- a/flamingoway/core/gangs.py
+++ b/flamingoway/core/gangs.py
@@ -4,25 +4,27 @@
 needs. Smaller work may overtake it for ``RESERVATION_DELAY_S``. After that, workers are
 chosen for it, and the capacity that it needs there is reserved until enough running
 tasks have ended. Capacity that becomes free on another worker is used instead. Only one
-gang holds a reservation at a time, so that two gangs cannot deadlock. While most of the
-resources that the gang needs are idle, a reservation is suspended from time to time, as
-it may wait for a task that runs for hours.
+gang holds a reservation at a time, so that two gangs cannot deadlock. A reservation
+that makes no progress is suspended from time to time, as it may wait for a task that
+runs for hours. The time until then grows without a limit in a busy shard, where other
+work takes what a suspended reservation had gained.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass, replace
 
 from ..model import Job, Resources
 from .feasibility import slots_in
-from .hold import FIRST_HOLD_S, RESERVATION_DELAY_S
+from .hold import FIRST_HOLD_S, RESERVATION_DELAY_S, Hold, available_share
 from .ledger import ZERO
 from .policy import take_slots
 from .state import ShardState
 
 # Delay before the next plan for a gang after one that found too little capacity.
 REPLAN_DELAY_S = 5.0
-# Longest time for which a gang may keep capacity unused while most of the resources
-# that it needs are idle.
+# Longest time without progress after a suspension while most of the resources that a
+# gang needs were idle.
 MAX_HOLD_S = 600.0
 BUSY_SHARE = 0.5
 
@@ -35,15 +37,14 @@
         shape: Amount that one task takes.
         tasks: Number of tasks by worker id.
         avoid: Workers that receive none of the tasks.
-        hold_until: Monotonic time from which it ends if most of the resources that the
-            gang needs are idle.
+        hold: Progress so far and the time of the next review.
     """
 
     job_id: str
     shape: Resources
     tasks: Counter
     avoid: set[str]
-    hold_until: float
+    hold: Hold
 
 
 class GangReserver:
@@ -79,8 +80,8 @@
             self.release(reservation.job_id)
         elif ineligible:
             self._replan(reservation)
-        elif self._checked_at >= reservation.hold_until:
-            self._suspend_if_idle(reservation)
+        elif self._checked_at >= reservation.hold.review_at:
+            self._review(reservation)
 
     def note_blocked(self, job: Job, count: int) -> None:
         """Note that ``count`` tasks of a gang do not fit now.
@@ -100,8 +101,9 @@
             avoid = set()
             tasks = self._plan(shape, count, avoid)
         if tasks is not None:
-            hold_until = now + self._hold_s.setdefault(job_id, FIRST_HOLD_S)
-            self._reservation = Reservation(job_id, shape, tasks, avoid, hold_until)
+            hold_s = self._hold_s.setdefault(job_id, FIRST_HOLD_S)
+            hold = Hold(hold_s, now + hold_s, self._available(shape, tasks))
+            self._reservation = Reservation(job_id, shape, tasks, avoid, hold)
             self._reserve(self._reservation)
 
     def release(self, job_id: str) -> None:
@@ -116,8 +118,8 @@
         The time is monotonic, in seconds.
         """
         if self._reservation:
-            hold_until = self._reservation.hold_until
-            return hold_until if hold_until > self._checked_at else None
+            review_at = self._reservation.hold.review_at
+            return review_at if review_at > self._checked_at else None
         # A plan that was due in the last pass has been made, or its gang waits for
         # something else than workers.
         later = (at for at in self._plan_at.values() if at > self._checked_at)
@@ -148,19 +150,26 @@
             self._reservation = replace(reservation, tasks=tasks)
             self._reserve(self._reservation)
 
-    def _suspend_if_idle(self, reservation: Reservation) -> None:
-        """Let other work use the capacity for some time if the shard is mostly idle."""
-        now = self._state.now
-        if not self._mostly_idle(reservation.shape):
-            hold_until = now + REPLAN_DELAY_S
-            self._reservation = replace(reservation, hold_until=hold_until)
+    def _review(self, reservation: Reservation) -> None:
+        """Let other work use the capacity for some time if none became free."""
+        now, hold = self._state.now, reservation.hold
+        shape, job_id = reservation.shape, reservation.job_id
+        if hold.review(self._available(shape, reservation.tasks), now):
             return
-        job_id = reservation.job_id
-        hold_s = self._hold_s[job_id]
-        self._hold_s[job_id] = min(MAX_HOLD_S, 2 * hold_s)
-        self._plan_at[job_id] = now + hold_s
+        limit = MAX_HOLD_S if self._mostly_idle(shape) else math.inf
+        self._hold_s[job_id] = min(limit, hold.next_duration_s)
+        self._plan_at[job_id] = now + hold.duration_s
         self.release(job_id)
 
+    def _available(self, shape: Resources, tasks: Counter) -> float:
+        """Return the share of the capacity for ``tasks`` that is free now."""
+        free_on = self._state.ledger.free_on
+        available = sum(
+            count * available_share(shape.times(count), free_on(worker_id))
+            for worker_id, count in tasks.items()
+        )
+        return available / tasks.total()
+
     def _mostly_idle(self, shape: Resources) -> bool:
         """Tell whether most of each resource that a shape needs is unused."""
         index, ledger = self._state.index, self._state.ledger
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -236,3 +236,47 @@
     for _ in range(3600):
         rig.schedule(1.0)
     assert rig.states("small") == ["assigned"]
+
+
+def test_gang_is_not_starved_by_tasks_that_run_for_hours():
+    rig = Rig(["w1", "w2", "w3", "w4"])
+    rig.submit(*(spec(f"s{n}") for n in range(16)))
+    ends = {task_id: 450 * n for n, task_id in enumerate(rig.schedule(), 1)}
+    rig.submit(gang("wide", 2, member="a", resources=Resources(4000, 1024)))
+    rig.submit(*(spec(f"t{n}") for n in range(400)))
+    for now in range(30, 30_000, 30):
+        for task_id in [t for t, at in ends.items() if at <= now]:
+            del ends[task_id]
+            rig.end(task_id)
+        ends |= dict.fromkeys(rig.schedule(30.0), now + 7200)
+        if "wide/0" in ends:
+            break
+    assert rig.states("wide") == ["assigned"] * 2
+
+
+def test_small_job_waits_minutes_beside_idle_workers_reserved_for_a_gang():
+    rig = Rig(["w1", "w2", "w3", "w4"])
+    rig.submit(spec("long"))
+    rig.schedule()
+    rig.submit(gang("wide", 16, member="a"))
+    longest = 0
+    for number in range(200):
+        rig.submit(spec(f"s{number}", member="b"))
+        waited = 0
+        while not rig.schedule(10.0):
+            waited += 10
+        rig.end(f"s{number}/0", after=50.0)
+        longest = max(longest, waited)
+    assert 300 < longest <= 600
+
+
+def test_reservation_that_keeps_nothing_idle_lasts_until_its_tasks_end():
+    rig = Rig(["w1", "w2"])
+    rig.submit(*(spec(f"s{n}") for n in range(16)))
+    running = rig.schedule()
+    rig.submit(gang("wide", 8, member="a"))
+    for _ in range(45):
+        rig.schedule(1.0)
+    for task_id in running:
+        rig.end(task_id)
+    assert rig.schedule() == [f"wide/{n}" for n in range(8)]
