Do not delete the record of a worker that is listed again

In virtual time, all tasks on a worker were started a second time after a takeover while they still ran.

Cause: when a silent worker is forgotten, the deletion of its record waits for the next write, and each write deletes one record. If the registry lists the worker again before that, the worker is recorded and used, and then the pending deletion removes its new record, in the same write or in a later one. The next leader does not know that the worker may have runs. If it cannot reach the worker, it does not wait for the worker's leases.

Evidence: two idle workers are cut off, forgotten and listed again while the store rejects the leader's writes. They get tasks, are cut off again, and the leader is killed. The test test_a_worker_listed_again_before_its_record_is_deleted_stays_recorded failed before with 15 violations, first 'TWICE: b2.0.0.47 also on w3', and passes now. On one worker alone, its record was missing from the store while the leader counted it as recorded.

Why it works: a pending deletion is dropped if the worker is known again.

The tests of term, cluster, planning and world pass.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -642,6 +642,12 @@
 
     def _take_deletions(self) -> list[str]:
         """Return keys to delete, of forgotten workers and expired jobs."""
+        # The registry may have listed a forgotten worker again in the meantime.
+        self._removed_workers = [
+            worker_id
+            for worker_id in self._removed_workers
+            if worker_id not in self._cluster.workers
+        ]
         keys = [
             records.WORKER_PREFIX + worker_id for worker_id in self._removed_workers[:1]
         ]
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from flamingoway.errors import StoreUnavailable
 from flamingoway.model import Resources
 from flamingoway.queues.model import EndKind, StartReply, Step, StepJobSpec
 from flamingoway.queues.ports import PollRefused
@@ -236,3 +237,52 @@
     live, violations = run_virtual(main)
     assert violations == []
     assert live == 1
+
+
+def test_a_worker_listed_again_before_its_record_is_deleted_stays_recorded():
+    """Guards against a second run of a task that a takeover did not wait for."""
+
+    async def main():
+        world, _ = await leading_world([])
+        world.failure_share = 0.0
+        world.duration = lambda task_id: 60.0
+        leader = world.leader()
+        store, lost = world.stores[leader], [world.workers["w3"], world.workers["w4"]]
+        lost_ids = {worker.worker_id for worker in lost}
+        txn = store.txn
+
+        async def refuse(*args):
+            raise StoreUnavailable("too many writes")
+
+        store.txn = refuse
+        other = next(name for name in world.names if name != leader)
+        small = Step(1, Resources(1000, 1000), 1.0)
+        await world.submit(other, StepJobSpec("a1", "checks", "x", (small,)))
+        await asyncio.sleep(0.5)
+        for port in world.ports.values():
+            port.unreachable |= lost_ids
+        for worker in lost:
+            await world.unregister_worker(worker)
+        await asyncio.sleep(2.5)
+        for port in world.ports.values():
+            port.unreachable -= lost_ids
+        for worker in lost:
+            await world.register_worker(worker)
+        await asyncio.sleep(0.5)
+        store.txn = txn
+        await asyncio.sleep(1.0)
+        # More than fits on the other workers.
+        wide = Step(80, Resources(1000, 1000), 1.0)
+        await world.submit(leader, StepJobSpec("b2", "checks", "x", (wide,)))
+        await asyncio.sleep(1.0)
+        idle = [worker.worker_id for worker in lost if not worker.runs]
+        for port in world.ports.values():
+            port.unreachable |= lost_ids
+        await world.kill_node(leader)
+        await asyncio.sleep(LEASE_S)
+        await world.end()
+        return idle, world.checker.violations
+
+    idle, violations = run_virtual(main)
+    assert idle == []
+    assert violations == []
