Skip settled workers when looking for changed worker records

What callers saw: nothing measured. The leader looks for worker records to write after each event, and since the tasks of silent workers are recorded, each look has worked out these tasks for all workers.

Evidence: with 200 settled workers that look took 73 us, of two runs each, and takes 8 us now; the look for new workers, which was there before, takes 6 us. How often it happens on a large site was not measured.

Why it works: no tasks are recorded for a settled worker, so that its record only has to change if tasks are recorded already. What is written stays the same, so there is no new test; the tests of term, cluster, planning and world pass.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -618,10 +618,13 @@
         now, cluster = self._clock(), self._cluster
         workers = cluster.workers.values()
         new = [w for w in workers if w.listed and not w.recorded]
+        # Called after each event, so it skips the workers whose record cannot change.
         changed = [
             w
             for w in workers
-            if w.recorded and w.recorded_tasks != cluster.tasks_to_record(w, now)
+            if w.recorded
+            and (not w.settled or w.recorded_tasks is not None)
+            and w.recorded_tasks != cluster.tasks_to_record(w, now)
         ]
         return new + changed
 
