Tell in the log whether a step waits for its retry or for a takeover, and say what a list of tasks means

One text stood for both, which made the takeover that held up all jobs hard to read from the log. Behaviour is the same; the tests of term, planning and cluster pass.

--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -98,13 +98,15 @@
         reserved_before, self._reserved_by = self._reserved_by, {}
         steps = sorted(cluster.waiting.values(), key=lambda s: self.rank(s, now))
         for step in steps:
-            if step.retry_at > now or (step.job.inherited and takeover_unfinished):
+            held_back = step.job.inherited and takeover_unfinished
+            if step.retry_at > now or held_back:
                 # Resources freed in the meantime would not count as gained when the
                 # step is planned again, so it then considers all workers.
                 step.blocked = False
                 if step.id in self._gang_reservations:
                     self._reserve_workers(step, now)
-                self._log_wait(step, "retry delayed or takeover unfinished", now)
+                why = "takeover unfinished" if held_back else "retry delayed"
+                self._log_wait(step, why, now)
                 continue
             started += self._plan(step, now)
         self._snapshots = free.snapshots()
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -94,10 +94,13 @@
 class WorkerRecord(msgspec.Struct, frozen=True):
     """A worker that may have runs; kept until it is certain that it has none.
 
+    A leader writes ``tasks`` while the worker does not answer, and starts nothing there
+    until a later write has removed them. Only the next leader may use them, since they
+    do not include what others have started after it.
+
     Attributes:
         epoch: Epoch of the leader that wrote ``tasks``.
-        tasks: Ids of the only tasks that may run there, written while the worker does
-            not answer; ``None`` if it may run any.
+        tasks: Ids of the only tasks that may run there; ``None`` if it may run any.
     """
 
     entry: WorkerEntry
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -88,7 +88,8 @@
 
     Attributes:
         until: Time by which all of them have ended.
-        tasks: Ids of the only tasks that may run there; ``None`` if it may run any.
+        tasks: Ids of the only tasks that may run there, possibly none; ``None`` if it
+            may run any.
     """
 
     until: float
