--- a/flamingoway/httpserver.py
+++ b/flamingoway/httpserver.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from absl import logging
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
@@ -352,7 +353,11 @@
         self._write(self._server.refuse(code, message))
 
     async def _run_handler(self) -> None:
-        answer = await self._server.handler(self._request)
+        try:
+            answer = await self._server.handler(self._request)
+        except Exception as exc:
+            logging.error("the handler of a request failed", exc_info=exc)
+            answer = self._server.refuse(Code.INTERNAL, "internal error")
         self._http.closing = self._server.closing
         self._write(answer)
 
--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -12,8 +12,10 @@
 
 import grpc
 import msgspec
+from absl import logging
 
-from .errors import FlamingowayError, OutcomeUnknown, Refused
+from .addresses import parse_address
+from .errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
 from .status import Code
 
 SERVICE = "flamingoway.Peer"
@@ -65,10 +67,20 @@
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(_Envelope)
 
 
+def _log_error(method: str, error: Exception) -> None:
+    logging.error("call %s failed: %r", method, error, exc_info=error)
+
+
 class PeerServer:
-    """Serves calls from other entry processes."""
+    """Serves calls from other entry processes.
+
+    Attributes:
+        on_error: Called with the request's type and an error that a handler should not
+            raise.
+    """
 
     def __init__(self):
+        self.on_error: Callable[[str, Exception], None] = _log_error
         self._handlers: dict[str, tuple[msgspec.msgpack.Decoder, Handler]] = {}
 
     def handle(self, request_type: type[Request], handler: Handler) -> None:
@@ -90,7 +102,7 @@
             OSError: If the port cannot be bound.
         """
         server = grpc.aio.server(options=CHANNEL_OPTIONS)
-        server.add_generic_rpc_handlers([_GenericHandler(self._handlers)])
+        server.add_generic_rpc_handlers([_GenericHandler(self._handlers, self)])
         try:
             server.add_insecure_port(address)
         except RuntimeError as exc:
@@ -103,8 +115,13 @@
 
 
 class _GenericHandler(grpc.GenericRpcHandler):
-    def __init__(self, handlers: dict[str, tuple[msgspec.msgpack.Decoder, Handler]]):
+    def __init__(
+        self,
+        handlers: dict[str, tuple[msgspec.msgpack.Decoder, Handler]],
+        server: PeerServer,
+    ):
         self._handlers = handlers
+        self._server = server
 
     def service(self, call_details: grpc.HandlerCallDetails):
         """Return the handler for the called method, or ``None``."""
@@ -114,7 +131,13 @@
         decoder, handler = self._handlers[name]
 
         async def serve(data: bytes, _context: grpc.aio.ServicerContext) -> bytes:
-            return _ENCODER.encode(await _run(decoder, handler, data))
+            try:
+                return _ENCODER.encode(await _run(decoder, handler, data))
+            except Exception as exc:
+                # The handler may have carried out the request before the error.
+                self._server.on_error(name, exc)
+                error = PeerError(Code.OUTCOME_UNKNOWN, repr(exc))
+                return _ENCODER.encode(_Envelope(error=error))
 
         return grpc.unary_unary_rpc_method_handler(serve)
 
@@ -123,9 +146,9 @@
     decoder: msgspec.msgpack.Decoder, handler: Handler, data: bytes
 ) -> _Envelope:
     try:
-        request = decoder.decode(data)
-    except msgspec.DecodeError as exc:
-        return _Envelope(error=PeerError(Code.BAD_REQUEST, str(exc)))
+        request = decode_message(decoder, data)
+    except BadRequest as exc:
+        return _Envelope(error=PeerError(Code.BAD_REQUEST, exc.message))
     try:
         reply = await handler(request)
     except FlamingowayError as exc:
@@ -134,6 +157,18 @@
     return _Envelope(ok=_ENCODER.encode(reply))
 
 
+def decode_message(decoder: msgspec.msgpack.Decoder, data: bytes):
+    """Decode a message of another process, which may be of another build.
+
+    Raises:
+        BadRequest: If it is not valid.
+    """
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise BadRequest(f"not a valid message: {exc}") from None
+
+
 def _is_serializable(value: Any) -> bool:
     return isinstance(value, str | int | float | bool | list | dict | None)
 
@@ -162,14 +197,21 @@
             FlamingowayError: As raised by the peer's handler, with its code.
         """
         data = await self._send(address, request, timeout_s)
-        envelope = _ENVELOPE_DECODER.decode(data)
-        if envelope.error is not None:
-            raise _to_exception(envelope.error)
-        return msgspec.msgpack.decode(envelope.ok, type=reply)
+        try:
+            envelope = decode_message(_ENVELOPE_DECODER, data)
+            if envelope.error is None:
+                decoder = msgspec.msgpack.Decoder(reply)
+                return decode_message(decoder, envelope.ok or b"")
+        except BadRequest as exc:
+            raise OutcomeUnknown(
+                f"the reply of peer {address} is not valid: {exc.message}"
+            ) from None
+        raise _to_exception(envelope.error)
 
     async def _send(self, address: str, request: Request, timeout_s: float) -> bytes:
         channel = self._channels.get(address)
         if channel is None:
+            _check_address(address)
             channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
             self._channels[address] = channel
         await _connect(channel, address, min(CONNECT_TIMEOUT_S, timeout_s))
@@ -213,6 +255,13 @@
         self._channels.clear()
 
 
+def _check_address(address: str) -> None:
+    try:
+        parse_address(address)
+    except ValueError as exc:
+        raise Refused(f"invalid peer address: {exc}", Code.OWNER_UNAVAILABLE) from None
+
+
 async def _connect(channel: grpc.aio.Channel, address: str, timeout_s: float) -> None:
     # Connecting before the call distinguishes "not sent" from "no reply".
     if channel.get_state(try_to_connect=True) == grpc.ChannelConnectivity.READY:
@@ -229,7 +278,10 @@
 
 
 def _to_exception(error: PeerError) -> FlamingowayError:
-    code = Code(error.code)
     kinds = {2: Refused, 3: OutcomeUnknown}
-    kind = kinds.get(code // 1000, FlamingowayError)
-    return kind(error.message, code, **error.details)
+    kind = kinds.get(error.code // 1000, FlamingowayError)
+    # A peer of another build may use codes and details that are not known here.
+    code = Code(error.code) if error.code in set(Code) else kind.code
+    exception = kind(error.message, code)
+    exception.details.update(error.details)
+    return exception
--- a/flamingoway/platform/client.py
+++ b/flamingoway/platform/client.py
@@ -206,7 +206,7 @@
         async with asyncio.timeout(timeout_s):
             await loop.sock_connect(sock, (ip, int(port)))
             _, connection = await loop.create_connection(_Connection, sock=sock)
-    except (OSError, ValueError, TimeoutError) as exc:
+    except (OSError, ValueError, OverflowError, TimeoutError) as exc:
         sock.close()
         raise NotSent(f"cannot connect to {address}: {exc!r}") from None
     except BaseException:
--- a/flamingoway/platform/ingress.py
+++ b/flamingoway/platform/ingress.py
@@ -4,13 +4,18 @@
 
 from ..errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
 from ..httpserver import HttpRequest, HttpResponse
+from ..queues.faults import FaultReporter
 from ..queues.intake import Intake
 from ..queues.metrics import QueueMetrics
 from ..status import Code
 from . import wire
 
 DEFAULT_TIMEOUT_S = 3.0
+# A longer deadline is treated as this one, since a caller is not held for hours.
+MAX_TIMEOUT_S = 3600.0
+MAX_DEADLINE_CHARS = 18
 MAX_JOB_ID_CHARS = 64
+MAX_LOGGED_PATH_CHARS = 120
 # Callers treat this status like a missing answer: they repeat the request with the same
 # id at another process.
 OUTCOME_UNKNOWN_STATUS = 504
@@ -23,11 +28,13 @@
     Args:
         intake: Accepts, cancels and looks up jobs.
         metrics: Metrics of the process.
+        faults: Reports unforeseen errors.
     """
 
-    def __init__(self, intake: Intake, metrics: QueueMetrics):
+    def __init__(self, intake: Intake, metrics: QueueMetrics, faults: FaultReporter):
         self._intake = intake
         self._metrics = metrics
+        self._faults = faults
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request; see ``HttpServer``."""
@@ -36,6 +43,11 @@
             answer = await self._route(request)
         except FlamingowayError as exc:
             answer = error_answer(exc.code, exc.message, exc.details.get("retry_after"))
+        except Exception as exc:
+            # The request may have been carried out before the error.
+            subject = f"{request.method} {request.path[:MAX_LOGGED_PATH_CHARS]}"
+            self._faults.report_contained("request", subject, exc)
+            answer = error_answer(Code.OUTCOME_UNKNOWN, "internal error")
         self._metrics.requests.labels(request.method, str(answer.status)).inc()
         self._metrics.request_seconds.observe(time.monotonic() - started_at)
         return answer
@@ -50,7 +62,7 @@
         timeout_s = _timeout(request)
         if not job_id and request.method == "GET":
             return _json(200, {"numWaiting": self._intake.waiting(queue)})
-        if not job_id or len(job_id) > MAX_JOB_ID_CHARS or not job_id.isalnum():
+        if not _is_job_id(job_id):
             return _json(404, {"error": "no such job"})
         if request.method == "GET":
             state = await self._intake.state(job_id)
@@ -86,10 +98,16 @@
     return answer
 
 
+def _is_job_id(text: str) -> bool:
+    return len(text) <= MAX_JOB_ID_CHARS and text.isascii() and text.isalnum()
+
+
 def _timeout(request: HttpRequest) -> float:
     """Return how long the caller waits for the answer, in seconds."""
     text = request.headers.get("Deadline-Ms", "")
-    return int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+    if not (text.isascii() and text.isdecimal() and len(text) <= MAX_DEADLINE_CHARS):
+        return DEFAULT_TIMEOUT_S
+    return min(int(text) / 1000, MAX_TIMEOUT_S)
 
 
 def _json(status: int, body: dict) -> HttpResponse:
--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -106,7 +106,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_requested.set)
-        ingress = JobIngress(self._node.intake, self._node.metrics)
+        ingress = JobIngress(self._node.intake, self._node.metrics, self._node.faults)
         job_server = HttpServer(ingress.handle, error_answer, MAX_BODY_BYTES)
         ready_server = HttpServer(self._answer_ready, error_answer, MAX_BODY_BYTES)
         metrics_server = HttpServer(self._answer_metrics, error_answer, MAX_BODY_BYTES)
--- a/flamingoway/platform/settings.py
+++ b/flamingoway/platform/settings.py
@@ -1,10 +1,17 @@
 """The settings file that the platform writes for each process."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from .. import yamlio
+from ..addresses import MAX_PORT, parse_address
 from ..errors import BadSettings
 
+Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
+Positive = Annotated[float, Meta(gt=0, le=1e9)]
+
 
 class SettingsStruct(msgspec.Struct, rename="camel", frozen=True):
     """Base of the structures in the file; unknown fields are ignored."""
@@ -16,6 +23,10 @@
     front: str
     ready: str
 
+    def __post_init__(self):
+        parse_address(self.front)
+        parse_address(self.ready)
+
 
 class TimeLimits(SettingsStruct):
     """Time limits that the platform sets.
@@ -26,9 +37,9 @@
         grace_s: Time from SIGTERM until the process must have ended.
     """
 
-    hold_max_ms: float = 6000.0
-    status_s: float = msgspec.field(name="status_s", default=120.0)
-    grace_s: float = 6.0
+    hold_max_ms: Positive = 6000.0
+    status_s: Positive = msgspec.field(name="status_s", default=120.0)
+    grace_s: Positive = 6.0
 
 
 class CpuLimits(SettingsStruct):
@@ -39,8 +50,8 @@
         cores: Speed of that core relative to a standard core.
     """
 
-    cpu_share: float = 1.0
-    cores: float = 1.0
+    cpu_share: Positive = 1.0
+    cores: Positive = 1.0
 
 
 class StoreSettings(SettingsStruct):
@@ -48,6 +59,9 @@
 
     address: str
 
+    def __post_init__(self):
+        parse_address(self.address)
+
 
 class NodeSettings(SettingsStruct):
     """Part of the settings file that the process uses."""
@@ -56,7 +70,7 @@
     ip: str
     zone: str
     listen: Listen
-    port_range: list[int]
+    port_range: Annotated[list[Port], Meta(min_length=2)]
     platform: StoreSettings
     bounds: TimeLimits = TimeLimits()
     limits: CpuLimits = CpuLimits()
--- a/flamingoway/platform/store.py
+++ b/flamingoway/platform/store.py
@@ -51,10 +51,10 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return one key, or ``None``."""
         query = urlencode({"key": key})
-        status, data = await self._read(f"/kv-key?{query}", self._timeout_s)
+        status, data = await self._read(f"/kv-key?{query}", self._timeout_s, (200, 404))
         if status == 404:
             return None
-        return wire.to_item(wire.parse(wire.ItemBody, data))
+        return wire.to_item(_parse_read(wire.ItemBody, data))
 
     async def range(self, prefix: str, start: str = "", limit: int = 0) -> RangeResult:
         """Return the keys that begin with ``prefix``; see ``Store.range``."""
@@ -66,10 +66,10 @@
                 query["after"] = after
             path = f"/kv-range?{urlencode(query)}"
             _, data = await self._read(path, RANGE_TIMEOUT_S)
-            page = wire.parse(wire.ItemsBody, data)
+            page = _parse_read(wire.ItemsBody, data)
             # The pages are no consistent snapshot. Watching from the revision of the
             # first one covers the changes made while the others were read.
-            revision = revision or page.store_revision
+            revision = revision or _check_revision(page.store_revision)
             more = page.has_more and bool(page.items)
             after = page.items[-1].key if page.items else after
             items += [wire.to_item(i) for i in page.items if i.key >= start]
@@ -88,14 +88,15 @@
         """
         query = {"prefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
         path = f"/kv-watch?{urlencode(query)}"
-        status, data = await self._read(path, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        status, data = await self._read(path, timeout_s, (200, 410))
         if status == 410:
             raise RevisionCompacted(
                 f"store no longer holds the changes after revision {after}"
             )
-        body = wire.parse(wire.ItemsBody, data)
+        body = _parse_read(wire.ItemsBody, data)
         events = [wire.to_event(event) for event in body.events]
-        return ChangeSet(body.store_revision, events)
+        return ChangeSet(_check_revision(body.store_revision), events)
 
     async def watch(
         self, prefix: str, start_revision: int
@@ -127,56 +128,85 @@
             "puts": [_put(o) for o in operations if isinstance(o, Put)],
             "remove": [o.key for o in operations if isinstance(o, Delete)],
         }
-        status, data = await self._write("POST", "/kv-txn", body)
+        status, data = await self._write("POST", "/kv-txn", body, (200, 404, 412))
         if status == 404:
             raise LeaseExpired("a put names an expired lease")
         if status == 412:
-            failed = wire.parse(wire.ItemsBody, data)
+            failed = _parse_written(wire.ItemsBody, data)
             reads = {i.key: wire.to_item(i) for i in failed.items if i.revision}
             return TxnResult(False, 0, reads)
-        return TxnResult(True, wire.parse(wire.RevisionBody, data).revision)
+        return TxnResult(True, _parse_written(wire.RevisionBody, data).revision)
 
     async def grant_lease(self, ttl: float) -> int:
         """Return the id of a new lease with a TTL of ``ttl`` seconds."""
         body = {"ttlMs": int(ttl * 1000)}
         _, data = await self._write("POST", "/kv-lease", body)
-        return wire.parse(wire.LeaseBody, data).lease
+        return _parse_written(wire.LeaseBody, data).lease
 
     async def keep_alive(self, lease_id: int) -> float:
         """Renew a lease; return its remaining seconds, 0 if it has expired."""
-        status, data = await self._write("POST", f"/kv-keep/{lease_id}", {})
+        path = f"/kv-keep/{lease_id}"
+        status, data = await self._write("POST", path, {}, (200, 404))
         if status == 404:
             return 0.0
-        return wire.parse(wire.LeaseBody, data).ttl_ms / 1000
+        return _parse_written(wire.LeaseBody, data).ttl_ms / 1000
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease and delete its keys; no error if it has expired."""
-        await self._write("DELETE", f"/kv-lease-end/{lease_id}", None)
+        path = f"/kv-lease-end/{lease_id}"
+        await self._write("DELETE", path, None, (200, 204, 404))
 
     async def close(self) -> None:
         """Close the idle connections to the service."""
         self._client.forget(self.address)
 
-    async def _read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def _read(
+        self, path: str, timeout_s: float, expected: tuple[int, ...] = (200,)
+    ) -> tuple[int, bytes]:
+        """Make a read call.
+
+        Raises:
+            StoreUnavailable: If no answer came, or one of an unexpected status.
+            BadRequest: If the store rejected the call as invalid.
+        """
         try:
-            return _check_status(
-                *await self._client.call(self.address, "GET", path, timeout_s=timeout_s)
+            status, data = await self._client.call(
+                self.address, "GET", path, timeout_s=timeout_s
             )
         except (NotSent, ResponseLost) as exc:
             raise StoreUnavailable(str(exc)) from None
+        _check_rejected(status, data)
+        if status not in expected:
+            raise StoreUnavailable(f"store answered with status {status}")
+        return status, data
 
-    async def _write(self, method: str, path: str, body: dict | None):
+    async def _write(
+        self,
+        method: str,
+        path: str,
+        body: dict | None,
+        expected: tuple[int, ...] = (200,),
+    ) -> tuple[int, bytes]:
+        """Make a write call.
+
+        Raises:
+            StoreUnavailable: If the call had no effect.
+            StoreOutcomeUnknown: If it may have taken effect.
+            BadRequest: If the store rejected the call as invalid.
+        """
         data = b"" if body is None else wire.ENCODER.encode(body)
         try:
-            return _check_status(
-                *await self._client.call(
-                    self.address, method, path, data, self._timeout_s
-                )
+            status, answer = await self._client.call(
+                self.address, method, path, data, self._timeout_s
             )
         except NotSent as exc:
             raise StoreUnavailable(str(exc)) from None
         except ResponseLost as exc:
             raise StoreOutcomeUnknown(str(exc)) from None
+        _check_rejected(status, answer)
+        if status not in expected:
+            raise StoreOutcomeUnknown(f"store answered with status {status}")
+        return status, answer
 
 
 def _put(operation: Put) -> dict:
@@ -184,8 +214,8 @@
     return {"key": operation.key, "value": value, "lease": operation.lease}
 
 
-def _check_status(status: int, data: bytes) -> tuple[int, bytes]:
-    """Return the response, or raise the error that its status stands for.
+def _check_rejected(status: int, data: bytes) -> None:
+    """Raise the error for an answer that says that nothing was done.
 
     Raises:
         StoreUnavailable: If the store refused the call.
@@ -197,4 +227,25 @@
         raise BadRequest(
             f"store rejected the call with status {status}: {data[:200]!r}"
         )
-    return status, data
+
+
+def _check_revision(revision: int) -> int:
+    if revision < 1:
+        raise StoreUnavailable("the answer of the store has no revision")
+    return revision
+
+
+def _parse_read(kind: type, data: bytes):
+    """Decode the answer to a read; one that is not valid counts as missing."""
+    try:
+        return wire.parse(kind, data)
+    except BadRequest as exc:
+        raise StoreUnavailable(exc.message) from None
+
+
+def _parse_written(kind: type, data: bytes):
+    """Decode the answer to a write; if it is not valid, the outcome is unknown."""
+    try:
+        return wire.parse(kind, data)
+    except BadRequest as exc:
+        raise StoreOutcomeUnknown(exc.message) from None
--- a/flamingoway/platform/wire.py
+++ b/flamingoway/platform/wire.py
@@ -1,12 +1,17 @@
 """Bodies of the platform's messages and their conversion to internal types."""
 
+import binascii
 from base64 import b64decode, b64encode
-from typing import Any
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
+from ..addresses import parse_address
 from ..errors import BadRequest
 from ..model import Resources
+from ..queues import limits
+from ..queues.limits import check_job
 from ..queues.model import (
     AdviceTiming,
     DesiredState,
@@ -24,8 +29,38 @@
 
 DRAINING = "draining"
 WORKER_STATES = ("ready", DRAINING)
-# Limit on the payload of a job, in bytes of UTF-8; workers need not accept more.
-MAX_SPEC_BYTES = 4000
+# A worker's entry has about 300 bytes.
+MAX_ENTRY_BYTES = 32 * 1024
+# The store allows keys of 200 bytes, and the id follows a prefix.
+MAX_WORKER_ID_CHARS = 150
+MAX_LABELS = 64
+# Ended runs in one answer to a poll; a worker that has more lists the first ones.
+MAX_ENDED_ROWS = 500
+MAX_CHECKPOINT_CHARS = 4096
+MAX_CALL_MS = 3.6e6
+
+Name = Annotated[str, Meta(max_length=limits.MAX_NAME_CHARS)]
+# Whole numbers that every JSON reader represents exactly.
+Count = Annotated[int, Meta(ge=0, le=2**53)]
+Millis = Annotated[float, Meta(ge=0, le=limits.MAX_DURATION_S * 1000)]
+CallMillis = Annotated[float, Meta(ge=0, le=MAX_CALL_MS)]
+
+
+# Names in submissions by the names of the data classes, for error messages.
+JOB_FIELDS = {
+    "payload": "spec",
+    "cores_milli": "cpu",
+    "memory_mb": "memMb",
+    "accelerators": "gpu",
+    "estimate_s": "estRuntimeMs / 1000",
+    "label": "constraints",
+    "data_rack": "affinity",
+    "per_worker": "antiAffinity",
+    "may_be_away": "mayMiss",
+    "target_s": "targetMs / 1000",
+    "first_at": "firstRunMs / 1000",
+    "interval_s": "intervalMs / 1000",
+}
 
 
 class Body(msgspec.Struct, rename="camel", omit_defaults=True):
@@ -85,9 +120,9 @@
         valid_ms: Lifetime of a ticket.
     """
 
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
-    valid_ms: float = 0.0
+    decide_ms: CallMillis = 0.0
+    each_ms: CallMillis = 0.0
+    valid_ms: Millis = 0.0
 
 
 class QueueBody(Body):
@@ -102,10 +137,10 @@
     service: str
     prefix: str
     host: str = ""
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: float = 0.0
+    priority: Annotated[int, Meta(ge=-(2**31), le=2**31)] = 0
+    max_attempts: Annotated[int, Meta(ge=0, le=2**31)] = 1
+    stretch: Annotated[float, Meta(ge=0, le=1e6)] = 1.0
+    slo_ms: Millis = 0.0
     advice: AdviceTimingBody | None = None
 
 
@@ -124,13 +159,13 @@
 class LimitsBody(Body, frozen=True):
     """Limits on the requests of callers."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Count = 262_144
 
 
 class ConfigBody(Body):
     """The operator's configuration, in its current version."""
 
-    version: int
+    version: Count
     routes: list[QueueBody]
     services: list[ServiceBody] = []
     limits: LimitsBody = LimitsBody()
@@ -139,21 +174,40 @@
 class CapacityBody(Body):
     """Capacity of a worker; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Annotated[int, Meta(ge=0, le=limits.MAX_CORES_MILLI)] = 0
+    mem_mb: Annotated[int, Meta(ge=0, le=limits.MAX_MEMORY_MB)] = 0
+    gpu: Annotated[int, Meta(ge=0, le=limits.MAX_ACCELERATORS)] = 0
 
 
 class WorkerBody(Body):
     """A worker's entry in the registry."""
 
-    service: str
-    address: str
-    state: str
-    zone: str
+    service: Name
+    address: Name
+    state: Name
+    zone: Name
     capacity: CapacityBody
-    labels: list[str] = []
-    born: int = 0
+    labels: Annotated[list[Name], Meta(max_length=MAX_LABELS)] = []
+    born: Count = 0
+
+
+class RunningRow(Body, array_like=True):
+    """A running run; the fields that follow are not used."""
+
+    task_id: Name
+    number: Count
+    checkpoint: str | None
+    percent: Annotated[float, Meta(ge=0, le=100)]
+
+
+class EndedRow(Body, array_like=True):
+    """An ended run."""
+
+    sequence: Count
+    task_id: Name
+    number: Count
+    kind: EndKind
+    checkpoint: str | None = None
 
 
 class PollAnswerBody(Body):
@@ -162,29 +216,30 @@
     Attributes:
         clock_ms: The worker's monotonic clock.
         born: Start of the worker's incarnation, in Unix milliseconds.
-        num_running: Rows of running runs: task id, run, checkpoint, percent done.
-        ended: Rows of ended runs: sequence number, task id, run, kind, checkpoint.
+        num_running: Rows of running runs; a list despite its name.
+        ended: Rows of ended runs that are not acknowledged, the first ones only if
+            there are more than ``MAX_ENDED_ROWS``.
     """
 
-    clock_ms: int
-    born: int = 0
-    num_running: list[list[Any]] = []
-    ended: list[list[Any]] = []
+    clock_ms: Count
+    born: Count = 0
+    num_running: list[RunningRow] = []
+    ended: list[EndedRow] = []
 
 
 class OrderAnswerBody(Body):
     """Answer of a worker to an order; ``reason`` says why it was refused."""
 
-    clock_ms: int = 0
-    born: int = 0
-    reason: str = ""
+    clock_ms: Count = 0
+    born: Count = 0
+    reason: Name = ""
 
 
 class AdviceAnswerBody(Body):
     """Answer of the advice service; rows of ``good`` are worker id and ticket."""
 
-    good: list[list[str]] = []
-    valid_ms: float = 0.0
+    good: list[tuple[Name, str]] = []
+    valid_ms: Millis = 0.0
 
 
 class ItemBody(Body):
@@ -192,8 +247,8 @@
 
     key: str
     value: str = ""
-    revision: int = 0
-    created: int = 0
+    revision: Count = 0
+    created: Count = 0
     lease: int = 0
     deleted: bool = False
 
@@ -204,20 +259,20 @@
     items: list[ItemBody] = []
     events: list[ItemBody] = []
     has_more: bool = False
-    store_revision: int = 0
+    store_revision: Count = 0
 
 
 class RevisionBody(Body):
     """Answer to a write."""
 
-    revision: int = 0
+    revision: Annotated[int, Meta(ge=1)]
 
 
 class LeaseBody(Body):
     """Answer to a grant or a renewal of a lease."""
 
     lease: int = 0
-    ttl_ms: int = 0
+    ttl_ms: Count = 0
 
 
 ENCODER = msgspec.json.Encoder()
@@ -237,11 +292,20 @@
         return decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise BadRequest(f"not a valid {kind.__name__}: {exc}") from None
+    except RecursionError:
+        raise BadRequest(f"not a valid {kind.__name__}: nested too deeply") from None
 
 
 def to_item(body: ItemBody) -> KeyValue:
-    """Convert a stored key."""
-    value = b64decode(body.value)
+    """Convert a stored key; a value that cannot be decoded becomes empty.
+
+    No valid record is empty, so that the record is skipped like others that are not
+    valid.
+    """
+    try:
+        value = b64decode(body.value)
+    except (binascii.Error, ValueError):
+        value = b""
     return KeyValue(body.key, value, body.created, body.revision, body.lease)
 
 
@@ -289,33 +353,19 @@
         BadRequest: If the body is not a valid job, or a field is outside its limits.
     """
     body = parse(JobBody, data)
-    _check_job(body)
     schedule = None
-    if body.repeats > 0:
+    if body.repeats:
         first, interval = body.first_run_ms / 1000, body.interval_ms / 1000
         schedule = Schedule(body.repeats, first, interval)
     steps = tuple(to_step(step) for step in body.steps)
-    return StepJobSpec(job_id, queue, body.spec, steps, schedule)
-
-
-def _check_job(body: JobBody) -> None:
-    """Reject a job that workers would reject or that could never end."""
-    size = len(body.spec.encode())
-    if size > MAX_SPEC_BYTES:
-        raise BadRequest(f"spec has {size} bytes, more than {MAX_SPEC_BYTES}")
-    if not body.steps:
-        raise BadRequest("steps is empty")
-    for number, step in enumerate(body.steps):
-        if step.count < 1:
-            raise BadRequest(f"count of step {number} is {step.count}, less than 1")
-        needs = {"cpu": step.cpu, "memMb": step.mem_mb, "gpu": step.gpu}
-        for name, value in needs.items():
-            if value < 0:
-                raise BadRequest(f"{name} of step {number} is {value}, less than 0")
-        if not all(0 <= before < number for before in step.after):
-            raise BadRequest(
-                f"after of step {number} names {step.after}, not only earlier steps"
-            )
+    spec = StepJobSpec(job_id, queue, body.spec, steps, schedule)
+    try:
+        check_job(spec)
+    except BadRequest as exc:
+        field = exc.details["field"]
+        message = exc.message.replace(field, JOB_FIELDS.get(field, field))
+        raise BadRequest(message) from None
+    return spec
 
 
 def to_advice_timing(body: AdviceTimingBody | None) -> AdviceTiming | None:
@@ -365,11 +415,19 @@
     Raises:
         BadRequest: If the entry is not valid; other programs may write to the registry.
     """
+    if len(data) > MAX_ENTRY_BYTES:
+        raise BadRequest(f"entry has {len(data)} bytes, more than {MAX_ENTRY_BYTES}")
+    if len(worker_id) > MAX_WORKER_ID_CHARS:
+        raise BadRequest(f"worker id is longer than {MAX_WORKER_ID_CHARS} characters")
     if not (worker_id.isascii() and worker_id.isprintable()):
         raise BadRequest(f"worker id {worker_id!r} cannot be sent in an HTTP header")
     body = parse(WorkerBody, data)
-    if body.state not in WORKER_STATES or ":" not in body.address:
-        raise BadRequest(f"invalid state {body.state!r} or address {body.address!r}")
+    if body.state not in WORKER_STATES:
+        raise BadRequest(f"unknown state {body.state!r}")
+    try:
+        parse_address(body.address)
+    except ValueError as exc:
+        raise BadRequest(f"invalid address: {exc}") from None
     return WorkerEntry(
         worker_id=worker_id,
         service=body.service,
@@ -385,28 +443,32 @@
 def to_report(data: bytes) -> WorkerReport:
     """Decode a worker's answer to a poll.
 
+    A report with an invalid row is invalid as a whole: without that row, its run would
+    seem to have gone.
+
     Raises:
         BadRequest: If it is not valid.
     """
     body = parse(PollAnswerBody, data)
-    try:
-        return WorkerReport(
-            clock_ms=body.clock_ms,
-            born_ms=body.born,
-            running=tuple(_to_running_task(row) for row in body.num_running),
-            ended=tuple(_to_ended_task(row) for row in body.ended),
-        )
-    except (IndexError, ValueError, TypeError) as exc:
-        raise BadRequest(f"invalid row in a list of runs: {exc}") from None
+    return WorkerReport(
+        clock_ms=body.clock_ms,
+        born_ms=body.born,
+        running=tuple(_to_running_task(row) for row in body.num_running),
+        ended=tuple(_to_ended_task(row) for row in body.ended),
+        complete=len(body.ended) < MAX_ENDED_ROWS,
+    )
 
 
-def _to_running_task(row: list[Any]) -> RunningTask:
-    """Convert a row of ``numRunning``, which is a list despite its name."""
-    return RunningTask(str(row[0]), int(row[1]), str(row[2] or ""), float(row[3]))
+def _to_running_task(row: RunningRow) -> RunningTask:
+    checkpoint = _to_checkpoint(row.checkpoint)
+    return RunningTask(row.task_id, row.number, checkpoint, row.percent)
 
 
-def _to_ended_task(row: list[Any]) -> EndedTask:
-    sequence, task_id, number, kind, checkpoint = row[:5]
-    return EndedTask(
-        int(sequence), str(task_id), int(number), EndKind(kind), str(checkpoint or "")
-    )
+def _to_ended_task(row: EndedRow) -> EndedTask:
+    checkpoint = _to_checkpoint(row.checkpoint)
+    return EndedTask(row.sequence, row.task_id, row.number, row.kind, checkpoint)
+
+
+def _to_checkpoint(text: str | None) -> str:
+    """Return a checkpoint, or none if it is too long to store with the progress."""
+    return text if text and len(text) <= MAX_CHECKPOINT_CHARS else ""
--- a/flamingoway/platform/workers.py
+++ b/flamingoway/platform/workers.py
@@ -179,7 +179,6 @@
             raise NoReply(f"advice service answered with status {status}")
         try:
             body = wire.parse(wire.AdviceAnswerBody, answer)
-            tickets = {row[0]: row[1] for row in body.good}
-        except (BadRequest, IndexError) as exc:
+        except BadRequest as exc:
             raise NoReply(f"unreadable answer of the advice service: {exc}") from None
-        return Advice(tickets, body.valid_ms / 1000)
+        return Advice(dict(body.good), body.valid_ms / 1000)
--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -12,6 +12,7 @@
 
 from .decisions import DecisionLog
 from .health import WorkerHealth
+from .limits import check_job
 from .model import (
     Advice,
     DesiredState,
@@ -48,6 +49,8 @@
 )
 from .table import TableJob
 
+# Digits of an occurrence, step or index in the id of a task.
+MAX_NUMBER_CHARS = 9
 # A stop order is repeated at this interval until the worker reports the end.
 STOP_REPEAT_S = 0.5
 # Delay before a task whose start was refused is placed again, so that a worker that
@@ -125,6 +128,11 @@
         """Known workers by id."""
         return self._workers
 
+    @property
+    def scheduled(self) -> dict[str, OpenJob]:
+        """Jobs with occurrences that are not open yet, by id."""
+        return self._scheduled
+
     @property
     def waiting(self) -> dict[str, StepRun]:
         """Steps with tasks to start, by id."""
@@ -165,10 +173,15 @@
             now: Time on the leader's monotonic clock, in seconds.
             wall: Wall-clock time, in seconds.
             inherited: Whether a former leader may have started tasks of the job.
+
+        Raises:
+            BadRequest: The stored job or its progress is not valid.
         """
         if entry.job_id in self._jobs or entry.state.final or self._desired is None:
             return
         record = entry.decode()
+        check_job(record.spec)
+        progress = entry.decode_progress()
         queue = self._desired.queue(record.spec.queue) or _unconfigured_queue(
             record.spec.queue
         )
@@ -187,7 +200,6 @@
             + queue.stretch * max(_critical_paths(record.spec.steps), default=0.0)
             + queue.objective_s
         )
-        progress = entry.decode_progress()
         if progress is not None:
             job.restored_progress = dict(progress.steps)
         self._jobs[entry.job_id] = job
@@ -209,15 +221,19 @@
     def open_due_occurrences(self, now: float, wall: float) -> None:
         """Open the occurrences of scheduled jobs whose time has come."""
         for job in list(self._scheduled.values()):
-            schedule = job.spec.schedule
-            while job.next_occurrence < schedule.repeats and not job.state.final:
-                due = schedule.first_at + job.next_occurrence * schedule.interval_s
-                if due > wall:
-                    break
-                job.next_occurrence += 1
-                self._open_occurrence(job, job.next_occurrence - 1, now)
-            if job.next_occurrence >= schedule.repeats or job.state.final:
-                self._scheduled.pop(job.spec.job_id, None)
+            self.open_due(job, now, wall)
+
+    def open_due(self, job: OpenJob, now: float, wall: float) -> None:
+        """Open the occurrences of one scheduled job whose time has come."""
+        schedule = job.spec.schedule
+        while job.next_occurrence < schedule.repeats and not job.state.final:
+            due = schedule.first_at + job.next_occurrence * schedule.interval_s
+            if due > wall:
+                break
+            job.next_occurrence += 1
+            self._open_occurrence(job, job.next_occurrence - 1, now)
+        if job.next_occurrence >= schedule.repeats or job.state.final:
+            self._scheduled.pop(job.spec.job_id, None)
 
     def _open_occurrence(self, job: OpenJob, occurrence: int, now: float) -> None:
         paths_s = _critical_paths(job.spec.steps)
@@ -295,6 +311,27 @@
         self._jobs.pop(job.spec.job_id, None)
         self._scheduled.pop(job.spec.job_id, None)
 
+    def set_aside(self, job_id: str) -> None:
+        """Stop handling a job after an error; its runs become orphans.
+
+        The job stays open in the store, for the next leader.
+        """
+        job = self._jobs.pop(job_id, None)
+        self._scheduled.pop(job_id, None)
+        if job is None:
+            return
+        for step in job.steps.values():
+            step.pending.clear()
+            step.release_reservation()
+            self._waiting.pop(step.id, None)
+            for run in step.live.values():
+                if run.worker.runs.pop(run.key, None) is not None:
+                    needs = allocated_resources(step.spec)
+                    run.worker.used = run.worker.used - needs
+                    # Blocks the worker until its next report shows what runs there.
+                    run.worker.orphans[run.key] = float("-inf")
+            step.live.clear()
+
     # Workers
 
     def restore_worker(
@@ -480,6 +517,9 @@
                 continue
             self._note_progress(run, row, now)
         worker.orphans = orphans
+        if not report.complete:
+            # A run that is not listed may be among the ends that follow.
+            return
         for key, run in list(worker.runs.items()):
             if key not in seen and _is_absent(run, sent_at, token):
                 self._log.write(
@@ -612,7 +652,8 @@
         job = step.job
         indexes = range(step.spec.count) if step.spec.gang else (index,)
         step.done.update(indexes)
-        step.pending = [i for i in step.pending if i not in step.done]
+        if step.pending:
+            step.pending = [i for i in step.pending if i not in step.done]
         for i in indexes:
             run = step.live.pop(i, None)
             if run is None:
@@ -906,7 +947,7 @@
     def _find_task(self, task_id: str) -> tuple[StepRun, int] | None:
         """Return the step and the index of a task of an open job."""
         parts = task_id.split(".")
-        if len(parts) != 4 or not all(p.isdigit() for p in parts[1:]):
+        if len(parts) != 4 or not all(_is_number(p) for p in parts[1:]):
             return None
         job = self._jobs.get(parts[0])
         if job is None or job.state.final:
@@ -924,6 +965,10 @@
                 yield worker
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_CHARS
+
+
 def _is_absent(run: Run, sent_at: float, token: int) -> bool:
     """Return whether a run missing from a report neither runs nor can still start."""
     if run.token < token:
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -62,6 +62,8 @@
         deadline: Loop time up to which the write is retried.
         accepted: Resolved once the job is stored, or with the error.
         failed: Whether the last write failed.
+        alone: Whether to write the job by itself, because the store rejected a write
+            with others as invalid.
         uncertain: Whether a write of the job was sent but not answered.
     """
 
@@ -71,6 +73,7 @@
     deadline: float
     accepted: asyncio.Future
     failed: bool = False
+    alone: bool = False
     uncertain: bool = False
 
     def should_give_up(self, now: float) -> bool:
@@ -345,7 +348,7 @@
     async def _write_all(self) -> None:
         loop = asyncio.get_running_loop()
         while self._pending:
-            batch = self._pending[:JOBS_PER_WRITE]
+            batch = self._next_batch()
             write = asyncio.create_task(self._write(batch))
             slow_after_s = max(SLOW_WRITE_S, SLOW_WRITE_FACTOR * self._last_write_s)
             await asyncio.wait({write}, timeout=slow_after_s)
@@ -359,6 +362,12 @@
                     _fail(pending)
             self._pending = [p for p in self._pending if not p.accepted.done()]
 
+    def _next_batch(self) -> list[_PendingJob]:
+        first = self._pending[0]
+        if first.alone:
+            return [first]
+        return [p for p in self._pending if not p.alone][:JOBS_PER_WRITE]
+
     def _refuse_queued(self, batch: list[_PendingJob]) -> None:
         """Refuse the jobs queued behind an unanswered write."""
         self._write_is_slow = True
@@ -385,7 +394,10 @@
             self._write_failed_at = asyncio.get_running_loop().time()
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
             return
-        except (StoreUnavailable, BadRequest) as exc:
+        except BadRequest as exc:
+            self._on_rejected(batch, exc)
+            return
+        except StoreUnavailable as exc:
             for pending in batch:
                 pending.failed = True
             self._write_failed_at = asyncio.get_running_loop().time()
@@ -406,6 +418,14 @@
             ):
                 pending.accepted.set_result(None)
 
+    def _on_rejected(self, batch: list[_PendingJob], error: BadRequest) -> None:
+        """Write jobs one by one after the store rejected a write as invalid."""
+        self._log.write("job write rejected", jobs=len(batch), why=error.message)
+        for pending in batch:
+            pending.alone = True
+        if len(batch) == 1 and not batch[0].accepted.done():
+            batch[0].accepted.set_exception(error)
+
     def _announce(self, batch: list[_PendingJob], epoch: int, revision: int) -> None:
         """Notify the leader of stored jobs before its watch shows them.
 
--- a/flamingoway/queues/metrics.py
+++ b/flamingoway/queues/metrics.py
@@ -44,6 +44,19 @@
         self.flush_seconds = self._histogram(
             "flamingoway_queue_flush_seconds", "Time of one write of progress"
         )
+        self.skipped_records = self._counter(
+            "flamingoway_queue_skipped_records_total",
+            "Records that are not valid and were skipped, by kind",
+        )
+        self.contained_errors = self._counter(
+            "flamingoway_queue_contained_errors_total",
+            "Unforeseen errors that were kept to one record, worker or job, by kind",
+        )
+        self.jobs_set_aside = prometheus_client.Gauge(
+            "flamingoway_queue_jobs_set_aside",
+            "Jobs that this leader does not run after an error or an invalid record",
+            registry=self._registry,
+        )
         self.dropped_lines = prometheus_client.Gauge(
             "flamingoway_queue_log_lines_dropped",
             "Log lines dropped so far",
@@ -54,6 +67,11 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _counter(self, name: str, help_text: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, help_text, ["kind"], registry=self._registry
+        )
+
     def _histogram(self, name: str, help_text: str) -> prometheus_client.Histogram:
         return prometheus_client.Histogram(
             name, help_text, registry=self._registry, buckets=BUCKETS_S
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from ..errors import BadRequest, StoreUnavailable
+from ..errors import StoreUnavailable
 from ..store import KeyValue, RevisionCompacted, Store, WatchEvent
 from ..store.watch import Backoff
 from .decisions import DecisionLog
+from .faults import FaultReporter
 
 # A watch waits at most this long, so that a dead connection is noticed within a
 # fraction of the 2 s in which a new configuration must be in force.
@@ -43,6 +44,7 @@
         listener: Receives content and changes.
         clock: Monotonic clock in seconds.
         log: Decision log.
+        faults: Reports unforeseen errors.
         rng: Source of the jitter of retries.
         read_interval_s: Least time between two reads of changes.
     """
@@ -54,6 +56,7 @@
         listener: Listener,
         clock: Callable[[], float],
         log: DecisionLog,
+        faults: FaultReporter,
         rng: random.Random,
         read_interval_s: float = FOLLOWER_READ_INTERVAL_S,
     ):
@@ -63,6 +66,7 @@
         self._listener = listener
         self._clock = clock
         self._log = log
+        self._faults = faults
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._synced = asyncio.Event()
@@ -119,6 +123,11 @@
                 self._complete = False
                 self._on_failure(exc)
                 await asyncio.sleep(self._backoff.next())
+            except Exception as exc:
+                # Following must not end; a new read may get past the error.
+                self._complete = False
+                self._faults.report_contained("mirror", self._prefix, exc)
+                await asyncio.sleep(self._backoff.next())
 
     async def _follow_once(self, wait_s: float) -> None:
         if not self._complete:
@@ -162,14 +171,3 @@
             self._reachable = False
             self._down_since = self._clock()
             self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
-
-
-def decode_or_skip(log: DecisionLog, item: KeyValue, decode: Callable, *args):
-    """Return a decoded value, or log it and return ``None`` if it is unreadable."""
-    try:
-        return decode(*args, item.value)
-    except BadRequest as exc:
-        log.write(
-            "entry skipped", key=item.key, revision=item.mod_revision, why=exc.message
-        )
-        return None
--- a/flamingoway/queues/model.py
+++ b/flamingoway/queues/model.py
@@ -268,12 +268,14 @@
     Attributes:
         clock_ms: The worker's monotonic clock.
         born_ms: Start of the worker's incarnation, in Unix milliseconds.
+        complete: Whether no more runs have ended than those listed.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -13,7 +13,9 @@
 from . import records
 from .advice import AdviceDispatcher
 from .decisions import DecisionLog
+from .faults import FaultReporter
 from .intake import Intake
+from .limits import check_job
 from .messages import (
     AnnounceRequest,
     AskReply,
@@ -100,7 +102,8 @@
         self._clock = clock
         self._log = log
         self._rng = rng
-        self._table = JobTable(log)
+        self._faults = FaultReporter(log, self.metrics, clock)
+        self._table = JobTable(self._faults)
         self._mirror = self._create_mirror(records.ROOT, self._table)
         self._relay = Relay(
             process.name, peers, lambda: self._table.processes, rng, log
@@ -115,7 +118,9 @@
             process.name,
             log,
         )
-        self._session = Session(platform.store, self._table, process, clock, log)
+        self._session = Session(
+            platform.store, self._table, process, clock, log, self._faults
+        )
         self._server = server
         self._peers = peers
         self._election = Election(
@@ -130,6 +135,11 @@
         """Handles callers' requests."""
         return self._intake
 
+    @property
+    def faults(self) -> FaultReporter:
+        """Reports records that are not valid and unforeseen errors."""
+        return self._faults
+
     @property
     def ready(self) -> bool:
         """Whether the process can serve callers."""
@@ -147,9 +157,11 @@
             self._platform.decode_config,
             self._configure,
             self._log,
+            self._faults,
         )
         config_mirror = self._create_mirror(self._platform.config_prefix, config)
         server = self._server
+        server.on_error = self._on_call_error
         server.handle(AskRequest, self._handle_ask)
         server.handle(AnnounceRequest, self._handle_announce)
         server.handle(SubmitRequest, self._handle_submit)
@@ -183,7 +195,9 @@
 
     def _create_mirror(self, prefix: str, listener) -> Mirror:
         store, clock = self._platform.store, self._clock
-        return Mirror(store, prefix, listener, clock, self._log, self._rng)
+        return Mirror(
+            store, prefix, listener, clock, self._log, self._faults, self._rng
+        )
 
     def _store_age_s(self) -> float:
         return self._mirror.age_s
@@ -198,34 +212,39 @@
 
     async def _lead(self) -> None:
         while True:
-            if self._intake.desired is None:
-                await asyncio.sleep(TERM_INTERVAL_S)
-                continue
-            leadership = await self._election.campaign()
-            async with self._follow_workers() as (registry, mirror):
-                self._term = Term(
-                    leadership=leadership,
-                    store=self._platform.store,
-                    store_age_s=self._store_age_s,
-                    mirror=self._mirror,
-                    table=self._table,
-                    intake=self._intake,
-                    workers=self._platform.workers,
-                    registry=registry,
-                    registry_mirror=mirror,
-                    dispatcher_factory=self._create_dispatcher,
-                    relay=self._relay,
-                    process=self._process,
-                    lease_s=self._platform.lease_s,
-                    retention_s=self._platform.retention_s,
-                    clock=self._clock,
-                    metrics=self.metrics,
-                    log=self._log,
-                )
-                await self._run_term(self._term)
-                self._term = None
+            if self._intake.desired is not None:
+                # The process serves callers even if it cannot lead.
+                with self._faults.contain("leadership", self._process.name):
+                    await self._lead_once()
             await asyncio.sleep(TERM_INTERVAL_S)
 
+    async def _lead_once(self) -> None:
+        """Wait until this process is elected and lead until it is replaced."""
+        leadership = await self._election.campaign()
+        async with self._follow_workers() as (registry, mirror):
+            self._term = Term(
+                leadership=leadership,
+                store=self._platform.store,
+                store_age_s=self._store_age_s,
+                mirror=self._mirror,
+                table=self._table,
+                intake=self._intake,
+                workers=self._platform.workers,
+                registry=registry,
+                registry_mirror=mirror,
+                dispatcher_factory=self._create_dispatcher,
+                relay=self._relay,
+                process=self._process,
+                lease_s=self._platform.lease_s,
+                retention_s=self._platform.retention_s,
+                clock=self._clock,
+                metrics=self.metrics,
+                log=self._log,
+                faults=self._faults,
+            )
+            await self._run_term(self._term)
+            self._term = None
+
     async def _run_term(self, term: Term) -> None:
         self._mirror.read_interval_s = LEADER_READ_INTERVAL_S
         try:
@@ -235,14 +254,14 @@
         except Exception as exc:
             # An error while leading must not end the process, which also serves
             # callers; the next leader restores its state from the store.
-            self._log.write("leadership failed", why=repr(exc), where=_raised_at(exc))
+            self._faults.report_contained("term", self._process.name, exc)
             await term.resign()
         finally:
             self._mirror.read_interval_s = FOLLOWER_READ_INTERVAL_S
 
     @asynccontextmanager
     async def _follow_workers(self):
-        registry = WorkerRegistry(self._platform.decode_worker, self._log)
+        registry = WorkerRegistry(self._platform.decode_worker, self._faults)
         mirror = self._create_mirror(self._platform.worker_prefix, registry)
         task = asyncio.create_task(mirror.run())
         try:
@@ -261,6 +280,9 @@
             self._log,
         )
 
+    def _on_call_error(self, method: str, error: Exception) -> None:
+        self._faults.report_contained("call", method, error)
+
     async def _handle_ask(self, request: AskRequest) -> AskReply:
         try:
             advice = await self._platform.advice.ask(
@@ -275,6 +297,7 @@
         return Done()
 
     async def _handle_submit(self, request: SubmitRequest) -> Done:
+        check_job(request.spec)
         await self._intake.submit(request.spec, request.timeout_s, relay=False)
         return Done()
 
@@ -290,13 +313,3 @@
         if not can_lead or not self._election.take_over(request.epoch):
             raise Refused("this process cannot lead", Code.STORE_UNAVAILABLE)
         return Done()
-
-
-def _raised_at(exc: BaseException) -> str:
-    """Return the file and line at which an exception was raised."""
-    trace = exc.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
-        return ""
-    return f"{trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -66,6 +66,18 @@
 MAX_WAIT_LINES_PER_PASS = 5
 
 
+class PlanningError(Exception):
+    """An unforeseen error while one step was planned.
+
+    Args:
+        step: The step.
+    """
+
+    def __init__(self, step: StepRun):
+        super().__init__(step.id)
+        self.step = step
+
+
 class Planner:
     """Orders starts and calls to the advice service for the waiting steps.
 
@@ -85,9 +97,24 @@
         self._reserved_by: dict[str, tuple[StepRun, int]] = {}
         self._untracked_tasks: set[str] = set()
         self._wait_lines_left = 0
+        self._planned: StepRun | None = None
 
     def run(self, now: float) -> int:
-        """Order all starts that are possible now; return their number."""
+        """Order all starts that are possible now; return their number.
+
+        Raises:
+            PlanningError: An error occurred while a step was planned; steps after it
+                have not been planned.
+        """
+        self._planned = None
+        try:
+            return self._run(now)
+        except Exception as exc:
+            if self._planned is None:
+                raise
+            raise PlanningError(self._planned) from exc
+
+    def _run(self, now: float) -> int:
         cluster = self._cluster
         self._wait_lines_left = MAX_WAIT_LINES_PER_PASS
         self._drop_stale_reservations()
@@ -96,8 +123,8 @@
         started = self._start_reserved(now)
         free = self._free = FreeCapacity(cluster.workers.values(), self._snapshots, now)
         reserved_before, self._reserved_by = self._reserved_by, {}
-        steps = sorted(cluster.waiting.values(), key=lambda s: self.rank(s, now))
-        for step in steps:
+        for step in self._ranked(cluster.waiting.values(), now):
+            self._planned = step
             held_back = step.job.inherited and takeover_unfinished
             if step.retry_at > now or held_back:
                 # Resources freed in the meantime would not count as gained when the
@@ -116,6 +143,15 @@
                 self._snapshots.pop(worker_id, None)
         return started
 
+    def _ranked(self, steps: Iterable[StepRun], now: float) -> list[StepRun]:
+        """Return steps in the order in which they are planned."""
+
+        def key(step: StepRun) -> tuple:
+            self._planned = step
+            return self.rank(step, now)
+
+        return sorted(steps, key=key)
+
     def rank(self, step: StepRun, now: float) -> tuple:
         """Return the sort key of a waiting step; lower keys are planned first."""
         job, spec = step.job, step.spec
@@ -446,7 +482,8 @@
             if step.reserved and not step.advice_pending
         ]
         started = 0
-        for step in sorted(answered, key=lambda s: self.rank(s, now)):
+        for step in self._ranked(answered, now):
+            self._planned = step
             if step.spec.gang and step.unasked_workers:
                 self._ask_about_reserved(step, now)
                 continue
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -13,6 +13,10 @@
 WORKER_PREFIX = "fw/worker/"
 LEADER_KEY = "fw/leader"
 EPOCH_KEY = "fw/epoch"
+# The store holds values of up to a megabyte.
+MAX_PROGRESS_BYTES = 512 * 1024
+# Cores of a process, far beyond any VM.
+MAX_POWER = 10_000.0
 # A leader hands over only to a process with this many times its processor time; a
 # smaller gain does not justify the pause in scheduling.
 HANDOVER_POWER_RATIO = 1.5
@@ -120,6 +124,19 @@
     return ENCODER.encode(record)
 
 
+def encode_progress(record: ProgressRecord) -> bytes:
+    """Return progress as msgpack, without checkpoints if it would be too large.
+
+    Without its checkpoint, a task that is interrupted begins anew.
+    """
+    value = encode(record)
+    if len(value) <= MAX_PROGRESS_BYTES:
+        return value
+    for step in record.steps.values():
+        step.checkpoints = {}
+    return encode(record)
+
+
 def decode(kind: type, value: bytes):
     """Decode a stored value as a record of type ``kind``.
 
@@ -127,9 +144,13 @@
         BadRequest: If the value is not such a record.
     """
     try:
-        return _DECODERS[kind].decode(value)
-    except msgspec.DecodeError as exc:
+        record = _DECODERS[kind].decode(value)
+    # Records of other writers may be nested deeply or contain invalid text.
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise BadRequest(f"invalid {kind.__name__}: {exc}") from None
+    if kind is ProcessRecord and not 0 < record.power <= MAX_POWER:
+        raise BadRequest(f"power is {record.power}, not up to {MAX_POWER}")
+    return record
 
 
 def job_keys(job_id: str) -> tuple[str, ...]:
--- a/flamingoway/queues/registry.py
+++ b/flamingoway/queues/registry.py
@@ -4,7 +4,7 @@
 
 from ..store import KeyValue, WatchEvent
 from .decisions import DecisionLog
-from .mirror import decode_or_skip
+from .faults import FaultReporter
 from .model import DesiredState, WorkerEntry
 
 
@@ -13,21 +13,23 @@
 
     Args:
         decode: Decodes an entry, given the worker id and the stored value.
-        log: Decision log.
+        faults: Reports entries that are not valid.
 
     Attributes:
         on_change: Called after entries have changed.
     """
 
-    def __init__(self, decode: Callable[[str, bytes], WorkerEntry], log: DecisionLog):
+    def __init__(
+        self, decode: Callable[[str, bytes], WorkerEntry], faults: FaultReporter
+    ):
         self.on_change: Callable[[], None] | None = None
         self._decode = decode
-        self._log = log
+        self._faults = faults
         self._entries: dict[str, WorkerEntry] = {}
 
     @property
     def entries(self) -> dict[str, WorkerEntry]:
-        """Readable entries by worker id."""
+        """Valid entries by worker id; one that is no longer valid counts as gone."""
         return self._entries
 
     def replace(self, items: list[KeyValue], revision: int) -> None:
@@ -46,7 +48,7 @@
         worker_id = event.key.rpartition("/")[2]
         entry = None
         if event.item is not None:
-            entry = decode_or_skip(self._log, event.item, self._decode, worker_id)
+            entry = self._faults.decode("worker", event.item, self._decode, worker_id)
         if entry is None:
             self._entries.pop(worker_id, None)
         else:
@@ -61,6 +63,7 @@
         decode: Decodes the desired state from a stored value.
         apply: Called with each newer desired state.
         log: Decision log.
+        faults: Reports configurations that are not valid.
     """
 
     def __init__(
@@ -69,11 +72,13 @@
         decode: Callable[[bytes], DesiredState],
         apply: Callable[[DesiredState], None],
         log: DecisionLog,
+        faults: FaultReporter,
     ):
         self._key = key
         self._decode = decode
         self._apply = apply
         self._log = log
+        self._faults = faults
         self._version = -1
 
     def replace(self, items: list[KeyValue], revision: int) -> None:
@@ -90,7 +95,7 @@
     def _apply_item(self, item: KeyValue) -> None:
         if item.key != self._key:
             return
-        desired = decode_or_skip(self._log, item, self._decode)
+        desired = self._faults.decode("configuration", item, self._decode)
         if desired is None or desired.version <= self._version:
             return
         self._version = desired.version
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -9,6 +9,7 @@
 from ..store import Compare, KeyValue, LeaseExpired, Put, Store
 from . import records
 from .decisions import DecisionLog
+from .faults import FaultReporter
 from .records import LeaderRecord, ProcessRecord
 from .table import JobTable
 
@@ -60,6 +61,7 @@
         process: Registration of this process.
         clock: Monotonic clock that counts suspended time, in seconds.
         log: Decision log.
+        faults: Reports unforeseen errors.
     """
 
     def __init__(
@@ -69,12 +71,14 @@
         process: ProcessRecord,
         clock: Callable[[], float],
         log: DecisionLog,
+        faults: FaultReporter,
     ):
         self._store = store
         self._table = table
         self._process = process
         self._clock = clock
         self._log = log
+        self._faults = faults
         self._lease = 0
         self._valid_until = float("-inf")
         self._down_since: float | None = None
@@ -106,9 +110,15 @@
                 await asyncio.sleep(RENEW_INTERVAL_S)
             except (StoreUnavailable, StoreOutcomeUnknown):
                 # The mirrors log the outage.
-                if self._down_since is None:
-                    self._down_since = self._clock()
-                await asyncio.sleep(RETRY_S)
+                await self._wait_after_failure()
+            except Exception as exc:
+                self._faults.report_contained("session", self._process.name, exc)
+                await self._wait_after_failure()
+
+    async def _wait_after_failure(self) -> None:
+        if self._down_since is None:
+            self._down_since = self._clock()
+        await asyncio.sleep(RETRY_S)
 
     async def close(self) -> None:
         """Revoke the lease, so that others need not wait for it to expire."""
@@ -239,9 +249,12 @@
         asked to be replaced.
         """
         leader = self._table.leader
-        if leader is None or leader.name == self._name:
-            return True
-        return leader.epoch == self._replaceable_epoch
+        if leader is None:
+            # A record that is not valid may be a leader of another build. It has a
+            # lease, unlike one of another writer, which would stay for ever.
+            item = self._table.leader_item
+            return item is None or not item.lease
+        return leader.name == self._name or leader.epoch == self._replaceable_epoch
 
     async def _try_election(self) -> Leadership | None:
         if not self._vacant or not self._session.valid:
@@ -293,10 +306,17 @@
 
 
 def read_epoch(item: KeyValue | None) -> tuple[int, bool]:
-    """Return the last epoch and whether its leader resigned."""
+    """Return the last epoch and whether its leader resigned.
+
+    Each election changes the store, so no epoch exceeds the revision of its write. If
+    the value is not valid, that revision stands for the epoch.
+    """
     if item is None:
         return 0, False
-    number, _, mark = item.value.decode().partition(" ")
+    number, _, mark = item.value.decode("ascii", "replace").partition(" ")
+    valid = number.isdecimal() and len(number) <= len(str(item.mod_revision))
+    if not valid or int(number) > item.mod_revision:
+        return item.mod_revision, False
     return int(number), mark == RESIGNED
 
 
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..model import Resources
 from ..store import KeyValue, WatchEvent
 from . import records
-from .decisions import DecisionLog
-from .mirror import decode_or_skip
-from .model import StepJobState
+from .faults import FaultReporter
+from .model import StepJobState, WorkerEntry
 from .records import (
     JobRecord,
     LeaderRecord,
@@ -65,21 +65,22 @@
     """Mirror of everything that flamingoway keeps in the store.
 
     Args:
-        log: Decision log.
+        faults: Reports records that are not valid.
 
     Attributes:
         on_job: Called with a job that was accepted or cancelled.
         on_leader: Called when the leader key has changed.
     """
 
-    def __init__(self, log: DecisionLog):
+    def __init__(self, faults: FaultReporter):
         self.on_job: Callable[[TableJob], None] | None = None
         self.on_leader: Callable[[], None] | None = None
-        self._log = log
+        self._faults = faults
         self._jobs: dict[str, TableJob] = {}
         self._processes: dict[str, ProcessRecord] = {}
         self._workers: dict[str, WorkerRecord] = {}
-        self._leader: tuple[LeaderRecord, KeyValue] | None = None
+        self._leader: LeaderRecord | None = None
+        self._leader_item: KeyValue | None = None
         self._epoch_item: KeyValue | None = None
 
     @property
@@ -99,13 +100,13 @@
 
     @property
     def leader(self) -> LeaderRecord | None:
-        """The current leader, or ``None``."""
-        return self._leader[0] if self._leader else None
+        """The current leader, ``None`` if there is none or its record is not valid."""
+        return self._leader
 
     @property
     def leader_item(self) -> KeyValue | None:
-        """Store entry of ``leader``."""
-        return self._leader[1] if self._leader else None
+        """Store entry of the leader key, also if its record is not valid."""
+        return self._leader_item
 
     @property
     def epoch_item(self) -> KeyValue | None:
@@ -145,7 +146,8 @@
     def apply_changes(self, events: list[WatchEvent]) -> None:
         """Apply changes in the order in which they were made."""
         for event in events:
-            self._apply(event)
+            with self._faults.contain("record", event.key):
+                self._apply(event)
 
     def _apply(self, event: WatchEvent) -> None:
         key, item = event.key, event.item
@@ -156,7 +158,7 @@
         elif key.startswith(records.CANCEL_PREFIX):
             self._set_cancelled(records.id_in_key(key), item)
         elif key.startswith(records.PROCESS_PREFIX):
-            self._set_record(self._processes, ProcessRecord, key, item)
+            self._set_process(records.id_in_key(key), item)
         elif key.startswith(records.WORKER_PREFIX):
             self._set_worker(key, item)
         elif key == records.LEADER_KEY:
@@ -171,7 +173,7 @@
         if item is None:
             self._jobs.pop(job_id, None)
             return
-        record = decode_or_skip(self._log, item, records.decode, JobRecord)
+        record = self._faults.decode("job", item, records.decode, JobRecord)
         if record is None:
             return
         job = self._get_or_create(job_id)
@@ -185,10 +187,11 @@
     def _set_progress(self, job_id: str, item: KeyValue | None) -> None:
         if item is None:
             return
-        record = decode_or_skip(self._log, item, records.decode, ProgressRecord)
+        record = self._faults.decode("progress", item, records.decode, ProgressRecord)
+        job = self._get_or_create(job_id)
+        # Kept even if it is not valid: a leader must not start the job anew.
+        job.progress = item.value
         if record is not None:
-            job = self._get_or_create(job_id)
-            job.progress = item.value
             job.state = record.state
             job.ended_at = record.ended_at
 
@@ -200,31 +203,34 @@
         if job.accepted and self.on_job is not None:
             self.on_job(job)
 
-    def _set_record(
-        self, entries: dict, kind: type, key: str, item: KeyValue | None
-    ) -> None:
-        name = records.id_in_key(key)
-        if item is None:
-            entries.pop(name, None)
-            return
-        record = decode_or_skip(self._log, item, records.decode, kind)
-        if record is not None:
-            entries[name] = record
+    def _set_process(self, name: str, item: KeyValue | None) -> None:
+        record = None
+        if item is not None:
+            record = self._faults.decode("process", item, records.decode, ProcessRecord)
+        if record is None:
+            self._processes.pop(name, None)
+        else:
+            self._processes[name] = record
 
     def _set_worker(self, key: str, item: KeyValue | None) -> None:
         worker_id = records.id_in_key(key)
         if item is None:
             self._workers.pop(worker_id, None)
             return
-        record = decode_or_skip(self._log, item, records.decode, WorkerRecord)
-        if record is not None:
-            self._workers[worker_id] = record
+        record = self._faults.decode(
+            "worker record", item, records.decode, WorkerRecord
+        )
+        if record is None:
+            # Anything may run there until its leases have expired.
+            record = WorkerRecord(WorkerEntry(worker_id, "", "", "", Resources()))
+        self._workers[worker_id] = record
 
     def _set_leader(self, item: KeyValue | None) -> None:
-        record = None
+        self._leader, self._leader_item = None, item
         if item is not None:
-            record = decode_or_skip(self._log, item, records.decode, LeaderRecord)
-        self._leader = None if record is None else (record, item)
+            self._leader = self._faults.decode(
+                "leader", item, records.decode, LeaderRecord
+            )
         if self.on_leader is not None:
             self.on_leader()
 
@@ -237,6 +243,6 @@
             for job in self._jobs.values()
             if job.revision <= revision
         ]
-        if self._leader is not None:
+        if self._leader_item is not None:
             keys.append(records.LEADER_KEY)
         return keys
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -25,14 +25,15 @@
 from .advice import AdviceDispatcher
 from .cluster import ClusterState
 from .decisions import DecisionLog
+from .faults import FaultReporter
 from .intake import Intake
 from .messages import TakeOverRequest
 from .metrics import QueueMetrics
 from .mirror import Mirror
 from .model import Advice, StartReply, WorkerEntry
-from .planning import Planner
+from .planning import Planner, PlanningError
 from .ports import NoReply, PollRefused, WorkerClient
-from .records import LeaderRecord, ProcessRecord, WorkerRecord
+from .records import LeaderRecord, ProcessRecord, WorkerRecord, encode_progress
 from .registry import WorkerRegistry
 from .relay import Relay
 from .runs import (
@@ -75,6 +76,8 @@
 # A transaction takes 32 entries. Three are kept for the leader's key: its compare, its
 # put, and its read if the compare fails, which not every store counts.
 MAX_FLUSH_OPERATIONS = 29
+# Progress in one transaction, in bytes before it is encoded as text.
+MAX_FLUSH_BYTES = 512 * 1024
 # A failed store call is repeated after this time, so at most ten times a second.
 STORE_RETRY_S = 0.1
 # A leader whose store calls have failed for this long asks a process that reaches the
@@ -117,6 +120,7 @@
         clock: Monotonic clock that counts suspended time, in seconds.
         metrics: Metrics of the process.
         log: Decision log.
+        faults: Reports records that are not valid and unforeseen errors.
     """
 
     def __init__(
@@ -138,6 +142,7 @@
         clock: Callable[[], float],
         metrics: QueueMetrics,
         log: DecisionLog,
+        faults: FaultReporter,
     ):
         self._leadership = leadership
         self._store = store
@@ -157,6 +162,10 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._faults = faults
+        self._set_aside: set[str] = set()
+        # Writes that hold one operation each, after the store rejected one as invalid.
+        self._single_writes_left = 0
         self._cluster = ClusterState(leadership.epoch, lease_s, log)
         self._planner = Planner(self._cluster, log)
         self._plan_needed = asyncio.Event()
@@ -201,6 +210,7 @@
         except LeadershipLost as exc:
             self._log.write("leader deposed", epoch=self._cluster.epoch, why=str(exc))
         finally:
+            self._metrics.jobs_set_aside.set(0)
             self._table.on_job = None
             self._registry.on_change = None
             self._dispatcher.close()
@@ -229,8 +239,9 @@
             revision = found.mod_revision
 
     def _is_own(self, item: KeyValue) -> bool:
-        leader = records.decode(LeaderRecord, item.value)
-        return (leader.name, leader.epoch) == (self._name, self._leadership.epoch)
+        leader = self._faults.decode("leader", item, records.decode, LeaderRecord)
+        own = (self._name, self._leadership.epoch)
+        return leader is not None and (leader.name, leader.epoch) == own
 
     # Takeover
 
@@ -281,7 +292,11 @@
     def _on_job(self, job: TableJob) -> None:
         now = self._clock()
         if job.cancelled and job.job_id in self._cluster.jobs:
-            self._cluster.cancel_job(job.job_id, now, time.time())
+            try:
+                self._cluster.cancel_job(job.job_id, now, time.time())
+            except Exception as exc:
+                # The workers are told to stop runs that are no longer tracked.
+                self._set_job_aside(job.job_id, exc)
         else:
             self._add_job(job)
         self._after_event()
@@ -292,14 +307,28 @@
             self._cluster.add_job(job, self._clock(), time.time(), inherited)
         except BadRequest as exc:
             self._log.write("job unreadable", job=job.job_id, why=exc.message)
+            self._note_set_aside(job.job_id)
+        except Exception as exc:
+            self._set_job_aside(job.job_id, exc)
+
+    def _set_job_aside(self, job_id: str, error: Exception) -> None:
+        """Stop handling a job after an unforeseen error, and go on with the others."""
+        self._faults.report_contained("job", job_id, error)
+        self._cluster.set_aside(job_id)
+        self._note_set_aside(job_id)
+
+    def _note_set_aside(self, job_id: str) -> None:
+        self._set_aside.add(job_id)
+        self._metrics.jobs_set_aside.set(len(self._set_aside))
 
     def _update_workers(self) -> None:
         now = self._clock()
         for entry in self._registry.entries.values():
             known = self._cluster.workers.get(entry.worker_id)
             if known is None or not known.listed or known.entry != entry:
-                worker = self._cluster.set_worker(entry, now)
-                self._ensure_poll_loop(worker)
+                with self._faults.contain("worker", entry.worker_id):
+                    worker = self._cluster.set_worker(entry, now)
+                    self._ensure_poll_loop(worker)
         for worker in list(self._cluster.workers.values()):
             if worker.entry.worker_id not in self._registry.entries:
                 self._cluster.mark_unlisted(worker.entry.worker_id, now)
@@ -326,7 +355,7 @@
                 await asyncio.sleep(TICK_S)
                 continue
             wake.clear()
-            if await self._poll(worker, wake):
+            if await self._poll_contained(worker, wake):
                 retry_s = POLL_RETRY_S
                 await self._wait_for_flush(worker, wake)
                 continue
@@ -334,6 +363,15 @@
             await asyncio.sleep(retry_s)
             retry_s = min(POLL_RETRY_MAX_S, retry_s * 2)
 
+    async def _poll_contained(self, worker: WorkerState, wake: asyncio.Event) -> bool:
+        """Poll once; an unforeseen error counts as no answer of this worker."""
+        try:
+            return await self._poll(worker, wake)
+        except Exception as exc:
+            self._faults.report_contained("worker", worker.entry.worker_id, exc)
+            self._on_no_answer(worker, repr(exc))
+            return False
+
     async def _poll(self, worker: WorkerState, wake: asyncio.Event) -> bool:
         """Poll once; return ``False`` if the worker refused or did not answer."""
         entry, token = worker.entry, worker.token
@@ -460,7 +498,10 @@
         reply = StartReply.NOT_SENT
         if self.may_send_orders:
             sent_at = self._clock()
-            reply = await self._workers.start(run.worker.entry, start.order)
+            # The order may have been sent if an error occurred.
+            reply = StartReply.UNKNOWN
+            with self._faults.contain("start", run.task_id):
+                reply = await self._workers.start(run.worker.entry, start.order)
             self._metrics.start_seconds.observe(self._clock() - sent_at)
         self._metrics.starts.labels(reply.value).inc()
         self._cluster.on_start_reply(run, reply, self._clock())
@@ -472,10 +513,11 @@
     async def _stop(self, stop: StopRun) -> None:
         if not self.may_send_orders:
             return
-        worker = stop.worker
-        done = await self._workers.stop(
-            worker.entry, stop.task_id, stop.number, worker.token
-        )
+        worker, done = stop.worker, False
+        with self._faults.contain("stop", stop.task_id):
+            done = await self._workers.stop(
+                worker.entry, stop.task_id, stop.number, worker.token
+            )
         self._log.write(
             "stop sent",
             task=stop.task_id,
@@ -485,6 +527,14 @@
         )
 
     def _on_advice(self, call: AdviceCall, advice: Advice | None) -> None:
+        try:
+            self._take_advice(call, advice)
+        except Exception as exc:
+            self._faults.report_contained("advice", call.step.id, exc)
+            self._cluster.on_no_advice(call.step, self._clock())
+        self._plan_needed.set()
+
+    def _take_advice(self, call: AdviceCall, advice: Advice | None) -> None:
         now = self._clock()
         if advice is None:
             self._cluster.on_no_advice(call.step, now)
@@ -499,7 +549,6 @@
                 expected_s=round(call.duration_s, 3),
                 valid_s=advice.valid_s,
             )
-        self._plan_needed.set()
 
     def _wake_poll(self, worker: WorkerState) -> None:
         event = self._poll_wakeups.get(worker.entry.worker_id)
@@ -517,7 +566,12 @@
                 continue
             began = self._clock()
             with self._metrics.plan_seconds.time():
-                self._planner.run(began)
+                try:
+                    self._planner.run(began)
+                except PlanningError as exc:
+                    job_id = exc.step.job.spec.job_id
+                    self._set_job_aside(job_id, exc.__cause__)
+                    self._plan_needed.set()
             self._execute_orders()
             await asyncio.sleep(PLAN_PAUSE_FACTOR * (self._clock() - began))
 
@@ -535,12 +589,20 @@
             leader = self._table.leader
             if leader is not None and leader.epoch != self._leadership.epoch:
                 self._fail(f"{leader.name} leads with epoch {leader.epoch}")
+            self._open_due_occurrences()
             now = self._clock()
-            self._cluster.open_due_occurrences(now, time.time())
-            self._cluster.repeat_stops(now)
-            self._cluster.stop_stalled(now)
+            with self._faults.contain("tick", self._name):
+                self._cluster.repeat_stops(now)
+                self._cluster.stop_stalled(now)
             self._after_event()
 
+    def _open_due_occurrences(self) -> None:
+        for job in list(self._cluster.scheduled.values()):
+            try:
+                self._cluster.open_due(job, self._clock(), time.time())
+            except Exception as exc:
+                self._set_job_aside(job.spec.job_id, exc)
+
     async def _handover_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -672,21 +734,25 @@
         self, jobs: list[OpenJob], workers: list[WorkerState], removed: list[str]
     ) -> None:
         """Store changes in one transaction, which fails if another process leads."""
-        workers = workers[: MAX_FLUSH_OPERATIONS - len(removed)]
-        jobs = jobs[: MAX_FLUSH_OPERATIONS - len(workers) - len(removed)]
+        limit = 1 if self._single_writes_left else MAX_FLUSH_OPERATIONS
+        workers = workers[: max(0, limit - len(removed))]
+        jobs = jobs[: max(0, limit - len(workers) - len(removed))]
+        jobs, progress = self._encode_progress(jobs)
         versions = [job.version for job in jobs]
         worker_records = [self._record(worker) for worker in workers]
-        puts: list[Put | Delete] = [
-            Put(records.PROGRESS_PREFIX + job.spec.job_id, records.encode(job.record()))
-            for job in jobs
-        ]
+        puts: list[Put | Delete] = [*progress]
         puts += [
             Put(records.WORKER_PREFIX + record.entry.worker_id, records.encode(record))
             for record in worker_records
         ]
         puts += [Delete(key) for key in removed]
         began = self._clock()
-        await self._write(puts)
+        try:
+            await self._write(puts)
+        except BadRequest as exc:
+            self._on_write_rejected(jobs, len(puts), exc)
+            return
+        self._single_writes_left = max(0, self._single_writes_left - 1)
         self._apply_progress(puts)
         self._metrics.flush_seconds.observe(self._clock() - began)
         for job, version in zip(jobs, versions, strict=True):
@@ -703,6 +769,35 @@
         if workers:
             self._plan_needed.set()
 
+    def _encode_progress(self, jobs: list[OpenJob]) -> tuple[list[OpenJob], list[Put]]:
+        """Return the jobs whose progress one transaction can hold, and its writes."""
+        chosen, puts, size = [], [], 0
+        for job in jobs:
+            job_id = job.spec.job_id
+            try:
+                value = encode_progress(job.record())
+            except Exception as exc:
+                self._set_job_aside(job_id, exc)
+                continue
+            size += len(value)
+            if puts and size > MAX_FLUSH_BYTES:
+                break
+            chosen.append(job)
+            puts.append(Put(records.PROGRESS_PREFIX + job_id, value))
+        return chosen, puts
+
+    def _on_write_rejected(
+        self, jobs: list[OpenJob], operations: int, error: BadRequest
+    ) -> None:
+        """Find the write that the store rejects as invalid, and set its job aside."""
+        if operations > 1:
+            self._single_writes_left = operations
+        elif jobs:
+            self._set_job_aside(jobs[0].spec.job_id, error)
+        else:
+            self._faults.report_contained("write", self._name, error)
+        self._flush_needed.set()
+
     def _apply_progress(self, operations: list[Put | Delete]) -> None:
         """Apply stored progress to the table before the watch delivers it."""
         revision = self._leadership.revision
--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -89,7 +89,7 @@
     request = HTTPRequest(
         f"http://127.0.0.1:{port}{path}",
         method=method,
-        body=None if body is None else json.dumps(body),
+        body=body if body is None or isinstance(body, bytes) else json.dumps(body),
         headers={"Host": "jobs.example", "Deadline-Ms": "3000"},
         request_timeout=5.0,
     )
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -213,7 +213,7 @@
             return 200, body
 
     with pytest.raises(NoReply, match="unreadable"):
-        asyncio.run(PlatformAdvice("1:2", Client()).ask("job.0.0", ["w1"], 1.0))
+        asyncio.run(PlatformAdvice("127.0.0.1:2", Client()).ask("job.0.0", ["w1"], 1.0))
 
 
 @pytest.mark.parametrize(
@@ -223,7 +223,7 @@
         b"\xff\xfe",
         b"[]",
         b'{"service":"s"}',
-        b'{"service":"s","address":"1:2","zone":"z","state":"odd","capacity":{}}',
+        b'{"service":"s","address":"127.0.0.1:2","zone":"z","state":"odd","capacity":{}}',
         b'{"service":"s","address":7,"zone":"z","state":"ready","capacity":{}}',
     ],
 )
@@ -233,7 +233,9 @@
 
 
 def test_a_worker_entry_is_decoded():
-    entry = wire.to_worker("w1", WorkerStandin("w1").entry("1:2", "s", "draining"))
+    entry = wire.to_worker(
+        "w1", WorkerStandin("w1").entry("127.0.0.1:2", "s", "draining")
+    )
     assert entry.draining and entry.capacity == Resources(16000, 65536)
     assert entry.labels == ("a", "r1") and entry.born_ms > 0
 
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -9,6 +9,7 @@
 from flamingoway.model import Resources
 from flamingoway.platform.ingress import JobIngress, error_answer
 from flamingoway.queues import records
+from flamingoway.queues.faults import FaultReporter
 from flamingoway.queues.intake import Intake
 from flamingoway.queues.messages import (
     AnnounceRequest,
@@ -61,11 +62,19 @@
         self.engine = kv.Engine(loop.time)
         self.store = MemoryStore(self.engine)
         self.log = RecordingLog()
-        self.table = JobTable(self.log)
+        self.metrics = QueueMetrics()
+        self.faults = FaultReporter(self.log, self.metrics, loop.time)
+        self.table = JobTable(self.faults)
         self.peers = Peers()
         rng = random.Random(1)
         self.mirror = Mirror(
-            self.store, records.ROOT, self.table, loop.time, self.log, rng
+            self.store,
+            records.ROOT,
+            self.table,
+            loop.time,
+            self.log,
+            self.faults,
+            rng,
         )
         others = {"n2": ProcessRecord("n2", "n2:1", "z")}
         relay = Relay("n1", self.peers, lambda: others, rng, self.log)
@@ -243,7 +252,9 @@
     async def body(cell):
         leader = records.encode(LeaderRecord("n2", 4))
         puts = [Put(records.LEADER_KEY, leader), Put(records.EPOCH_KEY, b"4")]
-        await cell.store.txn([], puts)
+        # Each of the four elections has changed the store.
+        for _ in range(4):
+            await cell.store.txn([], puts)
         await asyncio.sleep(1.0)
         cell.peers.answer = Done()
         await cell.intake.submit(JOB, 3.0)
@@ -354,7 +365,7 @@
 )
 def test_response_statuses(request_, status):
     async def body(cell):
-        ingress = JobIngress(cell.intake, QueueMetrics())
+        ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         assert (await ingress.handle(request_)).status == status
 
     run_with_cell(body)
@@ -381,7 +392,7 @@
     data = body.encode() if isinstance(body, str) else body
 
     async def check(cell):
-        ingress = JobIngress(cell.intake, QueueMetrics())
+        ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         answer = await ingress.handle(Request("POST", "/p/00aa", data))
         assert answer.status == 400 and why in answer.body.decode()
         assert (await ingress.handle(Request("GET", "/p/00aa"))).status == 410
@@ -391,7 +402,7 @@
 
 def test_the_longest_spec_is_accepted():
     async def body(cell):
-        ingress = JobIngress(cell.intake, QueueMetrics())
+        ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         data = b'{"spec":"%s","steps":[{"count":1},{"after":[0]}]}' % (b"x" * 4000)
         answer = await ingress.handle(Request("POST", "/p/00aa", data))
         assert answer.status == 200
@@ -404,7 +415,7 @@
 
     async def body(cell):
         cell.intake._desired = None
-        ingress = JobIngress(cell.intake, QueueMetrics())
+        ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         assert (await ingress.handle(Request("GET", "/p/"))).status == 503
 
     run_with_cell(body)
