Hold requests during an outage of the store, and find its end with probes

Callers saw: while the store was away for all machines, jobs were refused at once with Retry-After 1. A caller waits 3 s for all its tries together (its Deadline-Ms shrinks with each), so that it came back two or three times and then gave up, though the store returned within its time. Calls that had got lost in a silent outage kept the intake, the leader's writes and the sessions waiting for up to 1.2 s after the store was back, and each process then read all records again. A leader could hand over, at the beginning of a silent outage, to a process that had not noticed it yet, and nobody led.

A job or a cancellation that neither this nor another process can store is held for as long as its caller waits, and stored at once when the store returns; the answer before the deadline is 503 if no write was sent, else 504. A process agrees to lead only after the store has answered it.

Weighed: refusing at once, as before. What binds: an outage of 4 s leaves no time to callers of its first second; callers that are held when all processes are killed lose their tries.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 from ..errors import (
@@ -19,7 +19,8 @@
     StoreUnavailable,
 )
 from ..status import Code
-from ..store import Compare, KeyValue, Put, Store, WatchEvent
+from ..store import Compare, KeyValue, Put, WatchEvent
+from ..store.monitored import MonitoredStore
 from . import records
 from .decisions import DecisionLog
 from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
@@ -35,7 +36,7 @@
 # A mirror without changes for this long may be stale; a busy cell has dozens a second.
 MIRROR_STALE_AFTER_S = 0.4
 # Reserved from a caller's deadline for returning the answer.
-ANSWER_MARGIN_S = 0.3
+ANSWER_MARGIN_S = 0.1
 # Delay before a failed write is retried; retries end after ``STORE_LOST_S``.
 WRITE_RETRY_DELAY_S = 0.05
 # Limit on the jobs remembered as accepted here, which the mirror may not show yet. A
@@ -48,8 +49,12 @@
 # previous one, may never be answered; a slow store takes 0.25 to 0.5 s.
 SLOW_WRITE_S = 0.4
 SLOW_WRITE_FACTOR = 3.0
-# Retry-After sent while the store is unavailable: callers wait 3 s in all, and most
-# outages are short enough for a second attempt within that time.
+# A request that could not be carried out here or elsewhere is tried again after this
+# time, or once the store answers this process again.
+HOLD_INTERVAL_S = 0.5
+# Requests beyond this number are refused at once instead of being held.
+MAX_HELD_REQUESTS = 1000
+# Retry-After sent while the store is unavailable: most outages end within seconds.
 STORE_RETRY_AFTER_S = 1
 
 
@@ -62,6 +67,7 @@
         deadline: Loop time up to which the write is retried.
         accepted: Resolved once the job is stored, or with the error.
         failed: Whether the last write failed.
+        sent: Whether a write of the job is in flight.
         alone: Whether to write the job by itself, because the store rejected a write
             with others as invalid.
         uncertain: Whether a write of the job was sent but not answered.
@@ -73,6 +79,7 @@
     deadline: float
     accepted: asyncio.Future
     failed: bool = False
+    sent: bool = False
     alone: bool = False
     uncertain: bool = False
 
@@ -88,8 +95,6 @@
     Args:
         store: The store.
         table: Mirror of the store.
-        store_lost_s: Returns the seconds for which all calls to the store have failed.
-        store_age_s: Returns the seconds since the store last answered.
         since_change_s: Returns the seconds since the mirror last changed.
         relay: Forwards requests to other processes.
         name: Name of this process.
@@ -98,10 +103,8 @@
 
     def __init__(
         self,
-        store: Store,
+        store: MonitoredStore,
         table: JobTable,
-        store_lost_s: Callable[[], float],
-        store_age_s: Callable[[], float],
         since_change_s: Callable[[], float],
         relay: Relay,
         name: str,
@@ -109,8 +112,7 @@
     ):
         self._store = store
         self._table = table
-        self._store_lost_s = store_lost_s
-        self._store_age_s = store_age_s
+        self._held = 0
         self._write_is_slow = False
         self._last_write_s = 0.0
         self._write_failed_at = float("-inf")
@@ -166,14 +168,10 @@
         if self._table.find(spec.job_id) or spec.job_id in self._recently_accepted:
             self._log.write("job already accepted", job=spec.job_id, queue=spec.queue)
             return
-        uncertain = False
-        try:
+        if relay:
+            await self._store_or_hold(spec, timeout_s)
+        else:
             await self._store_job(spec, timeout_s)
-        except (Refused, OutcomeUnknown) as exc:
-            uncertain = isinstance(exc, OutcomeUnknown)
-            if not relay:
-                raise
-            await self._relay_job(spec, timeout_s, uncertain)
         if len(self._recently_accepted) >= MAX_RECENT_JOBS:
             self._recently_accepted.clear()
         self._recently_accepted.add(spec.job_id)
@@ -184,30 +182,82 @@
             version=self._desired.version if self._desired else 0,
         )
 
-    async def _relay_job(
-        self, spec: StepJobSpec, timeout_s: float, uncertain: bool
-    ) -> None:
-        """Forward a job that this process could not store.
+    async def _store_or_hold(self, spec: StepJobSpec, timeout_s: float) -> None:
+        """Store a job, if need be through another process or after an outage.
 
-        Args:
-            spec: The job.
-            timeout_s: How long the caller waits for the answer.
-            uncertain: Whether a write by this process may still take effect.
+        Most outages of the store end within the time that a caller waits for one
+        answer. A job that is held until then is stored at once, while one that is
+        refused depends on when its caller comes back.
+
+        Raises:
+            Refused: The job was not stored and will not be.
+            OutcomeUnknown: It may be stored.
         """
+        deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
+        attempts = (
+            lambda left_s: self._store_job(spec, left_s),
+            lambda left_s: self._relay.call_any(SubmitRequest(spec, left_s)),
+        )
         try:
-            await self._relay.call_any(SubmitRequest(spec, timeout_s))
+            await self._attempt_until(deadline, attempts)
         except (Refused, OutcomeUnknown) as exc:
-            if uncertain and isinstance(exc, Refused):
-                exc = OutcomeUnknown(exc.message, Code.WRITE_UNRESOLVED)
             exc.details.setdefault("retry_after", STORE_RETRY_AFTER_S)
             self._log.write(
                 "job not accepted",
                 job=spec.job_id,
                 code=exc.code,
-                store_lost_s=round(self._store_lost_s(), 2),
+                timeout_s=round(timeout_s, 3),
+                store_lost_s=round(self._store.outage_s, 2),
                 why=exc.message,
             )
-            raise exc from None
+            raise
+
+    async def _attempt_until(
+        self, deadline: float, attempts: Sequence[Callable[[float], Awaitable]]
+    ) -> None:
+        """Repeat attempts, each at this or another process, until one succeeds.
+
+        Args:
+            deadline: Loop time until which attempts are repeated.
+            attempts: Called in turn with the seconds that are left.
+
+        Raises:
+            Refused: No attempt had an effect.
+            OutcomeUnknown: An attempt may have had an effect.
+        """
+        loop = asyncio.get_running_loop()
+        uncertain = False
+        while True:
+            for attempt in attempts:
+                try:
+                    await attempt(max(0.1, deadline - loop.time() + ANSWER_MARGIN_S))
+                    return
+                except (Refused, OutcomeUnknown) as exc:
+                    uncertain = uncertain or isinstance(exc, OutcomeUnknown)
+                    error = exc
+            if not await self._hold(deadline):
+                break
+        if uncertain and isinstance(error, Refused):
+            error = OutcomeUnknown(error.message, Code.WRITE_UNRESOLVED)
+        raise error
+
+    async def _hold(self, deadline: float) -> bool:
+        """Wait until another attempt may succeed; return whether there is time for it.
+
+        During a partial outage another process may reach the store, so attempts are
+        repeated before this one does.
+        """
+        loop = asyncio.get_running_loop()
+        if self._held >= MAX_HELD_REQUESTS:
+            return False
+        self._held += 1
+        try:
+            await asyncio.sleep(WRITE_RETRY_DELAY_S)
+            left_s = deadline - loop.time()
+            await self._store.wait_returned(min(HOLD_INTERVAL_S, left_s))
+        finally:
+            self._held -= 1
+        return loop.time() < deadline
 
     async def _store_job(self, spec: StepJobSpec, timeout_s: float) -> None:
         if self._is_store_unavailable():
@@ -220,7 +270,16 @@
         )
         self._pending.append(pending)
         self._start_writer()
-        await pending.accepted
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.shield(pending.accepted)
+        except TimeoutError:
+            if pending.accepted.done():
+                pending.accepted.result()
+                return
+            pending.uncertain = pending.uncertain or pending.sent
+            _fail(pending)
+            pending.accepted.result()
 
     async def state(self, job_id: str, relay: bool = True) -> StepJobState:
         """Return the state of a job.
@@ -276,13 +335,15 @@
         job = self._table.find(job_id)
         if job is not None and (job.state.final or job.cancelled):
             return
-        try:
+        if relay:
+            deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
+            attempts = (
+                lambda left_s: self._store_cancel(job_id, job is None, left_s),
+                lambda left_s: self._relay.call_any(CancelRequest(job_id, left_s)),
+            )
+            await self._attempt_until(deadline, attempts)
+        else:
             await self._store_cancel(job_id, job is None, timeout_s)
-        except (Refused, OutcomeUnknown) as exc:
-            if not relay:
-                raise
-            self._log.write("cancellation not stored here", job=job_id, why=exc.message)
-            await self._relay.call_any(CancelRequest(job_id, timeout_s))
         self._log.write("job cancelled", job=job_id)
 
     async def _store_cancel(
@@ -316,9 +377,9 @@
     def _is_store_unavailable(self) -> bool:
         """Return whether a call to the store would probably fail."""
         now = asyncio.get_running_loop().time()
-        if self._store_lost_s() > STORE_LOST_S:
+        if self._store.outage_s > STORE_LOST_S:
             return True
-        return self._write_is_slow or self._store_age_s() > now - self._write_failed_at
+        return self._write_is_slow or self._store.age_s > now - self._write_failed_at
 
     async def _require_stored(self, job_id: str) -> None:
         """Check that the store has a job that the mirror does not show yet.
@@ -347,7 +408,7 @@
 
     async def _write_all(self) -> None:
         loop = asyncio.get_running_loop()
-        while self._pending:
+        while self._drop_answered():
             batch = self._next_batch()
             write = asyncio.create_task(self._write(batch))
             slow_after_s = max(SLOW_WRITE_S, SLOW_WRITE_FACTOR * self._last_write_s)
@@ -360,7 +421,11 @@
             for pending in batch:
                 if not pending.accepted.done() and pending.should_give_up(now):
                     _fail(pending)
-            self._pending = [p for p in self._pending if not p.accepted.done()]
+
+    def _drop_answered(self) -> bool:
+        """Drop the jobs that need no write any more; return whether others are left."""
+        self._pending = [p for p in self._pending if not p.accepted.done()]
+        return bool(self._pending)
 
     def _next_batch(self) -> list[_PendingJob]:
         first = self._pending[0]
@@ -386,6 +451,8 @@
             )
         puts = [Put(key, p.value) for key, p in zip(keys, batch, strict=True)]
         began = asyncio.get_running_loop().time()
+        for pending in batch:
+            pending.sent = True
         try:
             result = await self._store.txn(compares, puts, [c.key for c in compares])
         except StoreOutcomeUnknown:
@@ -399,7 +466,7 @@
             return
         except StoreUnavailable as exc:
             for pending in batch:
-                pending.failed = True
+                pending.failed, pending.sent = True, False
             self._write_failed_at = asyncio.get_running_loop().time()
             self._log.write("job write failed", jobs=len(batch), why=exc.message)
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -119,8 +119,7 @@
                 self._backoff.reset()
                 await asyncio.sleep(began + self.read_interval_s - self._clock())
             except StoreUnavailable as exc:
-                # An interrupted watch may have missed changes, so all is read again.
-                self._complete = False
+                # The next call returns all changes after the revision of the copy.
                 self._on_failure(exc)
                 await asyncio.sleep(self._backoff.next())
             except Exception as exc:
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -6,10 +6,11 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
-from ..errors import Refused
+from ..errors import Refused, StoreUnavailable
 from ..peer import PeerClient, PeerServer
 from ..status import Code
 from ..store import Store
+from ..store.monitored import MonitoredStore
 from . import records
 from .advice import AdviceDispatcher
 from .decisions import DecisionLog
@@ -43,6 +44,8 @@
 READY_STORE_AGE_S = 2.0
 # It is not ready either if all calls to the store have failed for this long.
 READY_STORE_LOST_S = 0.5
+# Longest wait for the store before agreeing to lead; a slow store takes 0.25 s.
+TAKE_OVER_CHECK_S = 0.35
 # Pause between leaderships, so that a persistent fault does not cause a busy loop.
 TERM_INTERVAL_S = 0.2
 # Time for calls from other processes to finish when this one stops.
@@ -104,27 +107,26 @@
         self._rng = rng
         self._faults = FaultReporter(log, self.metrics, clock)
         self._table = JobTable(self._faults)
+        self._store = MonitoredStore(platform.store, records.LEADER_KEY, clock)
         self._mirror = self._create_mirror(records.ROOT, self._table)
         self._relay = Relay(
             process.name, peers, lambda: self._table.processes, rng, log
         )
         self._intake = Intake(
-            platform.store,
+            self._store,
             self._table,
-            self._store_lost_s,
-            self._store_age_s,
             lambda: self._mirror.since_change_s,
             self._relay,
             process.name,
             log,
         )
         self._session = Session(
-            platform.store, self._table, process, clock, log, self._faults
+            self._store, self._table, process, clock, log, self._faults
         )
         self._server = server
         self._peers = peers
         self._election = Election(
-            platform.store, self._table, self._session, process, log, rng
+            self._store, self._table, self._session, process, log, rng
         )
         self._term: Term | None = None
         self._lead_task: asyncio.Task | None = None
@@ -172,6 +174,7 @@
             address = self._process.peer_address
             await stack.enter_async_context(server.listen(address, PEER_GRACE_S))
             stack.push_async_callback(self._peers.close)
+            stack.push_async_callback(self._store.close)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._mirror.run())
                 group.create_task(config_mirror.run())
@@ -194,16 +197,21 @@
         await self._session.close()
 
     def _create_mirror(self, prefix: str, listener) -> Mirror:
-        store, clock = self._platform.store, self._clock
         return Mirror(
-            store, prefix, listener, clock, self._log, self._faults, self._rng
+            self._store,
+            prefix,
+            listener,
+            self._clock,
+            self._log,
+            self._faults,
+            self._rng,
         )
 
     def _store_age_s(self) -> float:
         return self._mirror.age_s
 
     def _store_lost_s(self) -> float:
-        return max(self._mirror.outage_s, self._session.outage_s)
+        return self._store.outage_s
 
     def _configure(self, desired: DesiredState) -> None:
         self._intake.set_desired_state(desired)
@@ -224,7 +232,7 @@
         async with self._follow_workers() as (registry, mirror):
             self._term = Term(
                 leadership=leadership,
-                store=self._platform.store,
+                store=self._store,
                 store_age_s=self._store_age_s,
                 mirror=self._mirror,
                 table=self._table,
@@ -309,7 +317,21 @@
         return StateReply(await self._intake.state(request.job_id, relay=False))
 
     async def _handle_take_over(self, request: TakeOverRequest) -> Done:
-        can_lead = self._store_lost_s() == 0.0 and not self._stopping
+        can_lead = not self._stopping and await self._reaches_store()
         if not can_lead or not self._election.take_over(request.epoch):
             raise Refused("this process cannot lead", Code.STORE_UNAVAILABLE)
         return Done()
+
+    async def _reaches_store(self) -> bool:
+        """Return whether the store answers this process now.
+
+        At the beginning of an outage, no call may have failed yet.
+        """
+        if self._store_lost_s():
+            return False
+        try:
+            async with asyncio.timeout(TAKE_OVER_CHECK_S):
+                await self._store.get(records.LEADER_KEY)
+        except (StoreUnavailable, TimeoutError):
+            return False
+        return True
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -81,12 +81,6 @@
         self._faults = faults
         self._lease = 0
         self._valid_until = float("-inf")
-        self._down_since: float | None = None
-
-    @property
-    def outage_s(self) -> float:
-        """Seconds for which renewals have failed; 0 if the last one succeeded."""
-        return 0.0 if self._down_since is None else self._clock() - self._down_since
 
     @property
     def lease(self) -> int:
@@ -106,19 +100,13 @@
                     await self._open()
                 else:
                     await self._renew()
-                self._down_since = None
                 await asyncio.sleep(RENEW_INTERVAL_S)
             except (StoreUnavailable, StoreOutcomeUnknown):
                 # The mirrors log the outage.
-                await self._wait_after_failure()
+                await asyncio.sleep(RETRY_S)
             except Exception as exc:
                 self._faults.report_contained("session", self._process.name, exc)
-                await self._wait_after_failure()
-
-    async def _wait_after_failure(self) -> None:
-        if self._down_since is None:
-            self._down_since = self._clock()
-        await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(RETRY_S)
 
     async def close(self) -> None:
         """Revoke the lease, so that others need not wait for it to expire."""
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -18,9 +18,9 @@
     KeyValue,
     LeaseExpired,
     Put,
-    Store,
     WatchEvent,
 )
+from ..store.monitored import MonitoredStore
 from . import records
 from .advice import AdviceDispatcher
 from .cluster import ClusterState
@@ -126,7 +126,7 @@
     def __init__(
         self,
         leadership: Leadership,
-        store: Store,
+        store: MonitoredStore,
         store_age_s: Callable[[], float],
         mirror: Mirror,
         table: JobTable,
@@ -606,7 +606,7 @@
     async def _handover_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            outage_s = self._mirror.outage_s
+            outage_s = self._store.outage_s
             if outage_s < HANDOVER_S:
                 continue
             # If all processes refuse, none reaches the store; this one keeps leading.
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -99,6 +99,37 @@
     run_cell(body)
 
 
+@pytest.mark.parametrize("fault", ["silent", "refusing"])
+def test_jobs_handed_in_during_an_outage_of_the_store_are_accepted(run_cell, fault):
+    """Guards against callers who are refused although the store returns in time."""
+
+    async def submit(cell, number):
+        entry = cell.entries[number % 3]
+        return (await call("POST", f"/p/00c{number}", entry.front, JOB)).code
+
+    async def body(cell):
+        await complete(cell.entries[0], "00a0")
+        cell.standin.faults.silent = fault == "silent"
+        cell.standin.faults.status = 503 if fault == "refusing" else 0
+        await asyncio.sleep(1.5)
+        calls = [asyncio.create_task(submit(cell, n)) for n in range(9)]
+        await asyncio.sleep(1.8)
+        assert not any(c.done() for c in calls)
+        cell.standin.faults.silent, cell.standin.faults.status = False, 0
+        assert await asyncio.gather(*calls) == [200] * 9
+        for number in range(9):
+            job_id = f"00c{number}"
+
+            async def completed(job_id=job_id):
+                return await state(cell.entries[0], job_id) == "completed"
+
+            await until(completed)
+        started = [s["task"] for worker in cell.workers for s in worker.starts]
+        assert len(started) == len(set(started)) == 40
+
+    run_cell(body, entries=3)
+
+
 def test_a_changed_settings_file_is_read_again(run_cell):
     async def body(cell):
         entry = cell.entries[0]
