--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -119,7 +119,9 @@
                 self._backoff.reset()
                 await asyncio.sleep(began + self.read_interval_s - self._clock())
             except StoreUnavailable as exc:
-                # The next call returns all changes after the revision of the copy.
+                # A watch that was cut may have reported a revision without its changes,
+                # so all is read again.
+                self._complete = False
                 self._on_failure(exc)
                 await asyncio.sleep(self._backoff.next())
             except Exception as exc:
