Let processes that do not lead read changes twice a second, and notify them of ends

Operators saw: the largest price of every small deployment was for calls to the store. Each process read all changes eight times a second, and the leader fifty times, so that callers learn soon of the end of their job.

Cause: a follower's copy was the only source of the state that callers ask for.

Change: the process that stored a job adds it to its copy at once, and the leader notifies it of the end once that is stored; for other jobs it reads changes when a caller asks and the copy is older than 0.2 s. Followers read twice a second, and sooner after a read that showed no write of the leader, so that a lost leader is noticed as before. The leader reads ten times a second; jobs reach it by announcements. Only the last change of a key in a read is handled, and only the summary of a job and of its progress is decoded. Readiness looks at the last answer of any call, as a copy may now be up to 1.3 s old.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -192,6 +192,7 @@
             # used only for jobs of a former leader.
             accepted_at=now - max(0.0, wall - record.accepted_at) * inherited,
             accepted_wall=record.accepted_at,
+            accepted_by=record.accepted_by,
             inherited=inherited,
             state=entry.state,
         )
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -24,6 +24,7 @@
 from . import records
 from .decisions import DecisionLog
 from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
+from .mirror import Mirror
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
 from .records import JobRecord
 from .relay import Relay
@@ -33,8 +34,13 @@
 # A transaction holds at most 32 entries: a condition and a write for each job, and a
 # condition on the epoch.
 JOBS_PER_WRITE = 15
-# A mirror without changes for this long may be stale; a busy cell has dozens a second.
-MIRROR_STALE_AFTER_S = 0.4
+# A mirror without changes for this long may be stale; a busy cell has dozens a second,
+# and a follower reads them once a second.
+MIRROR_STALE_AFTER_S = 1.6
+# The state of a job that another process accepted is read again if it is older.
+STATE_AGE_S = 0.2
+# An answer with the state known here is better than none.
+REFRESH_TIMEOUT_S = 0.4
 # Reserved from a caller's deadline for returning the answer.
 ANSWER_MARGIN_S = 0.1
 # Delay before a failed write is retried; retries end after ``STORE_LOST_S``.
@@ -95,7 +101,7 @@
     Args:
         store: The store.
         table: Mirror of the store.
-        since_change_s: Returns the seconds since the mirror last changed.
+        mirror: Mirror that feeds ``table``.
         relay: Forwards requests to other processes.
         name: Name of this process.
         log: Decision log.
@@ -105,7 +111,7 @@
         self,
         store: MonitoredStore,
         table: JobTable,
-        since_change_s: Callable[[], float],
+        mirror: Mirror,
         relay: Relay,
         name: str,
         log: DecisionLog,
@@ -116,7 +122,7 @@
         self._write_is_slow = False
         self._last_write_s = 0.0
         self._write_failed_at = float("-inf")
-        self._since_change_s = since_change_s
+        self._mirror = mirror
         self._relay = relay
         self._name = name
         self._announcements: set[asyncio.Task] = set()
@@ -126,6 +132,8 @@
         self._pending: list[_PendingJob] = []
         self._writers: set[asyncio.Task] = set()
         self._recently_accepted: set[str] = set()
+        # Jobs that the leader notifies this process of.
+        self._stored_here: set[str] = set()
 
     @property
     def desired(self) -> DesiredState | None:
@@ -262,7 +270,7 @@
     async def _store_job(self, spec: StepJobSpec, timeout_s: float) -> None:
         if self._is_store_unavailable():
             raise Refused("the store is unavailable", Code.STORE_UNAVAILABLE)
-        value = records.encode(JobRecord(spec, time.time()))
+        value = records.encode(JobRecord(spec, time.time(), self._name))
         loop = asyncio.get_running_loop()
         deadline = loop.time() + max(0.1, timeout_s - ANSWER_MARGIN_S)
         pending = _PendingJob(
@@ -291,6 +299,10 @@
         job = self._table.find(job_id)
         if job is not None and job.state.final:
             return job.reported_state
+        if relay and job_id not in self._stored_here:
+            # Only the process that stored a job is notified of its end.
+            await self._refresh()
+            job = self._table.find(job_id)
         unavailable = self._is_store_unavailable()
         if unavailable and relay:
             try:
@@ -299,12 +311,16 @@
                 # No other process could answer; return the newest state known here.
                 pass
         if job is not None and not (unavailable and not relay):
-            if relay and self._since_change_s() > MIRROR_STALE_AFTER_S:
+            if relay and self._mirror.since_change_s > MIRROR_STALE_AFTER_S:
                 return await self._ask_leader(job)
             return job.reported_state
         await self._require_stored(job_id)
         return StepJobState.QUEUED
 
+    async def _refresh(self) -> None:
+        if self._mirror.age_s > STATE_AGE_S and not self._is_store_unavailable():
+            await self._mirror.refresh(REFRESH_TIMEOUT_S)
+
     async def _ask_leader(self, job: TableJob) -> StepJobState:
         """Return a job's state at the leader, or the local one if the call fails."""
         leader = self._table.leader
@@ -345,6 +361,9 @@
         else:
             await self._store_cancel(job_id, job is None, timeout_s)
         self._log.write("job cancelled", job=job_id)
+        if self._table.find(job_id) is not None:
+            key = records.CANCEL_PREFIX + job_id
+            self._table.apply_changes([WatchEvent(key, KeyValue(key, b"1", 0, 0))])
 
     async def _store_cancel(
         self, job_id: str, check_exists: bool, timeout_s: float
@@ -474,6 +493,7 @@
         self._last_write_s = asyncio.get_running_loop().time() - began
         if result.succeeded and epoch is not None:
             self._announce(batch, read_epoch(epoch)[0], result.revision)
+            self._add_to_table(batch, result.revision)
         elif not result.succeeded and not any(key in result.reads for key in keys):
             # Only the condition on the epoch failed: the mirror does not show the
             # newest leader yet. The next write has no condition on the epoch.
@@ -493,6 +513,21 @@
         if len(batch) == 1 and not batch[0].accepted.done():
             batch[0].accepted.set_exception(error)
 
+    def _add_to_table(self, batch: list[_PendingJob], revision: int) -> None:
+        """Add stored jobs to the table before the mirror delivers them.
+
+        If this process leads, they are announced to it instead, which it may refuse.
+        """
+        if self._table.on_job is not None:
+            return
+        if len(self._stored_here) >= MAX_RECENT_JOBS:
+            self._stored_here.clear()
+        for pending in batch:
+            key = records.JOB_PREFIX + pending.job_id
+            item = KeyValue(key, pending.value, revision, revision)
+            self._table.apply_changes([WatchEvent(key, item)])
+            self._stored_here.add(pending.job_id)
+
     def _announce(self, batch: list[_PendingJob], epoch: int, revision: int) -> None:
         """Notify the leader of stored jobs before its watch shows them.
 
--- a/flamingoway/queues/messages.py
+++ b/flamingoway/queues/messages.py
@@ -76,6 +76,22 @@
     job_id: str
 
 
+class JobEnd(Message):
+    """The stored end of a job; ``ended_at`` is in Unix seconds."""
+
+    job_id: str
+    state: StepJobState
+    ended_at: float
+
+
+class EndedRequest(Request):
+    """Notify the process that accepted jobs of their stored ends."""
+
+    reply: ClassVar[type[Message]] = Done
+
+    ends: list[JobEnd]
+
+
 class TakeOverRequest(Request):
     """Take over the leadership from the caller.
 
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -17,10 +17,17 @@
 # Delay after the first failed call; it grows up to ``LONGEST_RETRY_S``.
 FIRST_RETRY_S = 0.05
 # Least time between two watch calls. The store charges for each call; changes within
-# this time share one. Callers ask for a job's state a few times a second.
-FOLLOWER_READ_INTERVAL_S = 0.12
-# Shorter, because it adds to the time before a job starts.
-LEADER_READ_INTERVAL_S = 0.02
+# this time share one.
+CONFIG_READ_INTERVAL_S = 0.12
+# For the registry of the workers, which only the leader follows.
+WORKER_READ_INTERVAL_S = 0.12
+# The number of waiting jobs may be 2 s old. Callers learn of an end from the process
+# that accepted their job, which the leader notifies.
+FOLLOWER_READ_INTERVAL_S = 0.5
+# Shorter, because a job that was not announced starts only after it is read.
+LEADER_READ_INTERVAL_S = 0.1
+# Least time between two reads if a caller's question needs a current copy.
+REFRESH_INTERVAL_S = 0.12
 # A fifth of the 2 s in which a new configuration must be in force.
 LONGEST_RETRY_S = 0.4
 
@@ -47,6 +54,9 @@
         faults: Reports unforeseen errors.
         rng: Source of the jitter of retries.
         read_interval_s: Least time between two reads of changes.
+        heartbeat_key: Key that changes while all is well. After a read without a change
+            of this key, the next one follows after ``REFRESH_INTERVAL_S``, so that a
+            lost leader is noticed soon.
     """
 
     def __init__(
@@ -59,8 +69,9 @@
         faults: FaultReporter,
         rng: random.Random,
         read_interval_s: float = FOLLOWER_READ_INTERVAL_S,
+        heartbeat_key: str = "",
     ):
-        self.read_interval_s = read_interval_s
+        self._read_interval_s = read_interval_s
         self._store = store
         self._prefix = prefix
         self._listener = listener
@@ -74,6 +85,11 @@
         self._reachable = True
         self._down_since = 0.0
         self._changed_at = float("-inf")
+        self._heartbeat_key = heartbeat_key
+        self._heartbeat_seen = False
+        self._watching = False
+        self._wanted = asyncio.Event()
+        self._refreshed = asyncio.Event()
         self._backoff = Backoff(rng, FIRST_RETRY_S, LONGEST_RETRY_S)
 
     @property
@@ -110,14 +126,38 @@
         """
         await self._read()
 
+    def read_every(self, interval_s: float) -> None:
+        """Set the least time between two reads of changes, and read at once."""
+        self._read_interval_s = interval_s
+        self._wanted.set()
+
+    async def refresh(self, timeout_s: float) -> None:
+        """Bring the copy up to date; callers that ask together share a read.
+
+        Args:
+            timeout_s: Time after which to give up waiting.
+        """
+        if self._watching:
+            # The store answers this call as soon as there is a change.
+            return
+        self._wanted.set()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._refreshed.wait()
+        except TimeoutError:
+            return
+
     async def run(self) -> None:
         """Watch the prefix until cancelled."""
         while True:
             try:
                 began = self._clock()
-                await self._follow_once(WATCH_WAIT_S)
+                await self._follow_once(0.0 if self._wanted.is_set() else WATCH_WAIT_S)
                 self._backoff.reset()
-                await asyncio.sleep(began + self.read_interval_s - self._clock())
+                self._wanted.clear()
+                self._refreshed.set()
+                self._refreshed.clear()
+                await self._pause(began)
             except StoreUnavailable as exc:
                 # A watch that was cut may have reported a revision without its changes,
                 # so all is read again.
@@ -130,24 +170,48 @@
                 self._faults.report_contained("mirror", self._prefix, exc)
                 await asyncio.sleep(self._backoff.next())
 
+    async def _pause(self, began: float) -> None:
+        """Wait until the next read is due or wanted.
+
+        Args:
+            began: Time at which the last read began.
+        """
+        least_s = min(self._read_interval_s, REFRESH_INTERVAL_S)
+        await asyncio.sleep(began + least_s - self._clock())
+        left_s = began + self._read_interval_s - self._clock()
+        if left_s <= 0 or (self._heartbeat_key and not self._heartbeat_seen):
+            return
+        try:
+            async with asyncio.timeout(left_s):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+
     async def _follow_once(self, wait_s: float) -> None:
         if not self._complete:
             await self._read()
             return
         after = self._revision
+        self._heartbeat_seen = False
+        self._watching = wait_s > 0
         try:
             changes = await self._store.changes(self._prefix, after, wait_s)
         except RevisionCompacted:
             self._log.write("history lost", prefix=self._prefix, revision=after)
             await self._read()
             return
+        finally:
+            self._watching = False
         # ``catch_up`` may have advanced the copy meanwhile; these changes may then be
         # older than its content.
         if self._revision == after:
             self._revision = max(after, changes.revision)
             if changes.events:
                 self._changed_at = self._clock()
-                self._listener.apply_changes(changes.events)
+                # Only the last change of a key counts.
+                latest = {event.key: event for event in changes.events}
+                self._heartbeat_seen = self._heartbeat_key in latest
+                self._listener.apply_changes(list(latest.values()))
         self._on_answer()
 
     async def _read(self) -> None:
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -23,13 +23,21 @@
     AskRequest,
     CancelRequest,
     Done,
+    EndedRequest,
     StateReply,
     StateRequest,
     SubmitRequest,
     TakeOverRequest,
 )
 from .metrics import QueueMetrics
-from .mirror import FOLLOWER_READ_INTERVAL_S, LEADER_READ_INTERVAL_S, Mirror
+from .mirror import (
+    CONFIG_READ_INTERVAL_S,
+    FOLLOWER_READ_INTERVAL_S,
+    LEADER_READ_INTERVAL_S,
+    WORKER_READ_INTERVAL_S,
+    Listener,
+    Mirror,
+)
 from .model import DesiredState, WorkerEntry
 from .ports import AdviceService, NoReply, WorkerClient
 from .records import ProcessRecord
@@ -42,6 +50,9 @@
 # A process is not ready, so that callers go to others, if the store has not answered
 # for this long.
 READY_STORE_AGE_S = 2.0
+# Nor if its copy of the records is older than this; followers read once a second, and
+# a watch waits for 0.8 s.
+READY_MIRROR_AGE_S = 4.0
 # It is not ready either if all calls to the store have failed for this long.
 READY_STORE_LOST_S = 0.5
 # Longest wait for the store before agreeing to lead; a slow store takes 0.25 s.
@@ -108,14 +119,16 @@
         self._faults = FaultReporter(log, self.metrics, clock)
         self._table = JobTable(self._faults)
         self._store = MonitoredStore(platform.store, records.LEADER_KEY, clock)
-        self._mirror = self._create_mirror(records.ROOT, self._table)
+        self._mirror = self._create_mirror(
+            records.ROOT, self._table, FOLLOWER_READ_INTERVAL_S, records.LEADER_KEY
+        )
         self._relay = Relay(
             process.name, peers, lambda: self._table.processes, rng, log
         )
         self._intake = Intake(
             self._store,
             self._table,
-            lambda: self._mirror.since_change_s,
+            self._mirror,
             self._relay,
             process.name,
             log,
@@ -148,7 +161,8 @@
         return (
             not self._stopping
             and self._intake.desired is not None
-            and self._store_age_s() < READY_STORE_AGE_S
+            and self._store.age_s < READY_STORE_AGE_S
+            and self._mirror.age_s < READY_MIRROR_AGE_S
             and self._store_lost_s() < READY_STORE_LOST_S
         )
 
@@ -161,7 +175,9 @@
             self._log,
             self._faults,
         )
-        config_mirror = self._create_mirror(self._platform.config_prefix, config)
+        config_mirror = self._create_mirror(
+            self._platform.config_prefix, config, CONFIG_READ_INTERVAL_S
+        )
         server = self._server
         server.on_error = self._on_call_error
         server.handle(AskRequest, self._handle_ask)
@@ -169,6 +185,7 @@
         server.handle(SubmitRequest, self._handle_submit)
         server.handle(CancelRequest, self._handle_cancel)
         server.handle(StateRequest, self._handle_state)
+        server.handle(EndedRequest, self._handle_ended)
         server.handle(TakeOverRequest, self._handle_take_over)
         async with AsyncExitStack() as stack:
             address = self._process.peer_address
@@ -196,7 +213,13 @@
         """Remove this process from the list of live processes."""
         await self._session.close()
 
-    def _create_mirror(self, prefix: str, listener) -> Mirror:
+    def _create_mirror(
+        self,
+        prefix: str,
+        listener: Listener,
+        read_interval_s: float,
+        heartbeat_key: str = "",
+    ) -> Mirror:
         return Mirror(
             self._store,
             prefix,
@@ -205,6 +228,8 @@
             self._log,
             self._faults,
             self._rng,
+            read_interval_s,
+            heartbeat_key,
         )
 
     def _store_age_s(self) -> float:
@@ -254,7 +279,7 @@
             self._term = None
 
     async def _run_term(self, term: Term) -> None:
-        self._mirror.read_interval_s = LEADER_READ_INTERVAL_S
+        self._mirror.read_every(LEADER_READ_INTERVAL_S)
         try:
             await term.run()
         except LeadershipLost:
@@ -265,12 +290,14 @@
             self._faults.report_contained("term", self._process.name, exc)
             await term.resign()
         finally:
-            self._mirror.read_interval_s = FOLLOWER_READ_INTERVAL_S
+            self._mirror.read_every(FOLLOWER_READ_INTERVAL_S)
 
     @asynccontextmanager
     async def _follow_workers(self):
         registry = WorkerRegistry(self._platform.decode_worker, self._faults)
-        mirror = self._create_mirror(self._platform.worker_prefix, registry)
+        mirror = self._create_mirror(
+            self._platform.worker_prefix, registry, WORKER_READ_INTERVAL_S
+        )
         task = asyncio.create_task(mirror.run())
         try:
             yield registry, mirror
@@ -316,6 +343,11 @@
     async def _handle_state(self, request: StateRequest) -> StateReply:
         return StateReply(await self._intake.state(request.job_id, relay=False))
 
+    async def _handle_ended(self, request: EndedRequest) -> Done:
+        for end in request.ends:
+            self._table.apply_end(end.job_id, end.state, end.ended_at)
+        return Done()
+
     async def _handle_take_over(self, request: TakeOverRequest) -> Done:
         can_lead = not self._stopping and await self._reaches_store()
         if not can_lead or not self._election.take_over(request.epoch):
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -27,10 +27,25 @@
 
     Attributes:
         accepted_at: Time of the acceptance, in Unix seconds.
+        accepted_by: Name of the process that accepted the job, which its caller is
+            likely to ask for its state.
     """
 
     spec: StepJobSpec
     accepted_at: float
+    accepted_by: str = ""
+
+
+class QueueOfSpec(msgspec.Struct, frozen=True):
+    """Queue of a job; the other fields of its specification are not decoded."""
+
+    queue: str
+
+
+class JobSummary(msgspec.Struct, frozen=True):
+    """The part of a ``JobRecord`` that every process needs."""
+
+    spec: QueueOfSpec
 
 
 class StepProgress(msgspec.Struct):
@@ -61,6 +76,13 @@
     ended_at: float = 0.0
 
 
+class ProgressSummary(msgspec.Struct, frozen=True):
+    """The part of a ``ProgressRecord`` that every process needs."""
+
+    state: StepJobState
+    ended_at: float = 0.0
+
+
 class ProcessRecord(msgspec.Struct, frozen=True):
     """A live entry process.
 
@@ -115,7 +137,15 @@
 ENCODER = msgspec.msgpack.Encoder()
 _DECODERS: dict[type, msgspec.msgpack.Decoder] = {
     kind: msgspec.msgpack.Decoder(kind)
-    for kind in (JobRecord, ProgressRecord, ProcessRecord, LeaderRecord, WorkerRecord)
+    for kind in (
+        JobRecord,
+        JobSummary,
+        ProgressRecord,
+        ProgressSummary,
+        ProcessRecord,
+        LeaderRecord,
+        WorkerRecord,
+    )
 }
 
 
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -245,6 +245,7 @@
         queue: Its queue, as last configured.
         accepted_at: Time of acceptance on the leader's monotonic clock.
         accepted_wall: Wall-clock time of acceptance.
+        accepted_by: Name of the process that accepted it.
         objective_at: Deadline of the latency objective.
         inherited: Whether a former leader may have started tasks of the job.
         restored_progress: Stored progress of steps that are not open yet.
@@ -259,6 +260,7 @@
     queue: Queue
     accepted_at: float
     accepted_wall: float
+    accepted_by: str = ""
     objective_at: float = 0.0
     inherited: bool = False
     state: StepJobState = StepJobState.QUEUED
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -10,9 +10,11 @@
 from .model import StepJobState, WorkerEntry
 from .records import (
     JobRecord,
+    JobSummary,
     LeaderRecord,
     ProcessRecord,
     ProgressRecord,
+    ProgressSummary,
     WorkerRecord,
 )
 
@@ -23,7 +25,7 @@
 
     Attributes:
         record: Encoded ``JobRecord``; decoded on demand because most processes need
-            only the queue. Empty until the acceptance has been read.
+            only its summary. Empty until the acceptance has been read.
         revision: Store revision of the acceptance.
         progress: Encoded ``ProgressRecord``; empty before the first.
         ended_at: Time at which the job ended, in Unix seconds; 0 while it is open.
@@ -126,6 +128,18 @@
             if job.state.final and 0 < job.ended_at < before
         ]
 
+    def apply_end(self, job_id: str, state: StepJobState, ended_at: float) -> None:
+        """Apply a stored end before the mirror delivers it.
+
+        Args:
+            job_id: The job.
+            state: Its final state.
+            ended_at: Time of the end, in Unix seconds.
+        """
+        job = self.find(job_id)
+        if job is not None and not job.state.final:
+            job.state, job.ended_at = state, ended_at
+
     def waiting(self, queue: str) -> int:
         """Return the number of jobs of a queue for which no task has started."""
         return sum(
@@ -173,7 +187,7 @@
         if item is None:
             self._jobs.pop(job_id, None)
             return
-        record = self._faults.decode("job", item, records.decode, JobRecord)
+        record = self._faults.decode("job", item, records.decode, JobSummary)
         if record is None:
             return
         job = self._get_or_create(job_id)
@@ -187,7 +201,7 @@
     def _set_progress(self, job_id: str, item: KeyValue | None) -> None:
         if item is None:
             return
-        record = self._faults.decode("progress", item, records.decode, ProgressRecord)
+        record = self._faults.decode("progress", item, records.decode, ProgressSummary)
         job = self._get_or_create(job_id)
         # Kept even if it is not valid: a leader must not start the job anew.
         job.progress = item.value
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -7,6 +7,7 @@
 
 from ..errors import (
     BadRequest,
+    FlamingowayError,
     OutcomeUnknown,
     Refused,
     StoreOutcomeUnknown,
@@ -27,7 +28,7 @@
 from .decisions import DecisionLog
 from .faults import FaultReporter
 from .intake import Intake
-from .messages import TakeOverRequest
+from .messages import EndedRequest, JobEnd, TakeOverRequest
 from .metrics import QueueMetrics
 from .mirror import Mirror
 from .model import Advice, StartReply, WorkerEntry
@@ -755,6 +756,7 @@
         self._single_writes_left = max(0, self._single_writes_left - 1)
         self._apply_progress(puts)
         self._metrics.flush_seconds.observe(self._clock() - began)
+        self._notify_of_ends(jobs, versions)
         for job, version in zip(jobs, versions, strict=True):
             job.stored_version = version
             if not job.dirty:
@@ -769,6 +771,31 @@
         if workers:
             self._plan_needed.set()
 
+    def _notify_of_ends(self, jobs: list[OpenJob], versions: list[int]) -> None:
+        """Notify the processes that accepted jobs of their ends, once stored.
+
+        These learn of them from their mirrors too, but later.
+        """
+        ends: dict[str, list[JobEnd]] = {}
+        for job, version in zip(jobs, versions, strict=True):
+            ended = job.state.final and job.version == version
+            if ended and job.accepted_by not in ("", self._name):
+                end = JobEnd(job.spec.job_id, job.state, job.ended_wall)
+                ends.setdefault(job.accepted_by, []).append(end)
+        for name, ended_jobs in ends.items():
+            self._spawn(self._send_ends(name, EndedRequest(ended_jobs)))
+
+    async def _send_ends(self, name: str, request: EndedRequest) -> None:
+        try:
+            await self._relay.call_process(name, request)
+        except FlamingowayError as exc:
+            self._log.write(
+                "end notice failed",
+                process_notified=name,
+                jobs=len(request.ends),
+                why=exc.message,
+            )
+
     def _encode_progress(self, jobs: list[OpenJob]) -> tuple[list[OpenJob], list[Put]]:
         """Return the jobs whose progress one transaction can hold, and its writes."""
         chosen, puts, size = [], [], 0
