--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import yaml
@@ -106,6 +107,18 @@
     body = b""
 
 
+def run_in_cell(folder, body, entries=2, timeout_s=60.0):
+    """Run a test with a cell of real processes; their files are in ``folder``."""
+
+    async def main():
+        async with AsyncExitStack() as stack:
+            cell = Cell(folder, stack)
+            await cell.begin(entries)
+            await asyncio.wait_for(body(cell), timeout_s)
+
+    asyncio.run(main())
+
+
 async def until(condition):
     async with asyncio.timeout(WAIT_S):
         while True:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,7 @@
 from flamingoway.store import Put
 from standins.platform import WorkerStandin, config
 from standins.proxy import Link, Proxy
-from tests import odd_records
+from tests import invalid_records
 from tests.platform_cell import SERVICE, Cell, Unreachable, call
 
 ENTRY_COUNT = 4
@@ -348,11 +348,13 @@
 
 
 @fault
-async def write_odd_records(soak):
-    """Write odd entries beside those of workers and processes, and over one of them."""
-    entries = list(odd_records.worker_entries(SERVICE).values())
+async def write_invalid_records(soak):
+    """Write invalid entries beside those of workers and processes, and over one."""
+    entries = list(invalid_records.worker_entries(SERVICE).values())
     for number in range(soak.rng.randint(1, 6)):
-        key = soak.rng.choice([f"servers/odd{number}", f"fw/member/odd{number}"])
+        key = soak.rng.choice(
+            [f"servers/invalid{number}", f"fw/member/invalid{number}"]
+        )
         value = soak.rng.choice(entries)
         await soak.operator.txn([], [Put(key, value)])
         await asyncio.sleep(soak.rng.uniform(0, 0.3))
@@ -364,9 +366,9 @@
 
 
 @fault
-async def submit_odd_jobs(soak):
-    for name, body in odd_records.job_bodies().items():
-        path = f"/p/odd{name.replace(' ', '')}"
+async def submit_invalid_jobs(soak):
+    for name, body in invalid_records.job_bodies().items():
+        path = f"/p/invalid{name.replace(' ', '')}"
         answer = await call("POST", path, soak.rng.choice(soak.entries).front, body)
         if answer.code == 200:
             soak.ledger.broken.append(f"LIMITS {name} was accepted")
--- a/tests/test_odd_records.py
+++ b/tests/test_invalid_records.py
@@ -1,20 +1,20 @@
 """Real processes beside records and requests that are not valid."""
 
 import asyncio
+import functools
 import signal
 import time
-from contextlib import AsyncExitStack
 
 import pytest
 
 from flamingoway.store import Put
-from tests import odd_records
-from tests.platform_cell import SERVICE, Cell, call, complete
+from tests import invalid_records
+from tests.platform_cell import SERVICE, call, complete, run_in_cell
 
 # Most that a process may hold, in kilobytes; the smallest VMs have 200 MB.
 MAX_PEAK_KB = 64 * 1024
 REFUSAL_S = 2.0
-JOB_BODIES = odd_records.job_bodies()
+JOB_BODIES = invalid_records.job_bodies()
 JOB_RECORDS = {
     "not a record": b"\xff",
     "nested": b"\x91" * 60_000 + b"\xc0",
@@ -24,16 +24,7 @@
 
 @pytest.fixture
 def run_cell(tmp_path):
-    def run(body, entries=3):
-        async def main():
-            async with AsyncExitStack() as stack:
-                cell = Cell(tmp_path, stack)
-                await cell.begin(entries)
-                await asyncio.wait_for(body(cell), 120)
-
-        asyncio.run(main())
-
-    return run
+    return functools.partial(run_in_cell, tmp_path, entries=3, timeout_s=120)
 
 
 async def replace_leader(cell):
@@ -62,11 +53,11 @@
         assert [line for line in lines if not line.startswith(b"{")] == []
 
 
-def test_odd_entries_of_workers_stop_no_job(run_cell):
+def test_invalid_entries_of_workers_stop_no_job(run_cell):
     """Guards against an entry of another writer that ends every leadership."""
 
     async def body(cell):
-        entries = odd_records.worker_entries(SERVICE)
+        entries = invalid_records.worker_entries(SERVICE)
         for number, (name, value) in enumerate(entries.items()):
             key = f"servers/x{number}"
             await cell.operator.txn([], [Put(key, value)])
@@ -83,13 +74,13 @@
     run_cell(body)
 
 
-def test_a_worker_whose_entry_turns_odd_gets_no_new_work(run_cell):
+def test_a_worker_whose_entry_turns_invalid_gets_no_new_work(run_cell):
     """Guards against orders to a worker that the registry no longer shows."""
 
     async def body(cell):
         await complete(cell.entries[0], "00a0")
-        odd = odd_records.worker_entries(SERVICE)["port out of range"]
-        await cell.operator.txn([], [Put("servers/w0", odd)])
+        invalid = invalid_records.worker_entries(SERVICE)["port out of range"]
+        await cell.operator.txn([], [Put("servers/w0", invalid)])
         await asyncio.sleep(0.5)
         before = len(cell.workers[0].starts)
         for number in range(4):
@@ -99,7 +90,7 @@
     run_cell(body)
 
 
-def test_odd_records_of_the_system_stop_no_job(run_cell):
+def test_invalid_records_of_the_system_stop_no_job(run_cell):
     """Guards against a stored record, of another build or writer, that ends leaders."""
 
     async def body(cell):
@@ -116,7 +107,7 @@
 
 
 @pytest.mark.parametrize("value", [b"\xff\xfe", b"", b"9" * 300, b"-1"])
-def test_an_odd_epoch_is_replaced_by_a_higher_one(run_cell, value):
+def test_an_invalid_epoch_is_replaced_by_a_higher_one(run_cell, value):
     """Guards against a counter that nobody can read and so nobody can follow."""
 
     async def body(cell):
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -1,13 +1,12 @@
 """What went wrong for operators of similar systems, each brought about here.
 
 Messages and entries that are not valid have tests of their own:
-``test_odd_records.py``, ``test_queue_faults.py`` and ``test_queue_fuzz.py``.
+``test_invalid_records.py``, ``test_queue_faults.py`` and ``test_queue_fuzz.py``.
 """
 
 import asyncio
 import signal
 from collections import Counter
-from contextlib import AsyncExitStack
 
 import pytest
 
@@ -21,7 +20,7 @@
 )
 from flamingoway.store import Delete, Put
 from standins.platform import config
-from tests.platform_cell import JOB, SERVICE, Cell, call, complete
+from tests.platform_cell import JOB, SERVICE, call, complete, run_in_cell
 from tests.queue_world import LEASE_S, World
 from tests.virtual import run_virtual
 
@@ -209,7 +208,6 @@
     """Guards against a worker that left, or a queue that was removed, in use again."""
 
     async def play(cell):
-        await cell.begin(2)
         await complete(cell.entries[0], "00a0")
         left = cell.workers[0]
         await cell.operator.txn([], [Delete(f"servers/{left.worker_id}")])
@@ -229,8 +227,4 @@
         answer = await call("POST", "/s/00c0", cell.entries[0].front, JOB)
         assert answer.code == 404
 
-    async def main():
-        async with AsyncExitStack() as stack:
-            await asyncio.wait_for(play(Cell(tmp_path, stack)), 60)
-
-    asyncio.run(main())
+    run_in_cell(tmp_path, play)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,27 +1,18 @@
 """End-to-end tests of real processes against the platform's stand-in."""
 
 import asyncio
+import functools
 import signal
-from contextlib import AsyncExitStack
 
 import pytest
 import yaml
 
-from tests.platform_cell import JOB, Cell, call, complete, state, until
+from tests.platform_cell import JOB, call, complete, run_in_cell, state, until
 
 
 @pytest.fixture
 def run_cell(tmp_path):
-    def run(body, entries=2):
-        async def main():
-            async with AsyncExitStack() as stack:
-                cell = Cell(tmp_path, stack)
-                await cell.begin(entries)
-                await asyncio.wait_for(body(cell), 60)
-
-        asyncio.run(main())
-
-    return run
+    return functools.partial(run_in_cell, tmp_path)
 
 
 def test_a_job_runs_through_any_process(run_cell):
--- a/tests/test_queue_faults.py
+++ b/tests/test_queue_faults.py
@@ -105,12 +105,12 @@
     """Guards against a log that one writer can fill."""
     reporter = Reporter()
     for _ in range(500):
-        reporter.faults.report_skipped("worker", "servers/x", "odd", 7)
+        reporter.faults.report_skipped("worker", "servers/x", "invalid", 7)
         reporter.clock.now += 0.02
     assert len(reporter.log.lines) == 1
     assert reporter.count("skipped_records", "worker") == 500
     reporter.clock.now += LOG_INTERVAL_S
-    reporter.faults.report_skipped("worker", "servers/x", "odd", 8)
+    reporter.faults.report_skipped("worker", "servers/x", "invalid", 8)
     assert reporter.log.lines[1][1]["repeated"] == 499
 
 
@@ -294,7 +294,7 @@
     assert table.workers["w7"].tasks is None
 
 
-def test_a_process_whose_record_turns_odd_counts_as_gone():
+def test_a_process_whose_record_turns_invalid_counts_as_gone():
     table = JobTable(Reporter().faults)
     key = records.PROCESS_PREFIX + "n7"
     value = records.encode(records.ProcessRecord("n7", "127.0.0.1:1", "z"))
--- a/tests/test_queue_fuzz.py
+++ b/tests/test_queue_fuzz.py
@@ -9,14 +9,14 @@
 from flamingoway.errors import BadRequest
 from flamingoway.platform import wire
 from flamingoway.queues import records
-from tests import fuzz, odd_records
+from tests import fuzz, invalid_records
 
 INPUTS = 60_000
 # Inputs that failed once: name of the decoder and data.
 FAILED = [
-    ("worker", odd_records.worker_entries("s")["nested field"]),
-    ("worker", odd_records.worker_entries("s")["huge capacity"]),
-    ("worker", odd_records.worker_entries("s")["port out of range"]),
+    ("worker", invalid_records.worker_entries("s")["nested field"]),
+    ("worker", invalid_records.worker_entries("s")["huge capacity"]),
+    ("worker", invalid_records.worker_entries("s")["port out of range"]),
     ("report", b'{"clockMs":1,"numRunning":[["a.0.0.\xc2\xb2",1,"",0]]}'),
     ("report", b'{"clockMs":1,"ended":[[1,"a.0.0.0",1e400,"done",""]]}'),
     ("items", b'{"items":[{"key":"a","value":"x"}],"storeRevision":1}'),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,9 @@
 # Seeds that run with all kinds of faults.
 SEEDS = [1, 2]
 # Faults from which the seeds below drew when they failed.
-FORMER_FAULTS = sorted(soak.FAULTS.keys() - {"write_odd_records", "submit_odd_jobs"})
+FORMER_FAULTS = sorted(
+    soak.FAULTS.keys() - {"write_invalid_records", "submit_invalid_jobs"}
+)
 # Seeds that failed once, with the cause.
 REGRESSIONS = [
     # A second task of a term that had failed left its exception unread.
