Refuse no job whose write has begun, take back no end, and hold without flooding others

Found by reading the changes of the outages and of the notices:

- A job that was given up between the choice of a write and its beginning was refused, and could be stored all the same.
It now counts as sent from the choice on (504).
- A notice of an end could overtake the mirror, whose older change then showed the job as running again.
An end is final now.
- While the store answered but the writes of a process were slow, its held jobs asked other processes twenty times a second.
They now wait for 0.2 s.

Measured: the three new tests fail before and pass now.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -58,6 +58,8 @@
 # A request that could not be carried out here or elsewhere is tried again after this
 # time, or once the store answers this process again.
 HOLD_INTERVAL_S = 0.5
+# The same while the store answers, but not the writes of this process.
+SLOW_RETRY_S = 0.2
 # Requests beyond this number are refused at once instead of being held.
 MAX_HELD_REQUESTS = 1000
 # Retry-After sent while the store is unavailable: most outages end within seconds.
@@ -260,9 +262,12 @@
             return False
         self._held += 1
         try:
-            await asyncio.sleep(WRITE_RETRY_DELAY_S)
-            left_s = deadline - loop.time()
-            await self._store.wait_returned(min(HOLD_INTERVAL_S, left_s))
+            if self._store.outage_s:
+                await asyncio.sleep(WRITE_RETRY_DELAY_S)
+                left_s = deadline - loop.time()
+                await self._store.wait_returned(min(HOLD_INTERVAL_S, left_s))
+            else:
+                await asyncio.sleep(SLOW_RETRY_S)
         finally:
             self._held -= 1
         return loop.time() < deadline
@@ -429,6 +434,10 @@
         loop = asyncio.get_running_loop()
         while self._drop_answered():
             batch = self._next_batch()
+            # Set before the task begins, since a job that is given up meanwhile may be
+            # written all the same.
+            for pending in batch:
+                pending.sent = True
             write = asyncio.create_task(self._write(batch))
             slow_after_s = max(SLOW_WRITE_S, SLOW_WRITE_FACTOR * self._last_write_s)
             await asyncio.wait({write}, timeout=slow_after_s)
@@ -470,8 +479,6 @@
             )
         puts = [Put(key, p.value) for key, p in zip(keys, batch, strict=True)]
         began = asyncio.get_running_loop().time()
-        for pending in batch:
-            pending.sent = True
         try:
             result = await self._store.txn(compares, puts, [c.key for c in compares])
         except StoreOutcomeUnknown:
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -205,7 +205,8 @@
         job = self._get_or_create(job_id)
         # Kept even if it is not valid: a leader must not start the job anew.
         job.progress = item.value
-        if record is not None:
+        # The leader's notice of an end may overtake older changes.
+        if record is not None and (record.state.final or not job.state.final):
             job.state = record.state
             job.ended_at = record.ended_at
 
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -373,6 +373,54 @@
     run_with_cell(body)
 
 
+def test_an_end_is_not_taken_back_by_an_older_change():
+    """Guards against a job that is shown as completed and then as running."""
+
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(COUNT_AGE_S)
+        cell.table.apply_end(JOB.job_id, StepJobState.COMPLETED, 1.0)
+        value = records.encode(ProgressRecord(StepJobState.RUNNING))
+        await cell.store.txn([], [Put(records.PROGRESS_PREFIX + JOB.job_id, value)])
+        await asyncio.sleep(COUNT_AGE_S)
+        assert await cell.intake.state(JOB.job_id) is StepJobState.COMPLETED
+
+    run_with_cell(body)
+
+
+def test_a_job_that_is_given_up_as_its_write_begins_is_not_refused():
+    """Guards against a job that runs although its caller was told that it does not."""
+
+    async def body(cell):
+        write = cell.intake._write
+
+        async def begin_late(batch):
+            await asyncio.sleep(0.5)
+            await write(batch)
+
+        cell.intake._write = begin_late
+        with pytest.raises(OutcomeUnknown):
+            await cell.intake.submit(JOB, 0.3, relay=False)
+        await asyncio.sleep(1.0)
+        assert stored(cell)
+
+    run_with_cell(body)
+
+
+def test_jobs_behind_a_slow_write_do_not_flood_other_processes():
+    """Guards against processes that are kept busy by jobs that none can store."""
+
+    async def body(cell):
+        await asyncio.sleep(1.0)
+        # The store answers reads, but no write of this process.
+        cell.intake._write_is_slow = True
+        with pytest.raises(Refused):
+            await cell.intake.submit(JOB, 3.0)
+        assert len(cell.peers.requests) <= 20
+
+    run_with_cell(body)
+
+
 def test_a_job_of_another_process_is_shown_as_currently_stored():
     """Guards against stale states of processes that read changes once a second."""
 
