Set a worker aside whose record the store rejects

Found by reading: if the store rejected the record of one worker as invalid, the leader wrote it again for ever and stored no progress. Such a worker stays unrecorded now, so that nothing starts there, and the others go on.

Measured: test_a_worker_whose_record_the_store_rejects_is_not_used fails before and passes now; the border's limits make such a rejection unlikely.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -165,6 +165,7 @@
         self._log = log
         self._faults = faults
         self._set_aside: set[str] = set()
+        self._rejected_workers: set[str] = set()
         # Writes that hold one operation each, after the store rejected one as invalid.
         self._single_writes_left = 0
         self._cluster = ClusterState(leadership.epoch, lease_s, log)
@@ -680,7 +681,12 @@
         """Return new workers, and those whose recorded tasks have changed."""
         now, cluster = self._clock(), self._cluster
         workers = cluster.workers.values()
-        new = [w for w in workers if w.listed and not w.recorded]
+        rejected = self._rejected_workers
+        new = [
+            w
+            for w in workers
+            if w.listed and not w.recorded and w.entry.worker_id not in rejected
+        ]
         # Called after each event, so it skips the workers whose record cannot change.
         changed = [
             w
@@ -751,7 +757,7 @@
         try:
             await self._write(puts)
         except BadRequest as exc:
-            self._on_write_rejected(jobs, len(puts), exc)
+            self._on_write_rejected(jobs, workers, len(puts), exc)
             return
         self._single_writes_left = max(0, self._single_writes_left - 1)
         self._apply_progress(puts)
@@ -814,15 +820,22 @@
         return chosen, puts
 
     def _on_write_rejected(
-        self, jobs: list[OpenJob], operations: int, error: BadRequest
+        self,
+        jobs: list[OpenJob],
+        workers: list[WorkerState],
+        operations: int,
+        error: BadRequest,
     ) -> None:
-        """Find the write that the store rejects as invalid, and set its job aside."""
+        """Find the write that the store rejects as invalid, and set its cause aside."""
         if operations > 1:
             self._single_writes_left = operations
         elif jobs:
             self._set_job_aside(jobs[0].spec.job_id, error)
         else:
-            self._faults.report_contained("write", self._name, error)
+            names = [worker.entry.worker_id for worker in workers]
+            self._faults.report_contained("write", " ".join(names), error)
+            # Nothing starts on a worker that is not recorded.
+            self._rejected_workers.update(names)
         self._flush_needed.set()
 
     def _apply_progress(self, operations: list[Put | Delete]) -> None:
--- a/tests/test_queue_faults.py
+++ b/tests/test_queue_faults.py
@@ -46,7 +46,7 @@
 from standins.cluster import free_ports
 from standins.memory import MemoryStore
 from tests.queue_cluster import Bench, RecordingLog, step
-from tests.queue_world import World
+from tests.queue_world import FakeWorker, World
 from tests.test_queue_intake import JOB, Request, run_with_cell
 from tests.virtual import run_virtual
 
@@ -231,6 +231,31 @@
     assert terms == 1 and ended == []
 
 
+def test_a_worker_whose_record_the_store_rejects_is_not_used():
+    """Guards against one worker that keeps all progress from being stored."""
+
+    async def main():
+        world, _ = await leading_world()
+        store = world.stores[world.leader()]
+        txn = store.txn
+
+        async def reject(compares, operations, *args):
+            if any(o.key == records.WORKER_PREFIX + "w9" for o in operations):
+                raise BadRequest("key too long")
+            return await txn(compares, operations, *args)
+
+        store.txn = reject
+        world.workers["w9"] = FakeWorker(world, "w9", "r1")
+        await world.register_worker(world.workers["w9"])
+        await asyncio.sleep(1.0)
+        states, terms, ended = await play_and_show(world, ["a1", "a2", "a3"])
+        return states, terms, ended, len(world.workers["w9"].runs)
+
+    states, terms, ended, runs = run_virtual(main)
+    assert states == [StepJobState.COMPLETED] * 3
+    assert terms == 1 and ended == [] and runs == 0
+
+
 def test_a_job_that_the_store_rejects_is_refused_alone():
     """Guards against callers that are refused because of another caller's job."""
 
