Leave no outcome unread when a call for a job is cancelled

Seen by the soak, seeds 900, 901 and 925 on: 'Future exception was never retrieved', OutcomeUnknown of a job. Cause: since a job's wait is bounded by its deadline, its outcome is shielded; if the call of another process was cancelled, the writer set the outcome and nobody read it. Change: a cancelled wait cancels the outcome, so that the job is dropped unless it is being written.

Measured: the new test fails before and passes now; the seeds join test_soak.py.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -286,6 +286,10 @@
         try:
             async with asyncio.timeout_at(deadline):
                 await asyncio.shield(pending.accepted)
+        except asyncio.CancelledError:
+            # Nobody would read the outcome.
+            pending.accepted.cancel()
+            raise
         except TimeoutError:
             if pending.accepted.done():
                 pending.accepted.result()
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -1,6 +1,7 @@
 """Checks what callers are told: accepted, refused or outcome unknown."""
 
 import asyncio
+import gc
 import random
 
 import pytest
@@ -407,6 +408,33 @@
     run_with_cell(body)
 
 
+def test_a_submission_that_is_cancelled_leaves_no_unread_outcome():
+    """Guards against asyncio's report of an exception that was never retrieved."""
+    errors = []
+
+    async def body(cell):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context["message"]))
+        cell.store.pause()
+        specs = [StepJobSpec(f"0{n}", "plans", "x", JOB.steps) for n in range(2)]
+        submits = [
+            asyncio.create_task(cell.intake.submit(spec, 3.0, relay=False))
+            for spec in specs
+        ]
+        await asyncio.sleep(0.1)
+        for submit in submits:
+            submit.cancel()
+        await asyncio.sleep(0.1)
+        cell.store.down = True
+        cell.store.resume()
+        await asyncio.sleep(3.0)
+        submits.clear()
+        gc.collect()
+
+    run_with_cell(body)
+    assert errors == []
+
+
 def test_jobs_behind_a_slow_write_do_not_flood_other_processes():
     """Guards against processes that are kept busy by jobs that none can store."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,13 @@
 
 # Seeds that run with all kinds of faults.
 SEEDS = [1, 2]
+# Seeds that failed with all of these kinds, with the cause.
+LATER_REGRESSIONS = [
+    # A call of another process was cancelled, and the outcome of its job left unread.
+    900,
+    901,
+    925,
+]
 # Faults from which the seeds below drew when they failed.
 FORMER_FAULTS = sorted(
     soak.FAULTS.keys() - {"write_invalid_records", "submit_invalid_jobs"}
@@ -31,7 +38,8 @@
 
 @pytest.mark.parametrize(
     "seed, faults",
-    [(seed, None) for seed in SEEDS] + [(seed, FORMER_FAULTS) for seed in REGRESSIONS],
+    [(seed, None) for seed in SEEDS + LATER_REGRESSIONS]
+    + [(seed, FORMER_FAULTS) for seed in REGRESSIONS],
 )
 def test_guarantees_hold_under_external_faults(seed, faults):
     """Guards against lost, duplicate and early runs when faults overlap."""
