Remove what the outage monitor made dead, and read addresses in one place

Found by reading the whole change once more. Mirror.outage_s and its time had no caller left since MonitoredStore; serve.py parsed IP:port beside addresses.parse_address; the handler of peer calls was given the server and its table; two comments named an interval that has changed. Behaviour is the same.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -102,7 +102,7 @@
             OSError: If the port cannot be bound.
         """
         server = grpc.aio.server(options=CHANNEL_OPTIONS)
-        server.add_generic_rpc_handlers([_GenericHandler(self._handlers, self)])
+        server.add_generic_rpc_handlers([_GenericHandler(self)])
         try:
             server.add_insecure_port(address)
         except RuntimeError as exc:
@@ -115,12 +115,8 @@
 
 
 class _GenericHandler(grpc.GenericRpcHandler):
-    def __init__(
-        self,
-        handlers: dict[str, tuple[msgspec.msgpack.Decoder, Handler]],
-        server: PeerServer,
-    ):
-        self._handlers = handlers
+    def __init__(self, server: PeerServer):
+        self._handlers = server._handlers
         self._server = server
 
     def service(self, call_details: grpc.HandlerCallDetails):
--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -6,6 +6,7 @@
 import random
 import signal
 
+from ..addresses import parse_address
 from ..context import boot_time
 from ..errors import BadSettings
 from ..httpserver import HttpRequest, HttpResponse, HttpServer
@@ -110,8 +111,8 @@
         job_server = HttpServer(ingress.handle, error_answer, MAX_BODY_BYTES)
         ready_server = HttpServer(self._answer_ready, error_answer, MAX_BODY_BYTES)
         metrics_server = HttpServer(self._answer_metrics, error_answer, MAX_BODY_BYTES)
-        job_server.listen(*_address(self._settings.listen.front))
-        ready_server.listen(*_address(self._settings.listen.ready))
+        job_server.listen(*parse_address(self._settings.listen.front))
+        ready_server.listen(*parse_address(self._settings.listen.ready))
         metrics_server.listen(self._settings.ip, self._settings.metrics_port)
         node = asyncio.create_task(self._node.run())
         background = [
@@ -188,11 +189,6 @@
         )
 
 
-def _address(text: str) -> tuple[str, int]:
-    ip, _, port = text.rpartition(":")
-    return ip, int(port)
-
-
 def _modification_time(path: str) -> float:
     try:
         return os.stat(path).st_mtime
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -35,7 +35,7 @@
 # condition on the epoch.
 JOBS_PER_WRITE = 15
 # A mirror without changes for this long may be stale; a busy cell has dozens a second,
-# and a follower reads them once a second.
+# and a follower reads them twice a second.
 MIRROR_STALE_AFTER_S = 1.6
 # The state of a job that another process accepted is read again if it is older.
 STATE_AGE_S = 0.2
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -83,7 +83,6 @@
         self._synced = asyncio.Event()
         self._complete = False
         self._reachable = True
-        self._down_since = 0.0
         self._changed_at = float("-inf")
         self._heartbeat_key = heartbeat_key
         self._heartbeat_seen = False
@@ -102,11 +101,6 @@
         """Seconds since the store last confirmed the copy."""
         return self._clock() - self._confirmed_at
 
-    @property
-    def outage_s(self) -> float:
-        """Seconds for which every call has failed; 0 if the last one succeeded."""
-        return 0.0 if self._reachable else self._clock() - self._down_since
-
     @property
     def since_change_s(self) -> float:
         """Seconds since the last change."""
@@ -234,5 +228,4 @@
     def _on_failure(self, exc: StoreUnavailable) -> None:
         if self._reachable:
             self._reachable = False
-            self._down_since = self._clock()
             self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -50,7 +50,7 @@
 # A process is not ready, so that callers go to others, if the store has not answered
 # for this long.
 READY_STORE_AGE_S = 2.0
-# Nor if its copy of the records is older than this; followers read once a second, and
+# Nor if its copy of the records is older than this; followers read twice a second, and
 # a watch waits for 0.8 s.
 READY_MIRROR_AGE_S = 4.0
 # It is not ready either if all calls to the store have failed for this long.
