--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from rules import Runs  # noqa: E402
+from rules import Runs, idle_spans  # noqa: E402
 from world import CannotRun, World, run_case  # noqa: E402
 
 # Two steps of four tasks; the second one's turn comes after the restart.
@@ -75,23 +75,18 @@
 def idle(runs, until):
     """Return violations of LOST: nothing of the plan runs although its turn came."""
     starts = [row for row in runs.starts if row[1].startswith(PLAN)]
-    ends = [row for row in runs.ends if row[1].startswith(PLAN)]
     if len(starts) < 4:
         raise CannotRun("the first step did not start")
+    ends = [row for row in runs.ends if row[1].startswith(PLAN)]
     done = {task for _, task, _, _, how in ends if how == "done"}
-    events = [(at, 1) for at, *_ in starts] + [(at, -1) for at, *_ in ends]
     if len(done) == 8:
-        until = max(at for at, _ in events)
-    broken, running, idle_since = [], 0, None
-    for at, change in [*sorted(events), (until, 0)]:
-        if idle_since is not None and at - idle_since > IDLE_S:
-            broken.append(
-                f"LOST {PLAN}: accepted, not cancelled, {len(done)} of 8 tasks done, "
-                f"nothing running for {at - idle_since:.1f} s on an idle service"
-            )
-        running += change
-        idle_since = at if running == 0 else None
-    return broken
+        until = max(at for at, *_ in ends)
+    return [
+        f"LOST {PLAN}: accepted, not cancelled, {len(done)} of 8 tasks done, "
+        f"nothing running for {span:.1f} s on an idle service"
+        for span in idle_spans(runs, PLAN, starts[0][0], until)
+        if span > IDLE_S
+    ]
 
 
 run_case(case, FOLDER)
--- a/review/rules.py
+++ b/review/rules.py
@@ -51,5 +51,23 @@
             latest[task] = (task, run, worker)
         return broken
 
-    def running_count(self):
-        return len(self.starts) - len(self.ends)
+
+def idle_spans(runs, job, began, until):
+    """Return for how long, each time, nothing of a job was running.
+
+    Args:
+        runs: What the runners did.
+        job: Id of the job.
+        began: Time from which a task of it could run.
+        until: End of the job, or of the observation.
+    """
+    events = [(at, 1) for at, task, *_ in runs.starts if task.startswith(job)]
+    events += [(at, -1) for at, task, *_ in runs.ends if task.startswith(job)]
+    spans, running, idle_since = [], 0, began
+    for at, change in [*sorted(events), (until, 0)]:
+        if running == 0:
+            spans.append(at - idle_since)
+        running += change
+        if running == 0:
+            idle_since = at
+    return spans
--- a/review/world.py
+++ b/review/world.py
@@ -11,6 +11,8 @@
 import base64
 import json
 import os
+import random
+import resource
 import shutil
 import signal
 import socket
@@ -30,6 +32,8 @@
 ENDED_ROWS = 500
 # Channels of a runner, as the sheets say.
 CHANNELS = 64
+# Descriptors of an entry machine.
+MAX_FDS = 4200
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -453,7 +457,12 @@
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         with self.log.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=output, stderr=output
+                *command,
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
+                preexec_fn=limit_descriptors,
             )
 
     async def end(self, number=signal.SIGKILL, within_s=10.0):
@@ -466,14 +475,16 @@
                 await self.process.wait()
 
 
+def limit_descriptors():
+    """Give a process the descriptors of a machine; 200 of them are for files."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS - 200, MAX_FDS - 200))
+
+
 def free_ports(count):
     """Return the first of ``count`` consecutive free ports."""
-    for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            first = probe.getsockname()[1]
-        if first + count > 65535:
-            continue
+    for _ in range(500):
+        # Below the ephemeral ports.
+        first = random.randrange(12_000, 30_000)
         sockets = []
         try:
             for port in range(first, first + count):
@@ -535,7 +546,7 @@
                 "cpuShare": 0.537,
                 "cores": 2,
                 "memoryMb": 300,
-                "maxFds": 4200,
+                "maxFds": MAX_FDS,
             },
             "dataDir": None,
             "discovery": "platform",
@@ -596,6 +607,17 @@
         good = [[worker, f"t-{worker}"] for worker in body["workers"]]
         return 200, {"good": good, "validMs": 2000}
 
+    async def scale_in(self, worker):
+        """Let a runner drain and leave, as the platform takes it away."""
+        worker.state = "draining"
+        self.store.put(f"servers/{worker.worker_id}", worker.entry())
+        self.record.write("draining", worker=worker.worker_id)
+        await asyncio.sleep(BOUNDS["drainMs"] / 1000 + 1.0)
+        self.workers.remove(worker)
+        worker.http.close()
+        self.store.remove(f"servers/{worker.worker_id}")
+        self.record.write("left", worker=worker.worker_id)
+
     def configure(self, routes):
         """Write a desired state; the routes are names with their prefixes."""
         self._version += 3
