--- a/review/world.py
+++ b/review/world.py
@@ -477,7 +477,9 @@
 
 def limit_descriptors():
     """Give a process the descriptors of a machine; 200 of them are for files."""
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS - 200, MAX_FDS - 200))
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    most = MAX_FDS - 200 if hard < 0 else min(MAX_FDS - 200, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
 
 def free_ports(count):
