--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,8 +20,8 @@
 SORT_STEP = {"count": 2, "cpu": 1000, "memMb": 512, "estRuntimeMs": 12000}
 MAX_ATTEMPTS = 4
 PLANS, CHECKS = {"prefix": "/plans/"}, {"prefix": "/checks/"}
-# The rule allows 3 s; finish_s is 14 s.
-IDLE_S = 3.0
+# The rule allows 3 s, if these and the 4 s before are calm; finish_s is 14 s.
+IDLE_S = 3.0 + 4.0
 FINISH_S = 14.0
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,9 @@
 CHECK_STEP = {"count": 2, "cpu": 1400, "memMb": 4000, "estRuntimeMs": 640}
 CHECKS = 45
 PLANS, SLOTS = {"prefix": "/plans/"}, {"prefix": "/slots/", "priority": 0}
+# The rule allows 3 s, if these and the 4 s before are calm.
 IDLE_S = 3.0
+CALM_S = 4.0
 CAPACITY = 24 * 16000
 CPU = {WIDE: WIDE_STEP["cpu"]}
 
@@ -40,6 +42,7 @@
         await asyncio.sleep(3.0)
         if trouble:
             await world.submit(f"/plans/{WIDE}", {"spec": "x", "steps": [WIDE_STEP]})
+        calm_from = time.monotonic() + CALM_S
         for index in range(CHECKS):
             job_id = f"5c0e7a21d94c{index:04x}"
             job = {"spec": "y", "steps": [CHECK_STEP]}
@@ -54,10 +57,10 @@
         record.write("leaders", seen=leaders)
     if len(accepted) < CHECKS / 2:
         raise CannotRun("most of the small jobs were not accepted")
-    return idle_jobs(runs, accepted, time.monotonic())
+    return idle_jobs(runs, accepted, calm_from, time.monotonic())
 
 
-def idle_jobs(runs, accepted, until):
+def idle_jobs(runs, accepted, calm_from, until):
     """Return violations of LOST: small jobs with nothing running on an idle service."""
     starts = sorted((at, task.partition(".")[0]) for at, task, *_ in runs.starts)
     first = {}
@@ -70,9 +73,7 @@
     broken = []
     for job_id, since in accepted.items():
         to = first.get(job_id, until)
-        if to - since <= IDLE_S:
-            continue
-        if idle_span(changes, since, to) > IDLE_S:
+        if idle_span(changes, max(since, calm_from), to) > IDLE_S:
             state = "started" if job_id in first else "never started"
             broken.append(
                 f"LOST {job_id}: nothing running for {to - since:.1f} s after its "
@@ -83,6 +84,8 @@
 
 def idle_span(changes, since, to):
     """Return the longest time with under half of the service in use."""
+    if to <= since:
+        return 0.0
     used, began, longest = 0, since, 0.0
     for at, change in changes:
         if at > to:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -22,8 +22,8 @@
     "estRuntimeMs": 2000,
 }
 TASK_S = 2.0
-# The rule allows 3 s; finish_s is 14 s.
-IDLE_S = 3.0
+# The rule allows 3 s, if these and the 4 s before are calm; finish_s is 14 s.
+IDLE_S = 3.0 + 4.0
 FINISH_S = 14.0
 
 
