Settle a worker only once it has listed all its ends

Cause: a worker lists 500 ends at a time. ClusterState.on_report settled a worker on its first answer, complete or not. A new leader has no runs of its own, so the tasks whose ends stood on the next page were neither running nor done for the planner.

Evidence: in the record of the case the tasks that start twice are those after the 500th end, and the log line "worker settled" precedes the second page. With ends up to 500 the case holds. A lease that lapsed is ruled out: no end of the record is "lapsed".

Change: answering a poll and being settled are two facts now. A worker that answers gets its ends acknowledged and its lease renewed, else the next page would never come; it is settled, and inherited work goes on, with its first complete report. As its lease is now renewed before that, its inherited runs may last until that lease has expired.

Related paths: a raised token settles by the same rule; "run absent" already waited for a complete report; the record of a silent worker names no tasks while it is unsettled.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -384,7 +384,8 @@
         """Return whether no run can exist on a worker that does not answer."""
         inherited = self._unsettled.get(worker.entry.worker_id)
         if inherited is not None:
-            return now >= inherited.until
+            # It may have answered, and so renewed its lease, before it was settled.
+            return now >= max(inherited.until, worker.leases_expire_at())
         # An unanswered start order counts as a run.
         may_run = worker.runs or worker.orphans
         return not may_run or now >= worker.leases_expire_at()
@@ -392,7 +393,7 @@
     def drop_runs(self, worker: WorkerState, now: float, why: str) -> None:
         """Treat all runs of a worker as ended with unknown outcome."""
         self._unsettled.pop(worker.entry.worker_id, None)
-        worker.settled = False
+        worker.unsettle()
         worker.orphans.clear()
         worker.token += 1
         if worker.runs:
@@ -432,7 +433,7 @@
             unresolved=len(worker.runs) - len(reported),
         )
         worker.token += 1
-        worker.settled = False
+        worker.unsettle()
         worker.orphans.clear()
         for run in reported:
             self._release_run(run, now)
@@ -483,11 +484,16 @@
                 self._on_run_ended(worker, ended, now, wall)
         self._on_running(worker, report, sent_at, token, now)
         worker.advance_acknowledged()
-        if token == worker.token and not worker.settled:
-            worker.settled = True
+        if token != worker.token:
+            return
+        if not worker.answering:
+            worker.answering = True
             # The worker rejects earlier orders from now on.
             latest = now + self._max_lease_s
             worker.early_leases_until = min(worker.early_leases_until, latest)
+        # Tasks of a former leader may be among the ends that are not listed yet.
+        if report.complete and not worker.settled:
+            worker.settled = True
             self._unsettled.pop(worker.entry.worker_id, None)
             self._log.write(
                 "worker settled",
@@ -869,7 +875,7 @@
         """Raise a worker's token so that orders with ``sent_token`` are rejected."""
         if worker.token == sent_token:
             worker.token += 1
-            worker.settled = False
+            worker.unsettle()
             self.orders.append(PollNow(worker))
 
     # Advice
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -304,7 +304,8 @@
         reserved_tasks: Number of tasks for which resources are reserved.
         orphans: Runs that the worker reports but the leader does not track, by task id
             and run number, with the time of the last stop order.
-        settled: Whether it answered a poll with its current token.
+        answering: Whether it answered the last poll, which had its current token.
+        settled: Whether it has also reported all runs that have ended there.
         recorded: Whether the store records it as a worker on which runs may exist.
         recorded_tasks: Ids of the tasks that the store may name as the only ones on it;
             ``None`` if it names none.
@@ -326,6 +327,7 @@
     reserved_tasks: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
+    answering: bool = False
     settled: bool = False
     recorded: bool = False
     recorded_tasks: frozenset[str] | None = None
@@ -356,6 +358,10 @@
             and not self.orphans
         )
 
+    def unsettle(self) -> None:
+        """Record that its runs are not known until it answers again."""
+        self.answering = self.settled = False
+
     def clock_estimate(self, now: float) -> int:
         """Return an estimate of the worker's clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_at) * 1000)
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -380,12 +380,12 @@
         sent_at = self._clock()
         lease_ms = 0
         # An unresponsive worker's lease is not renewed, so that it expires.
-        if worker.settled:
+        if worker.answering:
             lease_ms = worker.clock_estimate(sent_at) + int(self._lease_s * 1000)
             worker.lease_ms = max(worker.lease_ms, lease_ms)
         wait_s = POLL_WAIT_S if worker.settled else 0.0
         # A worker that restarted numbers its ends anew, and would discard them unseen.
-        acknowledged = worker.acknowledged if worker.settled else 0
+        acknowledged = worker.acknowledged if worker.answering else 0
         poll = asyncio.create_task(
             self._workers.poll(entry, token, acknowledged, lease_ms, wait_s)
         )
@@ -427,8 +427,8 @@
 
     def _on_no_answer(self, worker: WorkerState, why: str) -> None:
         now = self._clock()
-        if worker.settled:
-            worker.settled = False
+        if worker.answering:
+            worker.unsettle()
             self._log.write(
                 "worker silent",
                 worker=worker.entry.worker_id,
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -80,7 +80,14 @@
         return self.cluster.set_worker(entry, self.now)
 
     def report(
-        self, worker_id, running=(), ended=(), token=None, sent_at=None, born_ms=None
+        self,
+        worker_id,
+        running=(),
+        ended=(),
+        token=None,
+        sent_at=None,
+        born_ms=None,
+        complete=True,
     ):
         worker = self.worker(worker_id)
         report = WorkerReport(
@@ -88,6 +95,7 @@
             born_ms=worker.entry.born_ms or 1 if born_ms is None else born_ms,
             running=tuple(RunningTask(*row) for row in running),
             ended=tuple(ended),
+            complete=complete,
         )
         self.cluster.on_report(
             worker,
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -39,6 +39,8 @@
 GANG_START_TIMEOUT_S = 3.0
 STOP_DURATION_S = 0.3
 CANCEL_GRACE_S = 3.0
+# Rows of ended runs in one answer of a worker.
+ENDED_ROWS = 500
 # A caller gets no answer from a process that was killed.
 CALLER_TIMEOUT_S = 3.0
 QUEUE = Queue(
@@ -214,8 +216,13 @@
             RunningTask(run.task_id, run.number, run.checkpoint, self._percent(run))
             for run in self.runs.values()
         )
+        ended = tuple(self.ended[:ENDED_ROWS])
         return WorkerReport(
-            self.clock_ms, 1_000_000 + self.incarnation, running, tuple(self.ended)
+            self.clock_ms,
+            1_000_000 + self.incarnation,
+            running,
+            ended,
+            complete=len(ended) < ENDED_ROWS,
         )
 
     def _percent(self, run):
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -6,6 +6,7 @@
 from flamingoway.queues.cluster import REJECTED_DELAY_MAX_S
 from flamingoway.queues.model import (
     Advice,
+    EndedTask,
     EndKind,
     Schedule,
     StartReply,
@@ -13,7 +14,7 @@
     WorkerEntry,
 )
 from flamingoway.queues.runs import PollNow
-from tests.queue_cluster import Bench, step
+from tests.queue_cluster import LARGE, Bench, step
 
 
 def running(bench, *steps, **fields):
@@ -375,6 +376,35 @@
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
 
+def test_a_worker_is_settled_once_it_has_listed_all_its_ends():
+    """Guards against a second run of a task whose end is on the next page."""
+    bench = Bench(0, epoch=2)
+    entry = WorkerEntry("w0", "s", "w0:1", "z", LARGE, born_ms=1)
+    bench.cluster.restore_worker(entry, bench.now + 10)
+    worker = bench.cluster.set_worker(entry, bench.now)
+    job = bench.submit("a1", step(2), inherited=True)
+    ends = [EndedTask(n + 1, f"a1.0.0.{n}", 1, EndKind.DONE) for n in range(2)]
+    bench.report("w0", ended=ends[:1], complete=False)
+    assert bench.plan() == []
+    assert worker.answering and not worker.settled
+    bench.report("w0", ended=ends[1:])
+    assert bench.plan() == []
+    assert worker.settled and job.state is StepJobState.COMPLETED
+
+
+def test_an_inherited_worker_that_renewed_its_lease_may_have_runs_until_that_ends():
+    """Guards against a second run beside one whose lease the new leader renewed."""
+    bench = Bench(0, epoch=2)
+    entry = WorkerEntry("w0", "s", "w0:1", "z", LARGE, born_ms=1)
+    bench.cluster.restore_worker(entry, bench.now + 1)
+    worker = bench.cluster.set_worker(entry, bench.now)
+    bench.submit("a1", step(1), inherited=True)
+    bench.report("w0", [("a1.0.0.0", 1)], complete=False)
+    worker.lease_ms = worker.clock_ms + 5000
+    assert not bench.cluster.all_runs_expired(worker, bench.now + 5.1)
+    assert bench.cluster.all_runs_expired(worker, bench.now + 5.0 / 0.97 + 0.3)
+
+
 def test_a_worker_without_runs_has_nothing_left_to_expire():
     """Guards against a takeover that waits for a worker that left long ago."""
     bench = Bench(1)
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -8,12 +8,13 @@
 import functools
 import random
 import sys
+from collections import Counter
 
 import pytest
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
-from tests.queue_world import LEASE_S, World
+from tests.queue_world import ENDED_ROWS, LEASE_S, World
 from tests.virtual import run_virtual
 
 SEEDS = range(40)
@@ -401,6 +402,36 @@
     assert len(elections) == 2
 
 
+def test_a_takeover_reads_all_ends_of_a_worker_before_it_starts_tasks_again():
+    """Guards against a second run of done tasks after more than one page of ends."""
+    starts = Counter()
+
+    async def main():
+        world = World(1, workers=1, failure_share=0.0)
+        world.duration = lambda task_id: 4.0
+        await world.begin()
+        on_start = world.checker.on_start
+
+        def count_start(worker, run, order):
+            starts[run.task_id] += 1
+            on_start(worker, run, order)
+
+        world.checker.on_start = count_start
+        step = Step(2 * ENDED_ROWS + 100, Resources(10, 10), 4.0)
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
+        await asyncio.sleep(3.0)
+        await world.kill_node(world.leader())
+        await asyncio.sleep(15.0)
+        state = await world.show(world.leader(), "a1")
+        await world.end()
+        return world, state
+
+    world, state = run_virtual(main)
+    assert set(starts.values()) == {1}
+    assert state is StepJobState.COMPLETED
+    assert world.checker.violations == []
+
+
 def test_equal_processes_do_not_move_the_leadership():
     world = run_history(2, [])
     elections = [line for line in world.lines if line[2] == "leader elected"]
