Keep with each job the queue that it was accepted under

Cause: nothing in the store kept the queue. A new leader that found it removed from the configuration used a stand-in without a service, so that no worker fits, and with one attempt. The old leader went on with the queue in its memory, which is why the case holds without the restart. Waiting for the takeover is ruled out: the tasks that ran were adopted, and the stand-in is the only place that allows one attempt.

Change: a job's record holds the queue as configured at its acceptance; a process that forwards a job sends it along. A leader uses the configured queue, else that one. For a record of an older version, which has none, the stand-in no longer limits the attempts. This also covers a job that is accepted by a process that has not seen the removal yet, when the leader has.

Test that failed before: test_jobs_of_a_removed_queue_go_on_after_a_takeover (job still running after 28 s).

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -7,6 +7,7 @@
 then rejects delayed orders with lower tokens.
 """
 
+import sys
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
@@ -182,9 +183,8 @@
         record = entry.decode()
         check_job(record.spec)
         progress = entry.decode_progress()
-        queue = self._desired.queue(record.spec.queue) or _unconfigured_queue(
-            record.spec.queue
-        )
+        name = record.spec.queue
+        queue = self._desired.queue(name) or record.queue or _unconfigured_queue(name)
         job = OpenJob(
             spec=record.spec,
             queue=queue,
@@ -1054,8 +1054,12 @@
 
 
 def _unconfigured_queue(name: str) -> Queue:
-    """Return a stand-in for a queue that is not configured; none of its tasks run."""
-    return Queue(name, "", "", "", 99, 1, 1.0, 0.0)
+    """Return a stand-in for a queue of which nothing is known.
+
+    No task starts until the queue is configured again, and no number of failures ends
+    a job before.
+    """
+    return Queue(name, "", "", "", 99, sys.maxsize, 1.0, 0.0)
 
 
 _NO_JOB = OpenJob(None, None, 0.0, 0.0)
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -161,7 +161,11 @@
         return queue
 
     async def submit(
-        self, spec: StepJobSpec, timeout_s: float, relay: bool = True
+        self,
+        spec: StepJobSpec,
+        timeout_s: float,
+        relay: bool = True,
+        queue: Queue | None = None,
     ) -> None:
         """Accept a job; returns once it is stored.
 
@@ -170,18 +174,21 @@
             timeout_s: How long the caller waits for the answer.
             relay: Whether to forward the job to another process if the store is
                 unavailable here.
+            queue: The job's queue, by default as configured here.
 
         Raises:
             Refused: The job was not stored and will not be.
             OutcomeUnknown: It may be stored.
         """
+        if queue is None and self._desired is not None:
+            queue = self._desired.queue(spec.queue)
         if self._table.find(spec.job_id) or spec.job_id in self._recently_accepted:
             self._log.write("job already accepted", job=spec.job_id, queue=spec.queue)
             return
         if relay:
-            await self._store_or_hold(spec, timeout_s)
+            await self._store_or_hold(spec, queue, timeout_s)
         else:
-            await self._store_job(spec, timeout_s)
+            await self._store_job(spec, queue, timeout_s)
         if len(self._recently_accepted) >= MAX_RECENT_JOBS:
             self._recently_accepted.clear()
         self._recently_accepted.add(spec.job_id)
@@ -192,7 +199,9 @@
             version=self._desired.version if self._desired else 0,
         )
 
-    async def _store_or_hold(self, spec: StepJobSpec, timeout_s: float) -> None:
+    async def _store_or_hold(
+        self, spec: StepJobSpec, queue: Queue | None, timeout_s: float
+    ) -> None:
         """Store a job, if need be through another process or after an outage.
 
         Most outages of the store end within the time that a caller waits for one
@@ -205,8 +214,8 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
         attempts = (
-            lambda left_s: self._store_job(spec, left_s),
-            lambda left_s: self._relay.call_any(SubmitRequest(spec, left_s)),
+            lambda left_s: self._store_job(spec, queue, left_s),
+            lambda left_s: self._relay.call_any(SubmitRequest(spec, left_s, queue)),
         )
         try:
             await self._attempt_until(deadline, attempts)
@@ -272,10 +281,12 @@
             self._held -= 1
         return loop.time() < deadline
 
-    async def _store_job(self, spec: StepJobSpec, timeout_s: float) -> None:
+    async def _store_job(
+        self, spec: StepJobSpec, queue: Queue | None, timeout_s: float
+    ) -> None:
         if self._is_store_unavailable():
             raise Refused("the store is unavailable", Code.STORE_UNAVAILABLE)
-        value = records.encode(JobRecord(spec, time.time(), self._name))
+        value = records.encode(JobRecord(spec, time.time(), self._name, queue))
         loop = asyncio.get_running_loop()
         deadline = loop.time() + max(0.1, timeout_s - ANSWER_MARGIN_S)
         pending = _PendingJob(
--- a/flamingoway/queues/messages.py
+++ b/flamingoway/queues/messages.py
@@ -3,7 +3,7 @@
 from typing import ClassVar
 
 from ..peer import Message, Request
-from .model import StepJobSpec, StepJobState
+from .model import Queue, StepJobSpec, StepJobState
 
 
 class AskReply(Message):
@@ -45,12 +45,18 @@
 
 
 class SubmitRequest(Request):
-    """Accept a job on behalf of a process that cannot reach the store."""
+    """Accept a job on behalf of a process that cannot reach the store.
+
+    Attributes:
+        queue: The job's queue as configured at the caller; ``None`` from callers of
+            older versions.
+    """
 
     reply: ClassVar[type[Message]] = Done
 
     spec: StepJobSpec
     timeout_s: float
+    queue: Queue | None = None
 
 
 class CancelRequest(Request):
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -333,7 +333,9 @@
 
     async def _handle_submit(self, request: SubmitRequest) -> Done:
         check_job(request.spec)
-        await self._intake.submit(request.spec, request.timeout_s, relay=False)
+        await self._intake.submit(
+            request.spec, request.timeout_s, relay=False, queue=request.queue
+        )
         return Done()
 
     async def _handle_cancel(self, request: CancelRequest) -> Done:
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..errors import BadRequest
-from .model import StepJobSpec, StepJobState, WorkerEntry
+from .model import Queue, StepJobSpec, StepJobState, WorkerEntry
 
 ROOT = "fw/"
 JOB_PREFIX = "fw/job/"
@@ -29,11 +29,14 @@
         accepted_at: Time of the acceptance, in Unix seconds.
         accepted_by: Name of the process that accepted the job, which its caller is
             likely to ask for its state.
+        queue: The queue as configured at the acceptance, for leaders that find it
+            removed from the configuration; ``None`` in records of older versions.
     """
 
     spec: StepJobSpec
     accepted_at: float
     accepted_by: str = ""
+    queue: Queue | None = None
 
 
 class QueueOfSpec(msgspec.Struct, frozen=True):
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -117,9 +117,17 @@
         ]
         self.report(worker.entry.worker_id, others, [row], sent_at=0.0)
 
-    def submit(self, job_id, *steps, queue="plans", inherited=False, schedule=None):
+    def submit(
+        self,
+        job_id,
+        *steps,
+        queue="plans",
+        inherited=False,
+        schedule=None,
+        accepted_under=None,
+    ):
         spec = StepJobSpec(job_id, queue, "text", steps, schedule)
-        record = records.encode(JobRecord(spec, self.now))
+        record = records.encode(JobRecord(spec, self.now, queue=accepted_under))
         entry = TableJob(job_id, queue, record, 1)
         self.cluster.add_job(entry, self.now, self.now, inherited)
         return self.cluster.jobs.get(job_id)
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -489,6 +489,7 @@
         self.faults_started = False
         self.workers = {}
         self.operator = MemoryStore(self.engine)
+        self.configurations = {b"1": DESIRED}
         self.names = [f"n{i}" for i in range(nodes)]
         self.nodes = {}
         self.tasks = {}
@@ -514,6 +515,11 @@
             self.start_node(name)
         await asyncio.sleep(1.0)
 
+    async def configure(self, desired):
+        value = str(desired.version).encode()
+        self.configurations[value] = desired
+        await self.operator.txn([], [Put("op/config", value)])
+
     async def register_worker(self, worker):
         await self.operator.txn([], [Put(f"servers/{worker.worker_id}", b"x")])
 
@@ -531,7 +537,7 @@
             advice=AdvicePort(self),
             config_prefix="op/",
             config_key="op/config",
-            decode_config=lambda value: DESIRED,
+            decode_config=lambda value: self.configurations[value],
             worker_prefix="servers/",
             decode_worker=lambda worker_id, value: self.workers[worker_id].entry,
             lease_s=LEASE_S,
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -6,6 +6,7 @@
 from flamingoway.queues.cluster import REJECTED_DELAY_MAX_S
 from flamingoway.queues.model import (
     Advice,
+    DesiredState,
     EndedTask,
     EndKind,
     Schedule,
@@ -14,7 +15,7 @@
     WorkerEntry,
 )
 from flamingoway.queues.runs import PollNow
-from tests.queue_cluster import LARGE, Bench, step
+from tests.queue_cluster import LARGE, PLANS, Bench, step
 
 
 def running(bench, *steps, **fields):
@@ -376,6 +377,30 @@
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
 
+def test_a_job_of_a_removed_queue_keeps_the_queue_that_it_was_accepted_under():
+    """Guards against a new leader that ends such a job or never goes on with it."""
+    bench = Bench(1, epoch=2)
+    bench.cluster.set_desired_state(DesiredState(2, ()))
+    job = bench.submit("a1", step(1), inherited=True, accepted_under=PLANS)
+    (run,) = bench.plan()
+    bench.end(run, EndKind.FAILED)
+    assert job.state is not StepJobState.FAILED
+    assert len(bench.plan()) == 1
+
+
+def test_a_job_whose_queue_is_unknown_waits_until_that_is_configured():
+    """Guards against a job of an older version that ends after its first failure."""
+    bench = Bench(1, epoch=2)
+    bench.cluster.set_desired_state(DesiredState(2, ()))
+    job = bench.submit("a1", step(1), inherited=True)
+    bench.report("w0", [("a1.0.0.0", 1)])
+    bench.end(job.steps[0, 0].live[0], EndKind.FAILED)
+    assert job.state is not StepJobState.FAILED
+    assert bench.plan() == []
+    bench.cluster.set_desired_state(DesiredState(3, (PLANS,)))
+    assert len(bench.plan()) == 1
+
+
 def test_a_worker_is_settled_once_it_has_listed_all_its_ends():
     """Guards against a second run of a task whose end is on the next page."""
     bench = Bench(0, epoch=2)
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -310,6 +311,27 @@
     run_with_cell(body)
 
 
+def test_a_stored_job_names_the_queue_as_configured_at_its_acceptance():
+    """Guards against a job that no leader can go on with once its route is removed."""
+
+    async def body(cell):
+        cell.store.down = True
+        cell.peers.answer = Done()
+        await cell.intake.submit(JOB, 3.0)
+        (request,) = cell.peers.requests
+        assert request.queue == QUEUE
+        cell.store.down = False
+        await asyncio.sleep(2.0)
+        cell.intake.set_desired_state(DesiredState(2, ()))
+        await cell.intake.submit(
+            replace(JOB, job_id="00bb"), 3.0, relay=False, queue=request.queue
+        )
+        await asyncio.sleep(1.0)
+        assert cell.table.find("00bb").decode().queue == QUEUE
+
+    run_with_cell(body)
+
+
 def test_a_fresher_state_of_another_process_replaces_a_stale_one():
     async def body(cell):
         await cell.intake.submit(JOB, 3.0)
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -9,12 +9,13 @@
 import random
 import sys
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
 from flamingoway.model import Resources
-from flamingoway.queues.model import Step, StepJobSpec, StepJobState
-from tests.queue_world import ENDED_ROWS, LEASE_S, World
+from flamingoway.queues.model import DesiredState, Step, StepJobSpec, StepJobState
+from tests.queue_world import DESIRED, ENDED_ROWS, LEASE_S, World
 from tests.virtual import run_virtual
 
 SEEDS = range(40)
@@ -432,6 +433,34 @@
     assert world.checker.violations == []
 
 
+def test_jobs_of_a_removed_queue_go_on_after_a_takeover():
+    """Guards against an accepted job that a new leader fails or does not go on with."""
+    removed = DesiredState(2, tuple(q for q in DESIRED.queues if q.name != "checks"))
+
+    async def main():
+        world = World(1, failure_share=0.0)
+        world.duration = lambda task_id: 3.0
+        await world.begin()
+        first = Step(2, Resources(1000, 1000), 3.0)
+        job = StepJobSpec("a1", "checks", "x", (first, replace(first, after=(0,))))
+        assert await world.submit("n0", job)
+        await asyncio.sleep(1.0)
+        await world.configure(removed)
+        await asyncio.sleep(1.0)
+        world.failure_share = 1.0
+        await world.kill_node(world.leader())
+        await asyncio.sleep(8.0)
+        world.failure_share = 0.0
+        await asyncio.sleep(20.0)
+        state = await world.show(world.leader(), "a1")
+        await world.end()
+        return world, state
+
+    world, state = run_virtual(main)
+    assert state is StepJobState.COMPLETED
+    assert world.checker.violations == []
+
+
 def test_equal_processes_do_not_move_the_leadership():
     world = run_history(2, [])
     elections = [line for line in world.lines if line[2] == "leader elected"]
