Report a call without a free descriptor as not sent, and bound idle connections

Cause: socket.socket() in _connect stood outside its try, so its OSError was not NotSent; in the store's client it was an unforeseen error that ended the session. Idle connections were bounded by nothing: 64 to each worker at most, thousands in all.

Change: the error is NotSent, as for every other reason not to connect. At most 1,024 idle connections are kept; the one that was idle for longest is closed first.

Tests that failed before: test_a_call_without_a_free_descriptor_is_not_sent (OSError 24), test_the_oldest_idle_connections_are_closed.

--- a/flamingoway/platform/client.py
+++ b/flamingoway/platform/client.py
@@ -13,6 +13,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # A connection that has been idle for longer may be dead without having been reset.
 MAX_IDLE_S = 10.0
+# Idle connections to all addresses; the one that was idle for longest is closed first.
+MAX_IDLE_CONNECTIONS = 1024
 # The kernel closes a connection whose data stays unacknowledged for this time.
 TCP_USER_TIMEOUT_MS = 2000
 # A page of a range read holds about 1 MB, encoded in base64.
@@ -36,7 +38,10 @@
 
     def __init__(self, clock: Callable[[], float]):
         self._clock = clock
-        self._idle: dict[str, list[tuple[_Connection, float]]] = {}
+        # Idle connections and the times of their last use, oldest first, in all and by
+        # address.
+        self._idle: dict[_Connection, tuple[str, float]] = {}
+        self._idle_by_address: dict[str, dict[_Connection, None]] = {}
 
     async def call(
         self,
@@ -81,17 +86,18 @@
             if connection.busy:
                 connection.close()
         if connection.open:
-            self._idle.setdefault(address, []).append((connection, self._clock()))
+            self._keep_idle(address, connection)
         return status, data
 
     def forget(self, address: str) -> None:
         """Close the idle connections to an address."""
-        for connection, _ in self._idle.pop(address, ()):
+        for connection in list(self._idle_by_address.get(address, ())):
+            self._remove_idle(connection)
             connection.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
+        for address in list(self._idle_by_address):
             self.forget(address)
 
     def _time_out(self, address: str, connection: "_Connection") -> None:
@@ -101,14 +107,30 @@
         self.forget(address)
 
     def _take_idle(self, address: str) -> "_Connection | None":
-        idle = self._idle.get(address)
-        while idle:
-            connection, used_at = idle.pop()
+        for connection in reversed(list(self._idle_by_address.get(address, ()))):
+            used_at = self._remove_idle(connection)
             if self._clock() - used_at < MAX_IDLE_S and connection.open:
                 return connection
             connection.close()
         return None
 
+    def _keep_idle(self, address: str, connection: "_Connection") -> None:
+        self._idle[connection] = (address, self._clock())
+        self._idle_by_address.setdefault(address, {})[connection] = None
+        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+            oldest = next(iter(self._idle))
+            self._remove_idle(oldest)
+            oldest.close()
+
+    def _remove_idle(self, connection: "_Connection") -> float:
+        """Remove an idle connection; return the time of its last use."""
+        address, used_at = self._idle.pop(connection)
+        same = self._idle_by_address[address]
+        del same[connection]
+        if not same:
+            del self._idle_by_address[address]
+        return used_at
+
 
 class _Connection(asyncio.Protocol):
     """Connection that carries one call at a time."""
@@ -195,7 +217,11 @@
 
 async def _connect(address: str, timeout_s: float) -> _Connection:
     ip, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as exc:
+        # The process has no descriptor left.
+        raise NotSent(f"cannot connect to {address}: {exc!r}") from None
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -1,11 +1,14 @@
 """Calls of the platform's HTTP client on sound and faulty connections."""
 
 import asyncio
+import errno
+import socket
 import time
 from contextlib import asynccontextmanager
 
 import pytest
 
+from flamingoway.platform import client as client_module
 from flamingoway.platform.client import (
     MAX_BODY_BYTES,
     HttpClient,
@@ -129,6 +132,36 @@
     run(body)
 
 
+def test_a_call_without_a_free_descriptor_is_not_sent(monkeypatch):
+    """Guards against calls to the store that end the leadership of a busy process."""
+
+    def fail(*args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def body(client, address, connections):
+        with monkeypatch.context() as patch, pytest.raises(NotSent):
+            patch.setattr(socket, "socket", fail)
+            await client.call(address, "GET", "/a")
+        assert (await client.call(address, "GET", "/a"))[0] == 200
+
+    run(body, OK)
+
+
+def test_the_oldest_idle_connections_are_closed(monkeypatch):
+    """Guards against idle connections that use up the descriptors of the process."""
+    monkeypatch.setattr(client_module, "MAX_IDLE_CONNECTIONS", 2)
+
+    async def body(client, address, connections):
+        await asyncio.gather(*(client.call(address, "GET", "/a") for _ in range(4)))
+        await asyncio.sleep(0.1)
+        still_open = [c for c in connections if not c.is_closing()]
+        assert len(connections) == 4 and len(still_open) == 2
+        await asyncio.gather(*(client.call(address, "GET", "/a") for _ in range(2)))
+        assert len(connections) == 4
+
+    run(body, *[OK] * 6)
+
+
 def test_a_cancelled_call_closes_its_connection():
     """Guards against a later call receiving the answer to a cancelled one."""
 
