Bound the orders in flight, so that one job cannot use up a leader's descriptors

Cause: the planner placed all tasks in one pass, and the term spawned a call for each. Each opened a connection: past 4,000 the leader could not reach the store, and the next leader did the same. Cancelling such a job did the same with its stops, which were spawned anew every 0.5 s.

Change: OrderSender keeps at most 512 calls in flight, 32 to one worker, which accepts 64 connections. An order that has waited is sent only if its run is still wanted. The planner leaves tasks unplaced while so many starts are in flight, and a step takes at most half of what is left, so small jobs need not wait behind a wide one. Gangs, which start as a whole, are bounded by the sender only. Placing the tasks of a step takes linear time.

Tests that failed before: test_a_job_of_thousands_of_tasks_does_not_hold_up_the_others (320 orders in flight to one worker, completed and cancelled).

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -113,6 +113,7 @@
         self._unsettled: dict[str, InheritedRuns] = {}
         self._waiting: dict[str, StepRun] = {}
         self._scheduled: dict[str, OpenJob] = {}
+        self._starting = 0
 
     @property
     def epoch(self) -> int:
@@ -139,6 +140,11 @@
         """Steps with tasks to start, by id."""
         return self._waiting
 
+    @property
+    def starting(self) -> int:
+        """Number of start orders in flight."""
+        return self._starting
+
     @property
     def unsettled(self) -> dict[str, InheritedRuns]:
         """Runs of a former leader that may still exist, by worker id."""
@@ -802,6 +808,9 @@
         run.moved_at = now
         step.live[index] = run
         worker.runs[run.key] = run
+        run.in_flight = True
+        worker.starting += 1
+        self._starting += 1
         worker.health.note_busy(True, now)
         worker.used = worker.used + allocated_resources(step.spec)
         lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
@@ -819,9 +828,18 @@
         )
         self.orders.append(StartRun(run, order))
 
+    def may_start(self, run: Run) -> bool:
+        """Return whether the order to start a run may still be sent."""
+        tracked = run.worker.runs.get(run.key) is run
+        return tracked and run.phase is RunPhase.STARTING
+
     def on_start_reply(self, run: Run, reply: StartReply, now: float) -> None:
         """Process the result of an order to start a run."""
         worker, step = run.worker, run.step
+        if run.in_flight:
+            run.in_flight = False
+            worker.starting -= 1
+            self._starting -= 1
         if worker.runs.get(run.key) is not run:
             return
         if reply is StartReply.RUNNING:
--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -9,7 +9,7 @@
 
 from ..model import Resources
 from .model import Step, WorkerEntry
-from .runs import StepRun, WorkerState
+from .runs import MAX_CALLS_PER_WORKER, StepRun, WorkerState
 
 Placement = tuple[int, WorkerState]
 # Stands for no limit on the tasks of a worker; more than fit on any worker.
@@ -25,6 +25,7 @@
         memory: Free memory in MB.
         accelerators: Free accelerators.
         tasks: Number of further tasks that the worker's health allows.
+        starts: Number of further start orders that may be in flight to the worker.
     """
 
     worker: WorkerState
@@ -32,6 +33,7 @@
     memory: int
     accelerators: int
     tasks: int
+    starts: int
 
     @classmethod
     def of(cls, worker: WorkerState, now: float) -> "Candidate":
@@ -47,6 +49,7 @@
             capacity.memory_mb - used.memory_mb,
             capacity.accelerators - used.accelerators,
             tasks,
+            MAX_CALLS_PER_WORKER - worker.starting,
         )
 
     @property
@@ -66,11 +69,12 @@
         self.memory -= needs.memory_mb * count
         self.accelerators -= needs.accelerators * count
         self.tasks -= count
+        self.starts -= count
 
-    def snapshot(self) -> tuple[int, int, int, int, WorkerEntry]:
+    def snapshot(self) -> tuple[int, int, int, int, WorkerEntry, int]:
         """Return the free resources for comparison in the next pass."""
-        entry = self.worker.entry
-        return self.cores, self.memory, self.accelerators, self.tasks, entry
+        entry, starts = self.worker.entry, self.starts
+        return self.cores, self.memory, self.accelerators, self.tasks, entry, starts
 
 
 def _slots_in(cores: int, memory: int, accelerators: int, needs: Resources) -> int:
@@ -142,6 +146,7 @@
         or candidate.memory > snapshot[1]
         or candidate.accelerators > snapshot[2]
         or candidate.tasks > snapshot[3]
+        or candidate.starts > 0 >= snapshot[5]
     )
 
 
@@ -188,6 +193,9 @@
         if candidate.cores < cores or candidate.memory < memory:
             continue
         slots = candidate.slots(needs)
+        if not step.spec.gang:
+            # The tasks of a gang must start together, however many they are.
+            slots = min(slots, candidate.starts)
         if per_worker:
             slots = min(slots, per_worker - running.get(candidate.worker_id, 0))
         if slots > 0:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -20,6 +20,7 @@
 resources since, so that a pass over hundreds of waiting steps stays short.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
 from .cluster import ClusterState
@@ -37,7 +38,7 @@
     slots_beside_lasting,
     slots_on_empty_worker,
 )
-from .runs import AdviceCall, StepRun, WorkerState
+from .runs import MAX_CALLS_IN_FLIGHT, AdviceCall, StepRun, WorkerState
 
 # A ticket must still be valid when the worker receives the start order.
 TICKET_MARGIN_S = 0.15
@@ -64,6 +65,8 @@
 # Most such lines in one pass. Each looks at all workers, and a backlog of hundreds of
 # steps would otherwise block the process for most of a second.
 MAX_WAIT_LINES_PER_PASS = 5
+# Largest part of the start orders that may still be sent that one step takes.
+MAX_SHARE_OF_STARTS = 0.5
 
 
 class PlanningError(Exception):
@@ -97,8 +100,17 @@
         self._reserved_by: dict[str, tuple[StepRun, int]] = {}
         self._untracked_tasks: set[str] = set()
         self._wait_lines_left = 0
+        self._starts_left = 0
+        self._starts_limited = False
+        # The step that was planned last with fewer tasks than it could start.
+        self._limited_step: StepRun | None = None
         self._planned: StepRun | None = None
 
+    @property
+    def starts_limited(self) -> bool:
+        """Whether the last pass left out tasks because of orders in flight."""
+        return self._starts_limited
+
     def run(self, now: float) -> int:
         """Order all starts that are possible now; return their number.
 
@@ -117,6 +129,9 @@
     def _run(self, now: float) -> int:
         cluster = self._cluster
         self._wait_lines_left = MAX_WAIT_LINES_PER_PASS
+        self._starts_left = MAX_CALLS_IN_FLIGHT - cluster.starting
+        self._starts_limited = False
+        self._limited_step = None
         self._drop_stale_reservations()
         self._untracked_tasks = cluster.untracked_tasks()
         takeover_unfinished = cluster.may_have_unknown_runs
@@ -137,6 +152,7 @@
                 continue
             started += self._plan(step, now)
         self._snapshots = free.snapshots()
+        self._starts_limited |= any(c.starts <= 0 for c in free.candidates.values())
         # Workers whose gang reservation changed count as having gained resources.
         for worker_id in reserved_before.keys() | self._reserved_by.keys():
             if reserved_before.get(worker_id) != self._reserved_by.get(worker_id):
@@ -165,6 +181,11 @@
 
     def _plan(self, step: StepRun, now: float) -> int:
         advised = step.job.queue.advice is not None
+        if self._starts_left <= 0 and not advised and not step.spec.gang:
+            self._starts_limited = True
+            step.blocked = False
+            self._log_wait(step, "too many orders in flight", now)
+            return 0
         if advised and step.allowed_workers is None and not step.advice_pending:
             self._ask_about_others(step, now)
         if step.advice_pending:
@@ -180,9 +201,12 @@
         if candidates:
             placements = self._place(step, candidates)
         # Workers that reject the step's orders are tried even if they gain nothing, and
-        # so are all once an untracked run of the step has ended.
+        # so are all once an untracked run of the step has ended or once more orders may
+        # be in flight.
         step.blocked = len(placements) < len(step.pending) and not (
-            step.rejecting_workers or len(self._startable(step)) < len(step.pending)
+            step.rejecting_workers
+            or step is self._limited_step
+            or len(self._startable(step)) < len(step.pending)
         )
         if not placements:
             self._reserve_workers(step, now)
@@ -331,6 +355,8 @@
         preferred = candidates
         if rejecting:
             preferred = [c for c in candidates if c.worker_id not in rejecting]
+        if not gang:
+            indexes = self._within_start_limit(step, indexes)
         if gang:
             placed = place_gang(step, preferred)
             return placed or (place_gang(step, candidates) if rejecting else [])
@@ -343,6 +369,19 @@
             placed += place_tasks(step, indexes[len(placed) :], others)
         return placed
 
+    def _within_start_limit(self, step: StepRun, indexes: list[int]) -> list[int]:
+        """Return the tasks that may be ordered now, part of those of a wide step.
+
+        A step gets part of what the orders in flight leave, so that the steps behind it
+        need not wait until all its tasks have started.
+        """
+        limit = math.ceil(max(0, self._starts_left) * MAX_SHARE_OF_STARTS)
+        if limit >= len(indexes):
+            return indexes
+        self._starts_limited = True
+        self._limited_step = step
+        return indexes[:limit]
+
     # Gang reservations
 
     def _reserve_workers(self, step: StepRun, now: float) -> None:
@@ -527,8 +566,10 @@
             gang_number = step.next_number(0, cluster.epoch)
         for index, worker in placements:
             number = gang_number or step.next_number(index, cluster.epoch)
-            step.pending.remove(index)
             cluster.start_run(step, index, number, worker, now)
+        placed = {index for index, _ in placements}
+        step.pending = [index for index in step.pending if index not in placed]
+        self._starts_left -= len(placements)
         cluster.update_waiting(step)
         job = step.job
         self._log.write(
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -27,6 +27,10 @@
 # First delay after a worker rejected an order as invalid, enough to try another worker
 # without keeping the planner busy.
 REJECTED_DELAY_S = 0.1
+# Calls with orders that may be in flight to one worker, which accepts 64 connections
+# from all processes together, and to all workers, each of which takes a descriptor.
+MAX_CALLS_PER_WORKER = 32
+MAX_CALLS_IN_FLIGHT = 512
 
 
 class RunPhase(enum.Enum):
@@ -46,6 +50,7 @@
         placed_at: Time of the placement decision.
         confirmed_at: Time from which the worker is known to have the run; 0 before.
         unresolved: Whether the start order was not answered.
+        in_flight: Whether the outcome of the start order is not known yet.
         stop_sent_at: Time of the last stop order.
         percent: Last reported progress, 0 to 100; -1 before the first report.
         moved_at: Time at which the reported progress last changed; moved forward by
@@ -61,6 +66,7 @@
     phase: RunPhase = RunPhase.STARTING
     confirmed_at: float = 0.0
     unresolved: bool = False
+    in_flight: bool = False
     stop_sent_at: float = float("-inf")
     checkpoint: str = ""
     percent: float = -1.0
@@ -302,6 +308,7 @@
         token: Fencing token of orders; raised after an unanswered order.
         used: Resources of runs and reservations.
         reserved_tasks: Number of tasks for which resources are reserved.
+        starting: Number of start orders in flight.
         orphans: Runs that the worker reports but the leader does not track, by task id
             and run number, with the time of the last stop order.
         answering: Whether it answered the last poll, which had its current token.
@@ -325,6 +332,7 @@
     health: WorkerHealth
     used: Resources = Resources()
     reserved_tasks: int = 0
+    starting: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     answering: bool = False
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -32,6 +32,7 @@
 from .metrics import QueueMetrics
 from .mirror import Mirror
 from .model import Advice, StartReply, WorkerEntry
+from .orders import OrderSender
 from .planning import Planner, PlanningError
 from .ports import NoReply, PollRefused, WorkerClient
 from .records import LeaderRecord, ProcessRecord, WorkerRecord, encode_progress
@@ -170,6 +171,7 @@
         self._single_writes_left = 0
         self._cluster = ClusterState(leadership.epoch, lease_s, log)
         self._planner = Planner(self._cluster, log)
+        self._sender = OrderSender(self._send, self._spawn)
         self._plan_needed = asyncio.Event()
         self._flush_needed = asyncio.Event()
         self._poll_wakeups: dict[str, asyncio.Event] = {}
@@ -216,6 +218,7 @@
             self._table.on_job = None
             self._registry.on_change = None
             self._dispatcher.close()
+            self._sender.close()
             tasks = [*self._tasks, *self._poll_tasks.values()]
             for task in tasks:
                 task.cancel()
@@ -487,18 +490,25 @@
         for order in self._cluster.take_orders():
             match order:
                 case StartRun():
-                    self._spawn(self._start(order))
+                    self._sender.start(order)
                 case StopRun():
-                    self._spawn(self._stop(order))
+                    self._sender.stop(order)
                 case AdviceCall():
                     self._dispatcher.submit(order)
                 case PollNow():
                     self._wake_poll(order.worker)
 
+    async def _send(self, order: StartRun | StopRun) -> None:
+        match order:
+            case StartRun():
+                await self._start(order)
+            case StopRun():
+                await self._stop(order)
+
     async def _start(self, start: StartRun) -> None:
         run = start.run
         reply = StartReply.NOT_SENT
-        if self.may_send_orders:
+        if self.may_send_orders and self._cluster.may_start(run):
             sent_at = self._clock()
             # The order may have been sent if an error occurred.
             reply = StartReply.UNKNOWN
@@ -511,6 +521,8 @@
             self._after_event()
         else:
             self._flush_needed.set()
+            if self._planner.starts_limited:
+                self._plan_needed.set()
 
     async def _stop(self, stop: StopRun) -> None:
         if not self.may_send_orders:
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
+from collections import Counter
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
 from flamingoway.errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
@@ -259,6 +260,19 @@
         self.unreachable = set()
         self.lost_share = 0.0
         self.late_share = 0.0
+        # Orders in flight by worker, and the most at a time to one and to all.
+        self.in_flight = Counter()
+        self.most_to_one = self.most = 0
+
+    @contextmanager
+    def _counted(self, worker_id):
+        self.in_flight[worker_id] += 1
+        self.most_to_one = max(self.most_to_one, self.in_flight[worker_id])
+        self.most = max(self.most, self.in_flight.total())
+        try:
+            yield
+        finally:
+            self.in_flight[worker_id] -= 1
 
     async def _reach(self, worker_id):
         worker = self.world.workers[worker_id]
@@ -293,17 +307,21 @@
 
     async def start(self, entry, order):
         try:
-            worker = await self._reach(entry.worker_id)
-            return await self._answer(worker, lambda: self.world.start(worker, order))
+            with self._counted(entry.worker_id):
+                worker = await self._reach(entry.worker_id)
+                return await self._answer(
+                    worker, lambda: self.world.start(worker, order)
+                )
         except NoReply:
             return StartReply.UNKNOWN
 
     async def stop(self, entry, task_id, number, token):
         try:
-            worker = await self._reach(entry.worker_id)
-            return await self._answer(
-                worker, lambda: worker.stop(task_id, number, token)
-            )
+            with self._counted(entry.worker_id):
+                worker = await self._reach(entry.worker_id)
+                return await self._answer(
+                    worker, lambda: worker.stop(task_id, number, token)
+                )
         except NoReply:
             return False
 
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -401,6 +401,19 @@
     assert len(bench.plan()) == 1
 
 
+def test_an_order_is_not_sent_once_its_run_has_been_given_up():
+    """Guards against a queued start of a task that runs elsewhere by then."""
+    bench = Bench(2)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    assert bench.cluster.may_start(run)
+    bench.cluster.drop_runs(run.worker, bench.now, "its lease has expired")
+    assert not bench.cluster.may_start(run)
+    (other,) = bench.plan()
+    bench.cluster.cancel_job("a1", bench.now, bench.now)
+    assert not bench.cluster.may_start(other)
+
+
 def test_a_worker_is_settled_once_it_has_listed_all_its_ends():
     """Guards against a second run of a task whose end is on the next page."""
     bench = Bench(0, epoch=2)
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -8,7 +8,7 @@
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import Advice, EndKind, StartReply, StepJobState
-from flamingoway.queues.runs import Ticket
+from flamingoway.queues.runs import MAX_CALLS_IN_FLIGHT, MAX_CALLS_PER_WORKER, Ticket
 from tests.queue_cluster import ADVISED, Bench, step
 
 
@@ -38,6 +38,34 @@
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
 
+def test_a_wide_step_starts_in_parts_and_leaves_orders_to_the_steps_behind_it():
+    """Guards against one job whose orders use up the descriptors of the leader."""
+    bench = Bench(40, Resources(1_000_000, 1_000_000))
+    wide = bench.submit("a1", step(4000, cpu=1, memory=1), queue="checks")
+    narrow = bench.submit("b2", step(2), queue="sorts")
+    waiting = bench.plan()
+    assert len(narrow.steps[0, 0].live) == 2
+    assert len(waiting) <= MAX_CALLS_IN_FLIGHT
+    assert bench.planner.starts_limited
+    for worker in bench.cluster.workers.values():
+        assert worker.starting <= MAX_CALLS_PER_WORKER
+    while wide.steps[0, 0].pending:
+        for run in waiting:
+            bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+        waiting = bench.plan()
+        assert waiting
+        assert bench.cluster.starting <= MAX_CALLS_IN_FLIGHT
+    assert len(wide.steps[0, 0].live) == 4000
+
+
+def test_the_number_of_orders_does_not_limit_a_gang():
+    """Guards against a gang that never starts as a whole."""
+    bench = Bench(1, Resources(1_000_000, 1_000_000))
+    count = 2 * MAX_CALLS_PER_WORKER
+    bench.submit("a1", step(count, cpu=1, memory=1, gang=True))
+    assert len(bench.plan()) == count
+
+
 def test_a_gang_is_placed_as_a_whole_or_not_at_all():
     bench = Bench(2, Resources(8000, 64_000))
     bench.submit("a1", step(3, cpu=5000, gang=True))
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -15,7 +15,8 @@
 
 from flamingoway.model import Resources
 from flamingoway.queues.model import DesiredState, Step, StepJobSpec, StepJobState
-from tests.queue_world import DESIRED, ENDED_ROWS, LEASE_S, World
+from flamingoway.queues.runs import MAX_CALLS_IN_FLIGHT, MAX_CALLS_PER_WORKER
+from tests.queue_world import CANCEL_GRACE_S, DESIRED, ENDED_ROWS, LEASE_S, World
 from tests.virtual import run_virtual
 
 SEEDS = range(40)
@@ -433,6 +434,49 @@
     assert world.checker.violations == []
 
 
+@pytest.mark.parametrize("cancelled", [False, True], ids=["completed", "cancelled"])
+def test_a_job_of_thousands_of_tasks_does_not_hold_up_the_others(cancelled):
+    """Guards against a leader that one wide job deprives of its descriptors."""
+    submitted_at, started_at = {}, {}
+
+    async def main():
+        world = World(1, workers=12, failure_share=0.0)
+        world.duration = lambda task_id: 2.0
+        await world.begin()
+        on_start = world.checker.on_start
+
+        def note_start(worker, run, order):
+            started_at.setdefault(run.task_id.partition(".")[0], world.now)
+            on_start(worker, run, order)
+
+        world.checker.on_start = note_start
+        wide = Step(3000, Resources(50, 50), 2.0)
+        assert await world.submit("n0", StepJobSpec("a0", "checks", "x", (wide,)))
+        narrow = Step(2, Resources(1400, 2000), 0.6)
+        for number in range(4):
+            job = StepJobSpec(f"b{number}", "checks", "x", (narrow,))
+            submitted_at[job.job_id] = world.now
+            assert await world.submit("n1", job)
+            await asyncio.sleep(0.2)
+        if cancelled:
+            await world.cancel("n2", "a0")
+            await asyncio.sleep(CANCEL_GRACE_S)
+            assert not any(w.runs for w in world.workers.values())
+        await asyncio.sleep(10.0)
+        states = [await world.show("n0", job_id) for job_id in world.specs]
+        await world.end()
+        return world, states
+
+    world, states = run_virtual(main)
+    wide_state = StepJobState.CANCELLED if cancelled else StepJobState.COMPLETED
+    assert states == [wide_state] + [StepJobState.COMPLETED] * 4
+    assert max(started_at[job_id] - at for job_id, at in submitted_at.items()) < 1.0
+    port = world.ports[world.leader()]
+    assert port.most_to_one <= MAX_CALLS_PER_WORKER
+    assert port.most <= MAX_CALLS_IN_FLIGHT
+    assert world.checker.violations == []
+
+
 def test_jobs_of_a_removed_queue_go_on_after_a_takeover():
     """Guards against an accepted job that a new leader fails or does not go on with."""
     removed = DesiredState(2, tuple(q for q in DESIRED.queues if q.name != "checks"))
