Count each end of a run as room gained on its worker

Cause: a step that did not fit is tried again only on workers that have gained room. Room was cores, memory, accelerators and the limit of the worker's health. The end of a task to which nothing is allocated, a filler without memory, gains none of these, but frees a place under the step's limit of tasks on one worker. Any other event on a worker hides it: the case holds as soon as another job's run ends there.

Change: a worker counts the runs that have ended on it, and a changed count is a gain. That covers every limit that an end can free. Runs of a job that is set aside count too.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -332,9 +332,7 @@
             step.release_reservation()
             self._waiting.pop(step.id, None)
             for run in step.live.values():
-                if run.worker.runs.pop(run.key, None) is not None:
-                    needs = allocated_resources(step.spec)
-                    run.worker.used = run.worker.used - needs
+                if self._remove_run(run):
                     # Blocks the worker until its next report shows what runs there.
                     run.worker.orphans[run.key] = float("-inf")
             step.live.clear()
@@ -714,12 +712,20 @@
             why = f"{ended.task_id} failed {len(failed)} times"
             self._end_job(job, StepJobState.FAILED, now, wall, why)
 
+    def _remove_run(self, run: Run) -> bool:
+        """Free the resources of a run; return whether it was allocated any."""
+        worker = run.worker
+        if worker.runs.pop(run.key, None) is None:
+            return False
+        worker.releases += 1
+        worker.used = worker.used - allocated_resources(run.step.spec)
+        return True
+
     def _release_run(self, run: Run, now: float) -> None:
         """Remove a run and free its resources; requeue its task unless it is done."""
         worker, step = run.worker, run.step
-        if worker.runs.pop(run.key, None) is None:
+        if not self._remove_run(run):
             return
-        worker.used = worker.used - allocated_resources(step.spec)
         worker.health.note_busy(bool(worker.runs), now)
         if step.live.get(run.index) is not run:
             return
--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from ..model import Resources
 from .model import Step, WorkerEntry
@@ -16,6 +17,21 @@
 UNLIMITED_TASKS = 10_000
 
 
+class Snapshot(NamedTuple):
+    """What one planner pass keeps of a worker for comparison in the next.
+
+    The fields are those of ``WorkerState`` and ``Candidate`` at the end of the pass.
+    """
+
+    entry: WorkerEntry
+    releases: int
+    cores: int
+    memory: int
+    accelerators: int
+    tasks: int
+    starts: int
+
+
 @dataclass(slots=True, eq=False)
 class Candidate:
     """Free resources of one worker during one planner pass.
@@ -71,10 +87,17 @@
         self.tasks -= count
         self.starts -= count
 
-    def snapshot(self) -> tuple[int, int, int, int, WorkerEntry, int]:
-        """Return the free resources for comparison in the next pass."""
-        entry, starts = self.worker.entry, self.starts
-        return self.cores, self.memory, self.accelerators, self.tasks, entry, starts
+    def snapshot(self) -> Snapshot:
+        """Return what the next pass compares with."""
+        return Snapshot(
+            self.worker.entry,
+            self.worker.releases,
+            self.cores,
+            self.memory,
+            self.accelerators,
+            self.tasks,
+            self.starts,
+        )
 
 
 def _slots_in(cores: int, memory: int, accelerators: int, needs: Resources) -> int:
@@ -98,13 +121,14 @@
 
     Attributes:
         candidates: Usable workers by id.
-        grown: Ids of workers that are new, have a new registry entry, or have gained
-            free resources since the previous pass.
+        grown: Ids of workers on which a step may fit that did not in the previous pass:
+            new ones, and those with a new registry entry, an ended run or more free
+            resources.
         used_share: Fraction of the CPU that is in use or reserved.
     """
 
     def __init__(
-        self, workers: Iterable[WorkerState], previous: dict[str, tuple], now: float
+        self, workers: Iterable[WorkerState], previous: dict[str, Snapshot], now: float
     ):
         self.candidates: dict[str, Candidate] = {}
         self.grown: set[str] = set()
@@ -118,15 +142,11 @@
             worker_id = worker.entry.worker_id
             self.candidates[worker_id] = candidate
             snapshot = previous.get(worker_id)
-            if (
-                snapshot is None
-                or snapshot[4] is not worker.entry
-                or _exceeds(candidate, snapshot)
-            ):
+            if snapshot is None or _has_gained(candidate, snapshot):
                 self.grown.add(worker_id)
         self.used_share = 1.0 - free / cores if cores else 0.0
 
-    def snapshots(self) -> dict[str, tuple]:
+    def snapshots(self) -> dict[str, Snapshot]:
         """Return the free resources at the end of the pass, by worker id."""
         return {worker_id: c.snapshot() for worker_id, c in self.candidates.items()}
 
@@ -140,13 +160,21 @@
         return [c for c in found if step.may_run_on(c.worker.entry)]
 
 
-def _exceeds(candidate: Candidate, snapshot: tuple) -> bool:
+def _has_gained(candidate: Candidate, before: Snapshot) -> bool:
+    """Return whether a step that did not fit before may fit on a worker now.
+
+    The end of a run gains room even if no resources were allocated to it, as a step may
+    limit its tasks on one worker.
+    """
+    worker = candidate.worker
     return (
-        candidate.cores > snapshot[0]
-        or candidate.memory > snapshot[1]
-        or candidate.accelerators > snapshot[2]
-        or candidate.tasks > snapshot[3]
-        or candidate.starts > 0 >= snapshot[5]
+        worker.entry is not before.entry
+        or worker.releases != before.releases
+        or candidate.cores > before.cores
+        or candidate.memory > before.memory
+        or candidate.accelerators > before.accelerators
+        or candidate.tasks > before.tasks
+        or candidate.starts > 0 >= before.starts
     )
 
 
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -30,6 +30,7 @@
     Candidate,
     FreeCapacity,
     Placement,
+    Snapshot,
     allocated_resources,
     available_slots,
     choose_gang_workers,
@@ -93,7 +94,7 @@
         self._cluster = cluster
         self._log = log
         self._free = FreeCapacity((), {}, 0.0)
-        self._snapshots: dict[str, tuple] = {}
+        self._snapshots: dict[str, Snapshot] = {}
         # Workers reserved for gangs, by step id; kept between passes.
         self._gang_reservations: dict[str, list[Candidate]] = {}
         # The gang that reserved a worker and the first part of its rank, by worker id.
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -309,6 +309,7 @@
         used: Resources of runs and reservations.
         reserved_tasks: Number of tasks for which resources are reserved.
         starting: Number of start orders in flight.
+        releases: Number of runs that have ended here, in whichever way.
         orphans: Runs that the worker reports but the leader does not track, by task id
             and run number, with the time of the last stop order.
         answering: Whether it answered the last poll, which had its current token.
@@ -333,6 +334,7 @@
     used: Resources = Resources()
     reserved_tasks: int = 0
     starting: int = 0
+    releases: int = 0
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     answering: bool = False
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -38,6 +38,20 @@
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
 
+def test_a_place_on_a_worker_is_free_when_a_task_without_resources_ends():
+    """Guards against a last task that waits beside idle workers for ever."""
+    bench = Bench(3)
+    job = bench.submit("a1", step(4, memory=0, filler=True, per_worker=1))
+    runs = bench.plan()
+    assert len(runs) == 3 and bench.plan() == []
+    bench.end(runs[0])
+    (last,) = bench.plan()
+    assert last.worker is runs[0].worker
+    for run in (*runs[1:], last):
+        bench.end(run)
+    assert job.state is StepJobState.COMPLETED
+
+
 def test_a_wide_step_starts_in_parts_and_leaves_orders_to_the_steps_behind_it():
     """Guards against one job whose orders use up the descriptors of the leader."""
     bench = Bench(40, Resources(1_000_000, 1_000_000))
