Try a step that waits again on all workers

A task could wait beside idle workers until something else changed there.

Cause: StepRun.blocked tells that a step did not fit, and was kept while the step had nothing to start. The room that workers gained meanwhile was compared with passes that did not plan the step, so it did not count as gained when a task had to start again.

Change: a step that stops waiting is not blocked.

Test that failed before: test_a_step_that_waits_again_is_tried_on_all_workers.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -282,6 +282,8 @@
             self._waiting[step.id] = step
         else:
             step.release_reservation()
+            # Resources gained while it does not wait are not noted for it.
+            step.blocked = False
             self._waiting.pop(step.id, None)
 
     def _end_if_complete(self, job: OpenJob, now: float, wall: float) -> None:
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -52,6 +52,23 @@
     assert job.state is StepJobState.COMPLETED
 
 
+def test_a_step_that_waits_again_is_tried_on_all_workers():
+    """Guards against a task that waits beside room gained while its step ran."""
+    bench = Bench(2)
+    fill = bench.submit("f1", step(2, cpu=16_000))
+    runs = bench.plan()
+    bench.submit("a1", step(1))
+    assert bench.plan() == []
+    departing = bench.add_worker("w9")
+    bench.report("w9", [("a1.0.0.0", 1)])
+    for run in runs:
+        bench.end(run)
+    assert fill.state is StepJobState.COMPLETED and bench.plan() == []
+    bench.cluster.mark_unlisted("w9", bench.now)
+    bench.cluster.drop_runs(departing, bench.now, "its lease has expired")
+    assert len(bench.plan()) == 1
+
+
 def test_a_wide_step_starts_in_parts_and_leaves_orders_to_the_steps_behind_it():
     """Guards against one job whose orders use up the descriptors of the leader."""
     bench = Bench(40, Resources(1_000_000, 1_000_000))
