Store the run numbers that go beyond those of the leader's epoch

Cause: an epoch has 1,000 run numbers for each task, so that a new leader need not know those used before. StepRun.next_number overran them. The next leader began at a lower number, and the worker refused each start as superseded.

Change: when fewer than 500 numbers are left, 1,000 more are reserved, and the job's progress names the highest; the next leader goes on after it. Ends that a worker lists raise the number too. A start refused as superseded goes on 1,000 numbers later, for jobs whose progress an older version stored.

Tests that failed before: test_run_numbers_rise_over_a_takeover_however_often_a_task_has_started (1001 used twice), test_a_start_refused_as_superseded_goes_on_beyond_the_numbers_of_the_epoch.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -35,6 +35,7 @@
     MAX_LEASE_FACTOR,
     MAX_ORDER_DELAY_S,
     MIN_CLOCK_RATE,
+    RUNS_PER_EPOCH,
     TOKENS_PER_EPOCH,
     InheritedRuns,
     OpenJob,
@@ -582,8 +583,7 @@
         run.phase = RunPhase.RUNNING
         run.confirmed_at = run.moved_at = now
         run.checkpoint = row.checkpoint
-        key = step.attempt_key(index)
-        step.last_numbers[key] = max(step.last_numbers.get(key, 0), row.number)
+        step.note_number(index, row.number)
         step.live[index] = run
         if index in step.pending:
             step.pending.remove(index)
@@ -641,6 +641,7 @@
     ) -> None:
         job = step.job
         key = step.attempt_key(index)
+        step.note_number(index, ended.number)
         if ended.kind is EndKind.DONE:
             if not step.spec.lasting:
                 self._mark_done(step, index, ended.number, now, wall)
@@ -872,6 +873,9 @@
             self.fenced = True
         if reply is StartReply.NO_TICKET:
             step.tickets.clear()
+        if reply is StartReply.SUPERSEDED:
+            # A former leader may have used more numbers than it has stored.
+            step.note_number(run.index, run.number + RUNS_PER_EPOCH)
         if reply in REFUSALS_OF_WORKER:
             worker.health.quarantine(now)
         if reply is StartReply.INVALID or (
@@ -1063,6 +1067,8 @@
     step.done = set(progress.done)
     step.failed_runs = {k: set(v) for k, v in progress.failed_runs.items()}
     step.checkpoints = dict(progress.checkpoints)
+    step.last_numbers = dict(progress.numbers)
+    step.reserved_numbers = dict(progress.numbers)
 
 
 def _critical_paths(steps: Sequence[Step]) -> list[float]:
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -564,9 +564,9 @@
         cluster = self._cluster
         gang_number = 0
         if step.spec.gang:
-            gang_number = step.next_number(0, cluster.epoch)
+            gang_number = step.next_number(0, cluster.epoch, now)
         for index, worker in placements:
-            number = gang_number or step.next_number(index, cluster.epoch)
+            number = gang_number or step.next_number(index, cluster.epoch, now)
             cluster.start_run(step, index, number, worker, now)
         placed = {index for index, _ in placements}
         step.pending = [index for index in step.pending if index not in placed]
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -59,11 +59,14 @@
         failed_runs: Numbers of the failed runs by task index; the index is -1 for a
             gang.
         checkpoints: Newest checkpoint of each unfinished task, by index as above.
+        numbers: Highest run number that may have been used, by index as above, where
+            it may be beyond those of the leader's epoch.
     """
 
     done: list[int] = []
     failed_runs: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
+    numbers: dict[int, int] = {}
 
 
 class ProgressRecord(msgspec.Struct):
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -22,8 +22,11 @@
 # Fencing tokens per leader epoch; the token rises after each unanswered order.
 TOKENS_PER_EPOCH = 100_000
 # Run numbers per task and leader epoch, so that a new leader need not know the
-# numbers that its predecessor used.
+# numbers that its predecessor used, unless more were stored as reserved.
 RUNS_PER_EPOCH = 1000
+# More numbers are reserved when this many are left. They are stored long before a task
+# has started so often.
+MIN_NUMBERS_LEFT = 500
 # First delay after a worker rejected an order as invalid, enough to try another worker
 # without keeping the planner busy.
 REJECTED_DELAY_S = 0.1
@@ -125,7 +128,10 @@
         done: Indexes of tasks that succeeded.
         live: The current run of each task.
         failed_runs: Numbers of failed runs by task index, ``GANG_KEY`` for a gang.
-        last_numbers: Highest run number used, by the same key.
+        last_numbers: Highest run number used, or reserved by a former leader, by the
+            same key.
+        reserved_numbers: Highest run number reserved for this leader, by the same key,
+            where those of its epoch do not suffice.
         checkpoints: Newest checkpoint by the same key.
         allowed_workers: Ids of the workers that the advice service allows; ``None``
             before its first answer.
@@ -167,6 +173,7 @@
     live: dict[int, Run] = field(default_factory=dict)
     failed_runs: dict[int, set[int]] = field(default_factory=dict)
     last_numbers: dict[int, int] = field(default_factory=dict)
+    reserved_numbers: dict[int, int] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
     allowed_workers: set[str] | None = None
     tickets: dict[str, Ticket] = field(default_factory=dict)
@@ -218,14 +225,23 @@
         ticket = self.tickets.get(worker_id)
         return ticket is not None and at < ticket.valid_until
 
-    def next_number(self, index: int, epoch: int) -> int:
+    def next_number(self, index: int, epoch: int, now: float) -> int:
         """Return a run number higher than all used before."""
         key = self.attempt_key(index)
         first = (epoch - 1) * RUNS_PER_EPOCH + 1
         number = max(self.last_numbers.get(key, 0) + 1, first)
         self.last_numbers[key] = number
+        available = self.reserved_numbers.get(key, epoch * RUNS_PER_EPOCH)
+        if available - number < MIN_NUMBERS_LEFT:
+            self.reserved_numbers[key] = number + RUNS_PER_EPOCH
+            self.job.mark_changed(now)
         return number
 
+    def note_number(self, index: int, number: int) -> None:
+        """Record a run number that another leader may have used."""
+        key = self.attempt_key(index)
+        self.last_numbers[key] = max(self.last_numbers.get(key, 0), number)
+
     def release_reservation(self) -> None:
         """Free the resources that are reserved for this step."""
         for _, worker, amount in self.reserved:
@@ -240,6 +256,7 @@
             done=sorted(self.done),
             failed_runs={k: sorted(v) for k, v in self.failed_runs.items()},
             checkpoints=dict(self.checkpoints),
+            numbers=dict(self.reserved_numbers),
         )
 
 
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -104,7 +104,7 @@
     records.JobRecord: records.JobRecord(SPEC, 1.0, "n1", ADVISED),
     records.ProgressRecord: records.ProgressRecord(
         StepJobState.RUNNING,
-        {"0.0": records.StepProgress([0], {0: [1]}, {1: "c"})},
+        {"0.0": records.StepProgress([0], {0: [1]}, {1: "c"}, {1: 1500})},
     ),
     records.ProcessRecord: records.ProcessRecord("n1", "127.0.0.1:1", "z"),
     records.LeaderRecord: records.LeaderRecord("n1", 1),
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -125,10 +125,12 @@
         inherited=False,
         schedule=None,
         accepted_under=None,
+        progress=None,
     ):
         spec = StepJobSpec(job_id, queue, "text", steps, schedule)
         record = records.encode(JobRecord(spec, self.now, queue=accepted_under))
-        entry = TableJob(job_id, queue, record, 1)
+        stored = b"" if progress is None else records.encode_progress(progress)
+        entry = TableJob(job_id, queue, record, 1, stored)
         self.cluster.add_job(entry, self.now, self.now, inherited)
         return self.cluster.jobs.get(job_id)
 
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -14,7 +14,7 @@
     StepJobState,
     WorkerEntry,
 )
-from flamingoway.queues.runs import PollNow
+from flamingoway.queues.runs import RUNS_PER_EPOCH, PollNow
 from tests.queue_cluster import LARGE, PLANS, Bench, step
 
 
@@ -401,6 +401,38 @@
     assert len(bench.plan()) == 1
 
 
+@pytest.mark.parametrize("gang", [False, True], ids=["task", "gang"])
+def test_run_numbers_rise_over_a_takeover_however_often_a_task_has_started(gang):
+    """Guards against a task that all workers refuse to start for a new leader."""
+    bench = Bench(1)
+    lasting = step(1, lasting=True, gang=gang)
+    job = bench.submit("a1", lasting)
+    numbers = []
+    for _ in range(2 * RUNS_PER_EPOCH + 10):
+        (run,) = bench.plan()
+        numbers.append(run.number)
+        bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+        bench.end(run, EndKind.STOPPED)
+        bench.cluster.orders.clear()
+    for epoch in (2, 3):
+        successor = Bench(1, epoch=epoch)
+        job = successor.submit("a1", lasting, inherited=True, progress=job.record())
+        (run,) = successor.plan()
+        numbers.append(run.number)
+    assert numbers == sorted(set(numbers))
+
+
+def test_a_start_refused_as_superseded_goes_on_beyond_the_numbers_of_the_epoch():
+    """Guards against a task that a record of an older version numbers too low."""
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    bench.cluster.on_start_reply(run, StartReply.SUPERSEDED, bench.now)
+    bench.now += 1.0
+    (again,) = bench.plan()
+    assert again.number > RUNS_PER_EPOCH
+
+
 def test_an_order_is_not_sent_once_its_run_has_been_given_up():
     """Guards against a queued start of a task that runs elsewhere by then."""
     bench = Bench(2)
