Do not quarantine workers for a service that fails on most of them

Cause: each failure of a lasting task counted against its worker, three in a row quarantine it, and no number of failures ends a lasting task. One bad release so quarantined all workers, for up to 8 s and with one run each afterwards.

Change: a failure of a lasting task does not count against its worker if the service failed in the last 30 s on at least three workers and on most of those that run it. A few faulty workers of a sound service are quarantined as before. Failures of other tasks are unchanged, as their number is limited.

Test that failed before: test_a_service_that_fails_everywhere_does_not_quarantine_its_workers (all eight quarantined).

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -82,6 +82,10 @@
 # A worker that has not answered for this long is recorded with its tasks, so that a
 # lease that is renewed late does not cause a write.
 SILENT_S = 0.3
+# A service whose tasks failed within this time on at least so many workers, and on most
+# of those that run it, is at fault itself.
+SERVICE_FAULT_WINDOW_S = 30.0
+MIN_FAILED_WORKERS = 3
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
@@ -696,9 +700,9 @@
         wall: float,
     ) -> None:
         job = step.job
-        step.failed_workers.add(worker.entry.worker_id)
+        step.failed_workers[worker.entry.worker_id] = now
         step.failed_at = now
-        if worker.health.note_failure(now):
+        if not _is_service_at_fault(step, now) and worker.health.note_failure(now):
             self._log.write(
                 "worker quarantined",
                 worker=worker.entry.worker_id,
@@ -1053,6 +1057,20 @@
     )
 
 
+def _is_service_at_fault(step: StepRun, now: float) -> bool:
+    """Return whether a failure of a lasting task says nothing about its worker.
+
+    A service that fails on most of its workers would otherwise quarantine them all, as
+    no number of failures ends it.
+    """
+    if not step.spec.lasting:
+        return False
+    since = now - SERVICE_FAULT_WINDOW_S
+    failed = {w for w, failed_at in step.failed_workers.items() if failed_at > since}
+    workers = failed | {run.worker.entry.worker_id for run in step.live.values()}
+    return len(failed) >= MIN_FAILED_WORKERS and 2 * len(failed) > len(workers)
+
+
 def _is_newer_incarnation(known: WorkerEntry, entry: WorkerEntry) -> bool:
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -144,7 +144,7 @@
         reserved: Task indexes, workers and amounts reserved while tickets are being
             renewed.
         unasked_workers: Workers of the reservation that no call for renewal has named.
-        failed_workers: Ids of the workers on which tasks of this step failed.
+        failed_workers: Times of the last failures of tasks of this step, by worker id.
         failed_at: Time of the last failure of a task.
         avoids_failures: Whether the planner's last pass excluded these workers.
         rejecting_workers: Ids of the workers that rejected an order of this step as
@@ -183,7 +183,7 @@
     retry_at: float = float("-inf")
     reserved: list[tuple[int, "WorkerState", Resources]] = field(default_factory=list)
     unasked_workers: list["WorkerState"] = field(default_factory=list)
-    failed_workers: set[str] = field(default_factory=set)
+    failed_workers: dict[str, float] = field(default_factory=dict)
     failed_at: float = float("-inf")
     avoids_failures: bool = False
     rejecting_workers: set[str] = field(default_factory=set)
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -433,6 +433,35 @@
     assert again.number > RUNS_PER_EPOCH
 
 
+def fail_on(bench, workers, rounds=3):
+    """Let all lasting tasks on some workers fail several times."""
+    for _ in range(rounds):
+        bench.now += 2.0
+        for worker_id in workers:
+            for run in list(bench.worker(worker_id).runs.values()):
+                bench.end(run, EndKind.FAILED)
+        for run in bench.plan():
+            bench.cluster.on_start_reply(run, StartReply.RUNNING, bench.now)
+
+
+def test_a_service_that_fails_everywhere_does_not_quarantine_its_workers():
+    """Guards against a bad release that holds back the tasks of all other jobs."""
+    bench = Bench(8)
+    running(bench, step(8, lasting=True, per_worker=1))
+    fail_on(bench, list(bench.cluster.workers), rounds=6)
+    assert quarantined(bench) == set()
+    bench.submit("b2", step(16, cpu=8000))
+    assert len(bench.plan()) == 8
+
+
+def test_workers_that_fail_the_tasks_of_a_sound_service_are_quarantined():
+    """Guards against faulty workers that go unnoticed because a service lasts."""
+    bench = Bench(8)
+    running(bench, step(8, lasting=True, per_worker=1))
+    fail_on(bench, ["w1", "w5", "w6"])
+    assert quarantined(bench) == {"w1", "w5", "w6"}
+
+
 def test_an_order_is_not_sent_once_its_run_has_been_given_up():
     """Guards against a queued start of a task that runs elsewhere by then."""
     bench = Bench(2)
