Know the tasks of occurrences that a former leader's clock found due

Cause: a new leader whose time of day is behind its predecessor's has not opened the newest occurrence of a timed job. It took the runs of it for orphans and stopped them, and acknowledged an end "done" without noting it, so that the task started again (TWICE).

Change: progress in the store or a run that a worker reports opens its occurrence, unless that is due more than 30 s later by this leader's clock.

Tests that failed before: test_a_task_that_ran_is_known_to_a_leader_whose_clock_is_behind (run stopped), test_stored_progress_is_known_to_a_leader_whose_clock_is_behind. New: test_an_occurrence_far_in_the_future_is_not_opened_by_a_report.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -86,6 +86,8 @@
 # of those that run it, is at fault itself.
 SERVICE_FAULT_WINDOW_S = 30.0
 MIN_FAILED_WORKERS = 3
+# Wall clocks of two processes differ by less than this.
+MAX_CLOCK_SKEW_S = 30.0
 # The ends of gang tasks that finish together are reported within this time.
 GANG_END_S = 1.0
 
@@ -219,6 +221,8 @@
             self.cancel_job(entry.job_id, now, wall)
         elif record.spec.schedule is not None:
             self._scheduled[entry.job_id] = job
+            # The clock of the leader that opened these may have been ahead.
+            self._open_before(job, _opened_occurrences(job), now)
             self.open_due_occurrences(now, wall)
         else:
             self._open_occurrence(job, 0, now)
@@ -238,13 +242,17 @@
     def open_due(self, job: OpenJob, now: float, wall: float) -> None:
         """Open the occurrences of one scheduled job whose time has come."""
         schedule = job.spec.schedule
-        while job.next_occurrence < schedule.repeats and not job.state.final:
-            due = schedule.first_at + job.next_occurrence * schedule.interval_s
-            if due > wall:
-                break
+        end = job.next_occurrence
+        while end < schedule.repeats and schedule.due_at(end) <= wall:
+            end += 1
+        self._open_before(job, end, now)
+
+    def _open_before(self, job: OpenJob, end: int, now: float) -> None:
+        """Open the occurrences with numbers below ``end``."""
+        while job.next_occurrence < end and not job.state.final:
             job.next_occurrence += 1
             self._open_occurrence(job, job.next_occurrence - 1, now)
-        if job.next_occurrence >= schedule.repeats or job.state.final:
+        if job.next_occurrence >= job.spec.schedule.repeats or job.state.final:
             self._scheduled.pop(job.spec.job_id, None)
 
     def _open_occurrence(self, job: OpenJob, occurrence: int, now: float) -> None:
@@ -493,7 +501,7 @@
         for ended in report.ended:
             if ended.sequence > worker.processed:
                 self._on_run_ended(worker, ended, now, wall)
-        self._on_running(worker, report, sent_at, token, now)
+        self._on_running(worker, report, sent_at, token, now, wall)
         worker.advance_acknowledged()
         if token != worker.token:
             return
@@ -521,6 +529,7 @@
         sent_at: float,
         token: int,
         now: float,
+        wall: float,
     ) -> None:
         seen = set()
         orphans = {}
@@ -529,7 +538,7 @@
             seen.add(key)
             run = worker.runs.get(key)
             if run is None:
-                run = self._adopt(worker, row, token, now)
+                run = self._adopt(worker, row, token, now, wall)
             if run is None:
                 orphans[key] = self._stop_orphan(worker, row, now)
                 continue
@@ -567,14 +576,19 @@
             job.mark_changed(now)
 
     def _adopt(
-        self, worker: WorkerState, row: RunningTask, token: int, now: float
+        self,
+        worker: WorkerState,
+        row: RunningTask,
+        token: int,
+        now: float,
+        wall: float,
     ) -> Run | None:
         """Adopt a run that a former leader started.
 
         Returns:
             The run, or ``None`` if its task is done, has another run or is unknown.
         """
-        found = self._find_task(row.task_id)
+        found = self._find_task(row.task_id, now, wall)
         if found is None:
             return None
         step, index = found
@@ -622,7 +636,7 @@
         if ended.kind is EndKind.DONE:
             # Counts for the worker even if another task has already ended the job.
             worker.health.note_success()
-        found = self._find_task(ended.task_id)
+        found = self._find_task(ended.task_id, now, wall)
         if found is not None:
             step, index = found
             self._apply_outcome(step, index, ended, worker, run, now, wall)
@@ -985,16 +999,30 @@
             return None
         return frozenset(task_id for task_id, _ in (*worker.runs, *worker.orphans))
 
-    def _find_task(self, task_id: str) -> tuple[StepRun, int] | None:
-        """Return the step and the index of a task of an open job."""
+    def _find_task(
+        self, task_id: str, now: float, wall: float
+    ) -> tuple[StepRun, int] | None:
+        """Return the step and the index of a task of an open job.
+
+        A task that a worker has run was due for the leader that started it, so its
+        occurrence is opened even if this leader's wall clock is behind.
+        """
         parts = task_id.split(".")
         if len(parts) != 4 or not all(_is_number(p) for p in parts[1:]):
             return None
         job = self._jobs.get(parts[0])
         if job is None or job.state.final:
             return None
-        step = job.steps.get((int(parts[1]), int(parts[2])))
-        index = int(parts[3])
+        occurrence, number, index = map(int, parts[1:])
+        schedule = job.spec.schedule
+        if (
+            job.next_occurrence <= occurrence
+            and schedule is not None
+            and occurrence < schedule.repeats
+            and schedule.due_at(occurrence) <= wall + MAX_CLOCK_SKEW_S
+        ):
+            self._open_before(job, occurrence + 1, now)
+        step = job.steps.get((occurrence, number))
         if step is None or index >= step.spec.count:
             return None
         return step, index
@@ -1089,6 +1117,12 @@
     step.reserved_numbers = dict(progress.numbers)
 
 
+def _opened_occurrences(job: OpenJob) -> int:
+    """Return how many occurrences of a job a former leader is known to have opened."""
+    numbers = [key.partition(".")[0] for key in job.restored_progress]
+    return 1 + max((int(n) for n in numbers if _is_number(n)), default=-1)
+
+
 def _critical_paths(steps: Sequence[Step]) -> list[float]:
     """Return the declared length of the critical path from each step, in seconds.
 
--- a/flamingoway/queues/model.py
+++ b/flamingoway/queues/model.py
@@ -192,6 +192,10 @@
     first_at: float
     interval_s: float
 
+    def due_at(self, occurrence: int) -> float:
+        """Return the time of an occurrence, in Unix seconds."""
+        return self.first_at + occurrence * self.interval_s
+
 
 @dataclass(frozen=True, slots=True)
 class StepJobSpec:
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -14,6 +14,7 @@
     StepJobState,
     WorkerEntry,
 )
+from flamingoway.queues.records import ProgressRecord, StepProgress
 from flamingoway.queues.runs import RUNS_PER_EPOCH, PollNow
 from tests.queue_cluster import LARGE, PLANS, Bench, step
 
@@ -627,6 +628,43 @@
     assert job.state is StepJobState.COMPLETED
 
 
+def inherited_schedule(bench, **fields):
+    """Submit a job whose first occurrence is due in 3 s by this leader's clock."""
+    schedule = Schedule(repeats=2, first_at=bench.now + 3, interval_s=60.0)
+    return bench.submit("a1", step(2), schedule=schedule, inherited=True, **fields)
+
+
+def test_a_task_that_ran_is_known_to_a_leader_whose_clock_is_behind():
+    """Guards against a second run of a task that a former leader found due."""
+    bench = Bench(1, epoch=2)
+    job = inherited_schedule(bench)
+    end = EndedTask(1, "a1.0.0.0", 1, EndKind.DONE)
+    bench.report("w0", [("a1.0.0.1", 1)], [end])
+    assert bench.stops() == []
+    assert job.steps[0, 0].done == {0} and job.steps[0, 0].live.keys() == {1}
+    bench.now += 4
+    bench.cluster.open_due_occurrences(bench.now, bench.now)
+    assert bench.plan() == []
+
+
+def test_stored_progress_is_known_to_a_leader_whose_clock_is_behind():
+    """Guards against work that waits until a clock that is behind has caught up."""
+    bench = Bench(1, epoch=2)
+    stored = ProgressRecord(StepJobState.RUNNING, {"0.0": StepProgress([0])})
+    job = inherited_schedule(bench, progress=stored)
+    assert job.steps[0, 0].done == {0}
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.1"]
+
+
+def test_an_occurrence_far_in_the_future_is_not_opened_by_a_report():
+    """Guards against a false report that starts work long before its time."""
+    bench = Bench(1, epoch=2)
+    job = inherited_schedule(bench)
+    bench.report("w0", [("a1.1.0.0", 1)])
+    assert bench.stops() == [("a1.1.0.0", 1)]
+    assert job.steps == {}
+
+
 def test_a_lasting_task_starts_again_however_it_ends():
     bench = Bench(1)
     job = bench.submit("a1", step(1, lasting=True))
