--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -404,6 +404,17 @@
     assert len(elections) == 2
 
 
+def observe_starts(world, observe):
+    """Call ``observe`` with the task id of each start."""
+    on_start = world.checker.on_start
+
+    def on_observed_start(worker, run, order):
+        observe(run.task_id)
+        on_start(worker, run, order)
+
+    world.checker.on_start = on_observed_start
+
+
 def test_a_takeover_reads_all_ends_of_a_worker_before_it_starts_tasks_again():
     """Guards against a second run of done tasks after more than one page of ends."""
     starts = Counter()
@@ -412,13 +423,7 @@
         world = World(1, workers=1, failure_share=0.0)
         world.duration = lambda task_id: 4.0
         await world.begin()
-        on_start = world.checker.on_start
-
-        def count_start(worker, run, order):
-            starts[run.task_id] += 1
-            on_start(worker, run, order)
-
-        world.checker.on_start = count_start
+        observe_starts(world, lambda task_id: starts.update([task_id]))
         step = Step(2 * ENDED_ROWS + 100, Resources(10, 10), 4.0)
         assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
         await asyncio.sleep(3.0)
@@ -443,13 +448,11 @@
         world = World(1, workers=12, failure_share=0.0)
         world.duration = lambda task_id: 2.0
         await world.begin()
-        on_start = world.checker.on_start
 
-        def note_start(worker, run, order):
-            started_at.setdefault(run.task_id.partition(".")[0], world.now)
-            on_start(worker, run, order)
+        def note_start(task_id):
+            started_at.setdefault(task_id.partition(".")[0], world.now)
 
-        world.checker.on_start = note_start
+        observe_starts(world, note_start)
         wide = Step(3000, Resources(50, 50), 2.0)
         assert await world.submit("n0", StepJobSpec("a0", "checks", "x", (wide,)))
         narrow = Step(2, Resources(1400, 2000), 0.6)
