Show that orders that wait are not sent once their leader may not act

It fails if both the check before each call and the end of the sender with its term are taken out; each alone suffices.

--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -9,7 +9,8 @@
 from flamingoway.model import Resources
 from flamingoway.queues.model import EndKind, StartReply, Step, StepJobSpec
 from flamingoway.queues.ports import PollRefused
-from flamingoway.queues.term import LeadershipLost
+from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
+from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost
 from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, World
 from tests.virtual import run_virtual
 
@@ -81,6 +82,38 @@
     assert second_life[0] == 0
 
 
+def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
+    """Guards against a leader that acts on a permission that ended while it waited."""
+
+    async def main():
+        world, term = await leading_world([])
+        port = world.ports[world.leader()]
+        start, released, sent = port.start, asyncio.Event(), []
+
+        async def hold_start(entry, order):
+            sent.append(order.task_id)
+            await released.wait()
+            return await start(entry, order)
+
+        port.start = hold_start
+        step = Step(6 * MAX_CALLS_PER_WORKER, Resources(10, 10), 1.0, gang=True)
+        job = StepJobSpec("a1", "checks", "x", (step,))
+        assert await world.submit("n0", job)
+        await asyncio.sleep(1.0)
+        sent_before = len(sent)
+        world.stores[world.leader()].down = True
+        await asyncio.sleep(MAX_STORE_AGE_S + 1.0)
+        may_send_orders = term.may_send_orders
+        released.set()
+        await asyncio.sleep(1.0)
+        await world.end()
+        return sent_before, len(sent), may_send_orders
+
+    sent_before, sent_after, may_send_orders = run_virtual(main)
+    assert not may_send_orders
+    assert 0 < sent_before == sent_after
+
+
 def test_tasks_of_a_worker_that_refuses_all_polls_run_elsewhere():
     """Guards against tasks that wait for a worker that does not renew their leases."""
 
