Keep the candidates of a pass for the next instead of copying them

Change: the candidates themselves are kept, with the entry and the count of ended runs that they were made with. Behaviour is the same.

--- a/flamingoway/queues/placement.py
+++ b/flamingoway/queues/placement.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from ..model import Resources
 from .model import Step, WorkerEntry
@@ -17,26 +16,13 @@
 UNLIMITED_TASKS = 10_000
 
 
-class Snapshot(NamedTuple):
-    """What one planner pass keeps of a worker for comparison in the next.
-
-    The fields are those of ``WorkerState`` and ``Candidate`` at the end of the pass.
-    """
-
-    entry: WorkerEntry
-    releases: int
-    cores: int
-    memory: int
-    accelerators: int
-    tasks: int
-    starts: int
-
-
 @dataclass(slots=True, eq=False)
 class Candidate:
     """Free resources of one worker during one planner pass.
 
     Attributes:
+        entry: Registry entry of the worker at the beginning of the pass.
+        releases: Number of runs that had ended on it by then.
         cores: Free CPU, in thousandths of a core.
         memory: Free memory in MB.
         accelerators: Free accelerators.
@@ -45,6 +31,8 @@
     """
 
     worker: WorkerState
+    entry: WorkerEntry
+    releases: int
     cores: int
     memory: int
     accelerators: int
@@ -58,9 +46,12 @@
         tasks = UNLIMITED_TASKS
         if limit is not None:
             tasks = max(0, limit - len(worker.runs) - worker.reserved_tasks)
-        used, capacity = worker.used, worker.entry.capacity
+        entry = worker.entry
+        used, capacity = worker.used, entry.capacity
         return cls(
             worker,
+            entry,
+            worker.releases,
             capacity.cores_milli - used.cores_milli,
             capacity.memory_mb - used.memory_mb,
             capacity.accelerators - used.accelerators,
@@ -71,7 +62,7 @@
     @property
     def worker_id(self) -> str:
         """Id of the worker."""
-        return self.worker.entry.worker_id
+        return self.entry.worker_id
 
     def slots(self, needs: Resources) -> int:
         """Return how many tasks fit."""
@@ -87,18 +78,6 @@
         self.tasks -= count
         self.starts -= count
 
-    def snapshot(self) -> Snapshot:
-        """Return what the next pass compares with."""
-        return Snapshot(
-            self.worker.entry,
-            self.worker.releases,
-            self.cores,
-            self.memory,
-            self.accelerators,
-            self.tasks,
-            self.starts,
-        )
-
 
 def _slots_in(cores: int, memory: int, accelerators: int, needs: Resources) -> int:
     slots = UNLIMITED_TASKS
@@ -116,7 +95,7 @@
 
     Args:
         workers: The workers.
-        previous: Snapshots from the end of the previous pass, by worker id.
+        previous: Candidates at the end of the previous pass, by worker id.
         now: Time of the pass.
 
     Attributes:
@@ -128,7 +107,7 @@
     """
 
     def __init__(
-        self, workers: Iterable[WorkerState], previous: dict[str, Snapshot], now: float
+        self, workers: Iterable[WorkerState], previous: dict[str, Candidate], now: float
     ):
         self.candidates: dict[str, Candidate] = {}
         self.grown: set[str] = set()
@@ -141,15 +120,11 @@
             free += candidate.cores
             worker_id = worker.entry.worker_id
             self.candidates[worker_id] = candidate
-            snapshot = previous.get(worker_id)
-            if snapshot is None or _has_gained(candidate, snapshot):
+            before = previous.get(worker_id)
+            if before is None or _has_gained(candidate, before):
                 self.grown.add(worker_id)
         self.used_share = 1.0 - free / cores if cores else 0.0
 
-    def snapshots(self) -> dict[str, Snapshot]:
-        """Return the free resources at the end of the pass, by worker id."""
-        return {worker_id: c.snapshot() for worker_id, c in self.candidates.items()}
-
     def eligible(self, step: StepRun) -> list[Candidate]:
         """Return the workers on which tasks of a step may run."""
         candidates = self.candidates
@@ -157,19 +132,18 @@
             found: Iterable[Candidate] = candidates.values()
         else:
             found = [candidates[w] for w in step.allowed_workers if w in candidates]
-        return [c for c in found if step.may_run_on(c.worker.entry)]
+        return [c for c in found if step.may_run_on(c.entry)]
 
 
-def _has_gained(candidate: Candidate, before: Snapshot) -> bool:
+def _has_gained(candidate: Candidate, before: Candidate) -> bool:
     """Return whether a step that did not fit before may fit on a worker now.
 
     The end of a run gains room even if no resources were allocated to it, as a step may
     limit its tasks on one worker.
     """
-    worker = candidate.worker
     return (
-        worker.entry is not before.entry
-        or worker.releases != before.releases
+        candidate.releases != before.releases
+        or candidate.entry is not before.entry
         or candidate.cores > before.cores
         or candidate.memory > before.memory
         or candidate.accelerators > before.accelerators
--- a/flamingoway/queues/planning.py
+++ b/flamingoway/queues/planning.py
@@ -30,7 +30,6 @@
     Candidate,
     FreeCapacity,
     Placement,
-    Snapshot,
     allocated_resources,
     available_slots,
     choose_gang_workers,
@@ -94,7 +93,8 @@
         self._cluster = cluster
         self._log = log
         self._free = FreeCapacity((), {}, 0.0)
-        self._snapshots: dict[str, Snapshot] = {}
+        # Candidates at the end of the last pass, by worker id.
+        self._previous: dict[str, Candidate] = {}
         # Workers reserved for gangs, by step id; kept between passes.
         self._gang_reservations: dict[str, list[Candidate]] = {}
         # The gang that reserved a worker and the first part of its rank, by worker id.
@@ -137,7 +137,7 @@
         self._untracked_tasks = cluster.untracked_tasks()
         takeover_unfinished = cluster.may_have_unknown_runs
         started = self._start_reserved(now)
-        free = self._free = FreeCapacity(cluster.workers.values(), self._snapshots, now)
+        free = self._free = FreeCapacity(cluster.workers.values(), self._previous, now)
         reserved_before, self._reserved_by = self._reserved_by, {}
         for step in self._ranked(cluster.waiting.values(), now):
             self._planned = step
@@ -152,12 +152,12 @@
                 self._log_wait(step, why, now)
                 continue
             started += self._plan(step, now)
-        self._snapshots = free.snapshots()
+        self._previous = dict(free.candidates)
         self._starts_limited |= any(c.starts <= 0 for c in free.candidates.values())
         # Workers whose gang reservation changed count as having gained resources.
         for worker_id in reserved_before.keys() | self._reserved_by.keys():
             if reserved_before.get(worker_id) != self._reserved_by.get(worker_id):
-                self._snapshots.pop(worker_id, None)
+                self._previous.pop(worker_id, None)
         return started
 
     def _ranked(self, steps: Iterable[StepRun], now: float) -> list[StepRun]:
@@ -427,7 +427,7 @@
         """Drop the reservations of gangs that are no longer waiting."""
         for step_id in self._gang_reservations.keys() - self._cluster.waiting.keys():
             for candidate in self._gang_reservations.pop(step_id):
-                self._snapshots.pop(candidate.worker_id, None)
+                self._previous.pop(candidate.worker_id, None)
 
     def _still_available(
         self, step: StepRun, candidates: Sequence[Candidate]
