Store the queue of a job in a compact record

Change: the record of the queue is a list of the fields that a leader needs, without the paths of its requests: 423 to 450 bytes in all.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -197,7 +197,11 @@
         check_job(record.spec)
         progress = entry.decode_progress()
         name = record.spec.queue
-        queue = self._desired.queue(name) or record.queue or _unconfigured_queue(name)
+        queue = self._desired.queue(name)
+        if queue is None and record.queue is not None:
+            queue = record.queue.to_queue(name)
+        elif queue is None:
+            queue = _unconfigured_queue(name)
         job = OpenJob(
             spec=record.spec,
             queue=queue,
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -26,7 +26,7 @@
 from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
 from .mirror import Mirror
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
-from .records import JobRecord
+from .records import JobRecord, QueueRecord
 from .relay import Relay
 from .session import read_epoch
 from .table import JobTable, TableJob
@@ -286,7 +286,8 @@
     ) -> None:
         if self._is_store_unavailable():
             raise Refused("the store is unavailable", Code.STORE_UNAVAILABLE)
-        value = records.encode(JobRecord(spec, time.time(), self._name, queue))
+        kept = QueueRecord.of(queue) if queue is not None else None
+        value = records.encode(JobRecord(spec, time.time(), self._name, kept))
         loop = asyncio.get_running_loop()
         deadline = loop.time() + max(0.1, timeout_s - ANSWER_MARGIN_S)
         pending = _PendingJob(
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..errors import BadRequest
-from .model import Queue, StepJobSpec, StepJobState, WorkerEntry
+from .model import AdviceTiming, Queue, StepJobSpec, StepJobState, WorkerEntry
 
 ROOT = "fw/"
 JOB_PREFIX = "fw/job/"
@@ -22,6 +22,49 @@
 HANDOVER_POWER_RATIO = 1.5
 
 
+class QueueRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What a leader needs of a job's queue; every process receives it with each job.
+
+    Attributes:
+        advice: Fields of ``AdviceTiming``, if the queue has an advice policy.
+    """
+
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    objective_s: float
+    advice: tuple[float, float, float] | None = None
+
+    @classmethod
+    def of(cls, queue: Queue) -> "QueueRecord":
+        """Return the record of a queue."""
+        advice = queue.advice
+        timing = advice and (advice.base_s, advice.per_worker_s, advice.valid_s)
+        return cls(
+            queue.service,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.objective_s,
+            timing,
+        )
+
+    def to_queue(self, name: str) -> Queue:
+        """Return the queue, without the paths of its requests."""
+        return Queue(
+            name,
+            "",
+            "",
+            self.service,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.objective_s,
+            AdviceTiming(*self.advice) if self.advice else None,
+        )
+
+
 class JobRecord(msgspec.Struct, frozen=True):
     """An accepted job.
 
@@ -36,7 +79,7 @@
     spec: StepJobSpec
     accepted_at: float
     accepted_by: str = ""
-    queue: Queue | None = None
+    queue: QueueRecord | None = None
 
 
 class QueueOfSpec(msgspec.Struct, frozen=True):
