--- a/tests/test_queue_orders.py
+++ b/tests/test_queue_orders.py
@@ -39,6 +39,10 @@
         self.sent.append(order)
         await self._gate.wait()
 
+    def start_many(self, target, count):
+        for name in range(count):
+            self.sender.start(start(target, name))
+
     async def settle(self):
         for _ in range(5):
             await asyncio.sleep(0)
@@ -64,8 +68,7 @@
     async def body(calls):
         workers = [worker(f"w{n}") for n in range(40)]
         for target in workers:
-            for name in range(2 * MAX_CALLS_PER_WORKER):
-                calls.sender.start(start(target, name))
+            calls.start_many(target, 2 * MAX_CALLS_PER_WORKER)
         await calls.settle()
         counts = [sum(o.run.worker is w for o in calls.sent) for w in workers]
         assert sum(counts) == calls.sender.in_flight == MAX_CALLS_IN_FLIGHT
@@ -80,8 +83,7 @@
 def test_a_worker_that_does_not_answer_leaves_calls_for_the_others():
     async def body(calls):
         silent, other = worker("w0"), worker("w1")
-        for name in range(10 * MAX_CALLS_PER_WORKER):
-            calls.sender.start(start(silent, name))
+        calls.start_many(silent, 10 * MAX_CALLS_PER_WORKER)
         calls.sender.start(start(other, "x"))
         await calls.settle()
         assert calls.sent[-1].run.worker is other
@@ -94,8 +96,7 @@
 
     async def body(calls):
         target = worker("w0")
-        for name in range(MAX_CALLS_PER_WORKER + 1):
-            calls.sender.start(start(target, name))
+        calls.start_many(target, MAX_CALLS_PER_WORKER + 1)
         stop = StopRun(target, "a1.0.0.0", 1)
         for _ in range(3):
             calls.sender.stop(stop)
@@ -114,8 +115,7 @@
 
     async def body(calls):
         target = worker("w0")
-        for name in range(MAX_CALLS_PER_WORKER + 1):
-            calls.sender.start(start(target, name))
+        calls.start_many(target, MAX_CALLS_PER_WORKER + 1)
         await calls.settle()
         calls.sender.close()
         calls.sender.start(start(target, "late"))
