Show four ways in which work may run that nobody asked for

The users saw UNASKED with real processes and kept no logs.

- a cancellation is answered "no such job", the job's late write or repeated request is stored afterwards, and the job runs;
- a watch hears nothing for a second and reports the newest revision: a cancellation in the gap is never read, whether the history is kept or dropped;
- a process is paused for 10 s after the store has answered: its copy counts as new;
- ids of 15, 17 or 18 letters and digits are accepted, so that the rest of a longer prefix and an id are taken as an id under a shorter one.

That one of them is what the users saw is not shown.

--- /dev/null
+++ b/tests/test_queue_unasked.py
@@ -0,0 +1,192 @@
+"""What must not start or run on: cancelled jobs, and jobs that nobody submitted."""
+
+import asyncio
+import random
+
+import pytest
+
+from flamingoway.errors import BadRequest
+from flamingoway.httpserver import HttpRequest
+from flamingoway.model import Resources
+from flamingoway.platform.ingress import JobIngress
+from flamingoway.queues import records
+from flamingoway.queues.faults import FaultReporter
+from flamingoway.queues.metrics import QueueMetrics
+from flamingoway.queues.mirror import Mirror
+from flamingoway.queues.model import Step, StepJobSpec, StepJobState
+from flamingoway.queues.table import JobTable
+from flamingoway.store import ChangeSet, Put, RangeResult
+from standins import kv
+from standins.memory import MemoryStore
+from tests.queue_cluster import RecordingLog
+from tests.queue_world import CANCEL_GRACE_S, World
+from tests.test_queue_intake import run_with_cell
+from tests.virtual import run_virtual
+
+SMALL = Step(1, Resources(1000, 1000), 1.0)
+JOB = StepJobSpec("00000000000000aa", "checks", "x", (SMALL,))
+TASK_S = 60.0
+# Enough for a copy that hears nothing to be found out.
+NOTICED_S = 4.0
+
+
+async def begin():
+    world = World(1, failure_share=0.0)
+    await world.begin()
+    world.duration = lambda task_id: TASK_S
+    return world
+
+
+def running(world):
+    return {task for worker in world.workers.values() for task in worker.runs}
+
+
+async def cancel_unknown(world, name, job_id):
+    with pytest.raises(BadRequest):
+        await world.nodes[name].intake.cancel(job_id, 2.0)
+
+
+@pytest.mark.parametrize("late", [True, False], ids=["late write", "late request"])
+def test_a_job_that_was_cancelled_before_it_was_stored_does_not_run(late):
+    """Guards against starts after a cancellation that found no job."""
+
+    async def main():
+        world = await begin()
+        if late:
+            # The submission whose write the store applies late has given up.
+            store = MemoryStore(world.engine)
+            value = records.encode(records.JobRecord(JOB, 0.0, "n1"))
+            key = records.JOB_PREFIX + JOB.job_id
+            world.loop.call_later(
+                1.0, asyncio.ensure_future, store.txn([], [Put(key, value)])
+            )
+        await cancel_unknown(world, "n0", JOB.job_id)
+        await asyncio.sleep(CANCEL_GRACE_S + 1.0)
+        if not late:
+            await world.nodes["n2"].intake.submit(JOB, 2.0)
+        world.specs[JOB.job_id] = JOB
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(CANCEL_GRACE_S)
+        state = await world.nodes["n1"].intake.state(JOB.job_id)
+        await world.end()
+        return started, running(world), state
+
+    assert run_virtual(main) == ([], set(), StepJobState.CANCELLED)
+
+
+class ScriptedStore:
+    """A store with one key whose watches a test scripts.
+
+    Attributes:
+        hears_nothing: Whether watches report the newest revision and no changes.
+        paused_s: Time for which the process is paused as its next answer arrives.
+        on_changes: Called as each watch begins.
+    """
+
+    def __init__(self):
+        self.engine = kv.Engine(asyncio.get_running_loop().time, history=100_000)
+        self.store = MemoryStore(self.engine)
+        self.hears_nothing = False
+        self.paused_s = 0.0
+        self.on_changes = lambda: None
+
+    async def range(self, prefix: str) -> RangeResult:
+        return await self.store.range(prefix)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> ChangeSet:
+        self.on_changes()
+        if self.hears_nothing:
+            await asyncio.sleep(wait_s)
+            return ChangeSet(self.engine.revision, [])
+        changes = await self.store.changes(prefix, after, wait_s)
+        paused_s, self.paused_s = self.paused_s, 0.0
+        await asyncio.sleep(paused_s)
+        return changes
+
+
+def follow(store):
+    """Return a table and the mirror that feeds it, which has begun to run."""
+    loop = asyncio.get_running_loop()
+    log = RecordingLog()
+    faults = FaultReporter(log, QueueMetrics(), loop.time)
+    table = JobTable(faults)
+    mirror = Mirror(
+        store, records.ROOT, table, loop.time, log, faults, random.Random(1)
+    )
+    return table, mirror, asyncio.create_task(mirror.run())
+
+
+@pytest.mark.parametrize("history_kept", [True, False])
+def test_a_cancellation_in_a_gap_of_the_watch_is_read(history_kept):
+    """Guards against changes that a watch skips and no later one reports."""
+
+    async def main():
+        scripted = ScriptedStore()
+        operator = MemoryStore(scripted.engine)
+        value = records.encode(records.JobRecord(JOB, 0.0))
+        await operator.txn([], [Put(records.JOB_PREFIX + JOB.job_id, value)])
+        table, mirror, task = follow(scripted)
+        await mirror.wait_synced()
+        scripted.hears_nothing = True
+        await asyncio.sleep(0.1)
+        await operator.txn([], [Put(records.CANCEL_PREFIX + JOB.job_id, b"1")])
+        await operator.txn([], [Put("servers/w0", b"x")])
+        await asyncio.sleep(0.9)
+        scripted.hears_nothing = False
+        if not history_kept:
+            scripted.engine.compact()
+        await asyncio.sleep(NOTICED_S)
+        task.cancel()
+        return table.find(JOB.job_id).cancelled
+
+    assert run_virtual(main)
+
+
+def test_an_answer_that_a_paused_process_reads_late_does_not_make_its_copy_new():
+    """Guards against a leader that acts on what it read before a pause."""
+
+    async def main():
+        scripted = ScriptedStore()
+        operator = MemoryStore(scripted.engine)
+        _, mirror, task = follow(scripted)
+        await mirror.wait_synced()
+        scripted.paused_s = 10.0
+        await operator.txn([], [Put("fw/member/n9", b"x")])
+        ages = []
+
+        def note_age():
+            if not scripted.paused_s:
+                ages.append(mirror.age_s)
+
+        scripted.on_changes = note_age
+        await asyncio.sleep(12.0)
+        task.cancel()
+        return ages
+
+    ages = run_virtual(main)
+    assert ages[0] >= 10.0
+    assert ages[-1] < 2.0
+
+
+@pytest.mark.parametrize(
+    "job_id", ["a" * 15, "a" * 17, "x" + "a" * 15, "r2" + "a" * 16]
+)
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+def test_a_request_for_a_longer_route_is_not_taken_under_a_shorter_one(method, job_id):
+    """Guards against jobs whose id nobody chose."""
+    body = b'{"steps": [{"count": 1}]}'
+    found = {}
+
+    async def main(cell):
+        ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
+        disconnected = asyncio.get_running_loop().create_future()
+        headers = {"Host": "jobs.example"}
+        path = f"/p/{job_id}"
+        request = HttpRequest(method, path, "", headers, body, disconnected)
+        found["status"] = (await ingress.handle(request)).status
+        found["stored"] = cell.engine.range(kv.RangeOp(b"fw/", b"fw0")).entries
+
+    run_with_cell(main)
+    assert found["status"] == 404
+    assert found["stored"] == []
