Count the age of the copy from the call that confirmed it, not from its answer

What callers may see: a leader that was paused for 10 s goes on as if it had just heard from the store, since the answer to its watch had arrived before the pause. Until its next answer it starts tasks of jobs that were cancelled meanwhile, on workers that its successor has not reached.

Cause: Mirror took the time at which it read an answer for the time of its content. A range read of many pages counted as new although its first page, with the cancellations, was older.

Change: the time at which the call was sent counts, as for the session's lease. An idle watch waits up to 0.8 s, so an idle leader stops sending orders up to that much sooner after its last contact, and the state of a job of another process is read again as soon.

--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -98,7 +98,11 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the store last confirmed the copy."""
+        """Seconds since the call was sent that last confirmed the copy.
+
+        The time of the answer does not count, as the process may have been paused
+        before it read the answer.
+        """
         return self._clock() - self._confirmed_at
 
     @property
@@ -185,7 +189,7 @@
         if not self._complete:
             await self._read()
             return
-        after = self._revision
+        began, after = self._clock(), self._revision
         self._heartbeat_seen = False
         self._watching = wait_s > 0
         try:
@@ -206,9 +210,10 @@
                 latest = {event.key: event for event in changes.events}
                 self._heartbeat_seen = self._heartbeat_key in latest
                 self._listener.apply_changes(list(latest.values()))
-        self._on_answer()
+        self._on_answer(began)
 
     async def _read(self) -> None:
+        began = self._clock()
         content = await self._store.range(self._prefix)
         if content.revision < self._revision:
             return
@@ -217,10 +222,10 @@
         self._changed_at = self._clock()
         self._complete = True
         self._synced.set()
-        self._on_answer()
+        self._on_answer(began)
 
-    def _on_answer(self) -> None:
-        self._confirmed_at = self._clock()
+    def _on_answer(self, began: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, began)
         if not self._reachable:
             self._reachable = True
             self._log.write("store reachable again", prefix=self._prefix)
