Read the changes that a silent watch has skipped

What callers may see: a job that they have cancelled goes on, or its tasks start, for good. The platform's store may send a watch nothing for a second while changes are made, and then drop its history and cut the watches that wait at that moment.

Cause: an answer without changes set the copy's revision to the one that it reported. A process that was between two watches at the moment of the cut went on from there and never read the changes of that second. The fake store hid this: it failed the next call of every process whose watch had been silent.

Change: the copy goes on from the newest change that it has seen. A revision that is only reported counts after 5 s without a change, so that an idle prefix stays within the history of the store (20 s). If the history is gone, the store says so, and all is read again.

Evidence: test_a_cancellation_in_a_gap_of_the_watch_is_read failed with the history kept and dropped, and passes.

--- a/flamingoway/platform/store.py
+++ b/flamingoway/platform/store.py
@@ -96,7 +96,8 @@
             )
         body = _parse_read(wire.ItemsBody, data)
         events = [wire.to_event(event) for event in body.events]
-        return ChangeSet(_check_revision(body.store_revision), events)
+        last_change = max((event.revision for event in body.events), default=0)
+        return ChangeSet(_check_revision(body.store_revision), events, last_change)
 
     async def watch(
         self, prefix: str, start_revision: int
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 from ..errors import StoreUnavailable
-from ..store import KeyValue, RevisionCompacted, Store, WatchEvent
+from ..store import ChangeSet, KeyValue, RevisionCompacted, Store, WatchEvent
 from ..store.watch import Backoff
 from .decisions import DecisionLog
 from .faults import FaultReporter
@@ -30,6 +31,10 @@
 REFRESH_INTERVAL_S = 0.12
 # A fifth of the 2 s in which a new configuration must be in force.
 LONGEST_RETRY_S = 0.4
+# A watch may miss changes for about a second and report a revision beyond them. A
+# reported revision counts as included only after this time without a change. The
+# platform's store keeps the changes of 20 s.
+GAP_S = 5.0
 
 
 class Listener(Protocol):
@@ -79,6 +84,8 @@
         self._log = log
         self._faults = faults
         self._revision = 0
+        # Revisions reported without changes, with the times of these answers.
+        self._reported: deque[tuple[float, int]] = deque()
         self._confirmed_at = float("-inf")
         self._synced = asyncio.Event()
         self._complete = False
@@ -93,7 +100,7 @@
 
     @property
     def revision(self) -> int:
-        """Store revision that the copy includes."""
+        """Store revision up to which the copy is certain to be complete."""
         return self._revision
 
     @property
@@ -203,21 +210,36 @@
         # ``catch_up`` may have advanced the copy meanwhile; these changes may then be
         # older than its content.
         if self._revision == after:
-            self._revision = max(after, changes.revision)
             if changes.events:
-                self._changed_at = self._clock()
-                # Only the last change of a key counts.
-                latest = {event.key: event for event in changes.events}
-                self._heartbeat_seen = self._heartbeat_key in latest
-                self._listener.apply_changes(list(latest.values()))
+                self._apply(changes)
+            else:
+                self._note_reported(changes.revision)
         self._on_answer(began)
 
+    def _apply(self, changes: ChangeSet) -> None:
+        known = changes.last_change > self._revision
+        self._revision = changes.last_change if known else changes.revision
+        self._reported.clear()
+        self._changed_at = self._clock()
+        # Only the last change of a key counts.
+        latest = {event.key: event for event in changes.events}
+        self._heartbeat_seen = self._heartbeat_key in latest
+        self._listener.apply_changes(list(latest.values()))
+
+    def _note_reported(self, revision: int) -> None:
+        """Advance to the revisions reported at least ``GAP_S`` ago."""
+        now = self._clock()
+        self._reported.append((now, revision))
+        while self._reported and now - self._reported[0][0] >= GAP_S:
+            self._revision = max(self._revision, self._reported.popleft()[1])
+
     async def _read(self) -> None:
         began = self._clock()
         content = await self._store.range(self._prefix)
         if content.revision < self._revision:
             return
         self._revision = content.revision
+        self._reported.clear()
         self._listener.replace(content.items, content.revision)
         self._changed_at = self._clock()
         self._complete = True
--- a/flamingoway/store/__init__.py
+++ b/flamingoway/store/__init__.py
@@ -114,11 +114,14 @@
     """Changes of a prefix since a revision.
 
     Attributes:
-        revision: Revision up to which the changes are complete.
+        revision: Revision of the store at the time of the answer. A watch that was
+            silent may report a revision beyond changes that it missed.
+        last_change: Revision of the newest of the changes; 0 if it is not known.
     """
 
     revision: int
     events: list[WatchEvent]
+    last_change: int = 0
 
 
 class Store(Protocol):
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -205,7 +205,8 @@
         if self._down or None in batches:
             raise StoreUnavailable("watch closed by the store")
         events = [event for batch in batches for event in _to_batch(batch).events]
-        return ChangeSet(self.engine.revision, events)
+        last_change = max((batch.revision for batch in batches), default=0)
+        return ChangeSet(self.engine.revision, events, last_change)
 
     async def _collect(self, queue: asyncio.Queue, wait_s: float) -> list:
         """Wait up to ``wait_s`` for a change, then return all queued batches."""
