Let a cancellation hold for a job that is stored after it

What callers saw: a cancellation is answered 410, and the job runs all the same.

Cause: a process that did not find the job in the store answered "no such job" on the strength of that read. The job's write could still be on its way: applied late by the store after its caller had got no answer, held by another process during an outage, or in a repeated request. Nothing then remembered the cancellation.

Change: before it answers "no such job", the process stores the cancellation on the condition that the job is absent. If the condition fails, the job has been stored meanwhile and is cancelled as usual. A job that is stored later is cancelled as soon as it is read. The record names its time, so that a cancellation without a job is deleted after the retention period like an ended job; processes of older builds only look at the key.

Ruled out: a condition on the cancellation in each write of jobs, as it would cost a third of the jobs that fit into a write; the leader reads a cancellation within about a second.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -26,7 +26,7 @@
 from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
 from .mirror import Mirror
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
-from .records import JobRecord, QueueRecord
+from .records import CancelRecord, JobRecord, QueueRecord
 from .relay import Relay
 from .session import read_epoch
 from .table import JobTable, TableJob
@@ -335,7 +335,8 @@
             if relay and self._mirror.since_change_s > MIRROR_STALE_AFTER_S:
                 return await self._ask_leader(job)
             return job.reported_state
-        await self._require_stored(job_id)
+        if not await self._is_stored(job_id):
+            raise BadRequest("no such job", Code.NOT_FOUND)
         return StepJobState.QUEUED
 
     async def _refresh(self) -> None:
@@ -383,8 +384,14 @@
             await self._store_cancel(job_id, job is None, timeout_s)
         self._log.write("job cancelled", job=job_id)
         if self._table.find(job_id) is not None:
-            key = records.CANCEL_PREFIX + job_id
-            self._table.apply_changes([WatchEvent(key, KeyValue(key, b"1", 0, 0))])
+            self._note_cancelled(job_id)
+
+    def _note_cancelled(self, job_id: str) -> None:
+        """Apply a stored cancellation to the table before the mirror delivers it."""
+        put = _cancel_put(job_id)
+        self._table.apply_changes(
+            [WatchEvent(put.key, KeyValue(put.key, put.value, 0, 0))]
+        )
 
     async def _store_cancel(
         self, job_id: str, check_exists: bool, timeout_s: float
@@ -393,15 +400,30 @@
             raise Refused(
                 "the store is unavailable", Code.STORE_UNAVAILABLE, retry_after=1
             )
-        if check_exists:
-            await self._require_stored(job_id)
+        retry_for_s = min(STORE_LOST_S, timeout_s - ANSWER_MARGIN_S)
+        if check_exists and not await self._is_stored(job_id):
+            # A write of the job may still be on its way.
+            absent = Compare(records.JOB_PREFIX + job_id, "mod_revision", 0)
+            if await self._write_cancel(job_id, [absent], retry_for_s):
+                self._note_cancelled(job_id)
+                raise BadRequest("no such job", Code.NOT_FOUND)
+        await self._write_cancel(job_id, [], retry_for_s)
+
+    async def _write_cancel(
+        self, job_id: str, compares: list[Compare], retry_for_s: float
+    ) -> bool:
+        """Write a cancellation; return whether the conditions held.
+
+        Raises:
+            OutcomeUnknown: It may be stored.
+            Refused: It is not stored.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
-        retry_for_s = min(STORE_LOST_S, timeout_s - ANSWER_MARGIN_S)
+        put = _cancel_put(job_id)
         while True:
             try:
-                await self._store.txn([], [Put(records.CANCEL_PREFIX + job_id, b"1")])
-                return
+                return (await self._store.txn(compares, [put])).succeeded
             except StoreOutcomeUnknown as exc:
                 error: FlamingowayError = OutcomeUnknown(exc.message, exc.code)
             except StoreUnavailable as exc:
@@ -421,11 +443,10 @@
             return True
         return self._write_is_slow or self._store.age_s > now - self._write_failed_at
 
-    async def _require_stored(self, job_id: str) -> None:
-        """Check that the store has a job that the mirror does not show yet.
+    async def _is_stored(self, job_id: str) -> bool:
+        """Return whether the store has a job that the mirror does not show yet.
 
         Raises:
-            BadRequest: There is no such job; its code is ``NOT_FOUND``.
             Refused: The store does not answer.
         """
         try:
@@ -436,8 +457,7 @@
                 Code.STORE_UNAVAILABLE,
                 retry_after=1,
             ) from None
-        if item is None:
-            raise BadRequest("no such job", Code.NOT_FOUND)
+        return item is not None
 
     def _start_writer(self) -> None:
         # With one writer, jobs that arrive during a write are batched into the next.
@@ -589,6 +609,11 @@
         self._table.apply_changes([WatchEvent(key, item)])
 
 
+def _cancel_put(job_id: str) -> Put:
+    record = CancelRecord(time.time())
+    return Put(records.CANCEL_PREFIX + job_id, records.encode(record))
+
+
 def _fail(pending: _PendingJob) -> None:
     if pending.uncertain:
         error: FlamingowayError = OutcomeUnknown(
--- a/flamingoway/queues/records.py
+++ b/flamingoway/queues/records.py
@@ -132,6 +132,17 @@
     ended_at: float = 0.0
 
 
+class CancelRecord(msgspec.Struct, frozen=True):
+    """A cancellation; it also holds for a job that is stored later.
+
+    Attributes:
+        cancelled_at: Time of the cancellation, in Unix seconds; 0 in records of older
+            versions, which hold no ``CancelRecord``.
+    """
+
+    cancelled_at: float = 0.0
+
+
 class ProcessRecord(msgspec.Struct, frozen=True):
     """A live entry process.
 
@@ -191,6 +202,7 @@
         JobSummary,
         ProgressRecord,
         ProgressSummary,
+        CancelRecord,
         ProcessRecord,
         LeaderRecord,
         WorkerRecord,
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..errors import BadRequest
 from ..model import Resources
 from ..store import KeyValue, WatchEvent
 from . import records
 from .faults import FaultReporter
 from .model import StepJobState, WorkerEntry
 from .records import (
+    CancelRecord,
     JobRecord,
     JobSummary,
     LeaderRecord,
@@ -28,6 +30,8 @@
             only its summary. Empty until the acceptance has been read.
         revision: Store revision of the acceptance.
         progress: Encoded ``ProgressRecord``; empty before the first.
+        cancelled: Whether it was cancelled, perhaps before it was accepted.
+        cancelled_at: Time of the cancellation, in Unix seconds; 0 if it is not known.
         ended_at: Time at which the job ended, in Unix seconds; 0 while it is open.
     """
 
@@ -38,6 +42,7 @@
     progress: bytes = b""
     state: StepJobState = StepJobState.QUEUED
     cancelled: bool = False
+    cancelled_at: float = 0.0
     ended_at: float = 0.0
 
     @property
@@ -45,6 +50,16 @@
         """Whether the job's ``JobRecord`` has been read."""
         return bool(self.record)
 
+    @property
+    def closed_at(self) -> float:
+        """Time from which nothing can run, in Unix seconds; 0 if there is none yet.
+
+        A job that was cancelled and has not been accepted is closed.
+        """
+        if self.state.final:
+            return self.ended_at
+        return 0.0 if self.accepted else self.cancelled_at
+
     @property
     def reported_state(self) -> StepJobState:
         """State reported to callers; a cancellation shows at once."""
@@ -120,13 +135,9 @@
         job = self._jobs.get(job_id)
         return job if job is not None and job.accepted else None
 
-    def ended_before(self, before: float) -> list[str]:
-        """Return the ids of the jobs that ended before a time in Unix seconds."""
-        return [
-            job.job_id
-            for job in self._jobs.values()
-            if job.state.final and 0 < job.ended_at < before
-        ]
+    def closed_before(self, before: float) -> list[str]:
+        """Return the ids of the jobs closed before a time in Unix seconds."""
+        return [job.job_id for job in self._jobs.values() if 0 < job.closed_at < before]
 
     def apply_end(self, job_id: str, state: StepJobState, ended_at: float) -> None:
         """Apply a stored end before the mirror delivers it.
@@ -212,9 +223,12 @@
 
     def _set_cancelled(self, job_id: str, item: KeyValue | None) -> None:
         if item is None:
+            if self.find(job_id) is None:
+                self._jobs.pop(job_id, None)
             return
         job = self._get_or_create(job_id)
         job.cancelled = True
+        job.cancelled_at = _cancelled_at(item)
         if job.accepted and self.on_job is not None:
             self.on_job(job)
 
@@ -261,3 +275,11 @@
         if self._leader_item is not None:
             keys.append(records.LEADER_KEY)
         return keys
+
+
+def _cancelled_at(item: KeyValue) -> float:
+    try:
+        return records.decode(CancelRecord, item.value).cancelled_at
+    except BadRequest:
+        # Written by an older version; whatever its value, it is a cancellation.
+        return 0.0
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -746,7 +746,7 @@
             await asyncio.sleep(EXPIRY_INTERVAL_S)
             if not self._expired_jobs:
                 before = time.time() - self._retention_s
-                self._expired_jobs = self._table.ended_before(before)
+                self._expired_jobs = self._table.closed_before(before)
                 self._flush_needed.set()
 
     async def _flush(
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -108,6 +108,7 @@
         StepJobState.RUNNING,
         {"0.0": records.StepProgress([0], {0: [1]}, {1: "c"}, {1: 1500})},
     ),
+    records.CancelRecord: records.CancelRecord(1796454136.1),
     records.ProcessRecord: records.ProcessRecord("n1", "127.0.0.1:1", "z"),
     records.LeaderRecord: records.LeaderRecord("n1", 1),
     records.WorkerRecord: records.WorkerRecord(ENTRY, 1, (TASK,)),
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -75,6 +75,25 @@
     assert run_virtual(main) == ([], set(), StepJobState.CANCELLED)
 
 
+def test_cancellations_of_unknown_jobs_are_deleted_after_the_retention_period():
+    """Guards against unbounded growth of the store and of each process."""
+
+    async def main():
+        world = World(1)
+        # The time of day does not follow virtual time.
+        world.retention_s = -1000.0
+        await world.begin()
+        await cancel_unknown(world, "n0", JOB.job_id)
+        before = [key for key in world.engine._keys if JOB.job_id.encode() in key]
+        await asyncio.sleep(12.0)
+        after = [key for key in world.engine._keys if JOB.job_id.encode() in key]
+        known = [n for n in world.names if JOB.job_id in world.nodes[n]._table.jobs]
+        await world.end()
+        return len(before), after, known
+
+    assert run_virtual(main) == (1, [], [])
+
+
 class ScriptedStore:
     """A store with one key whose watches a test scripts.
 
