Leave half of the log's burst to lines other than those of starts

Lines on cancellations, stops, ends and the leadership share the budget of 400 lines a second with those that come with each start. Frequent events now may only use what is above 600 of the 1,200 lines of the burst; dropped lines are counted as before. One budget with a reserve, rather than two budgets, keeps the bound on the volume and lets either kind use what the other leaves. Before, the new test's 600 lines after a flood of starts were dropped.

--- a/flamingoway/queues/decisions.py
+++ b/flamingoway/queues/decisions.py
@@ -11,6 +11,18 @@
 # per second.
 MAX_LINES_PER_S = 400.0
 BURST_LINES = 1200.0
+# The frequent events, which come with each start or run, leave this many lines of the
+# burst to the others: leadership, cancellations, stops and ends.
+RESERVED_LINES = 600.0
+FREQUENT_EVENTS = frozenset(
+    {
+        "jobs taken over",
+        "runs adopted",
+        "starts answered",
+        "starts sent",
+        "tasks placed",
+    }
+)
 MAX_LINE_BYTES = 4096
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -49,7 +61,7 @@
             event: What was decided or observed, in the past tense.
             **fields: The request's id, the inputs with their age, and the outcome.
         """
-        if not self._take_token():
+        if not self._take_token(RESERVED_LINES if event in FREQUENT_EVENTS else 0.0):
             self._count_dropped()
             return
         line = {"at": round(time.time(), 3), "process": self._process, "event": event}
@@ -69,12 +81,12 @@
         self.dropped += 1
         self._unreported += 1
 
-    def _take_token(self) -> bool:
+    def _take_token(self, reserved: float) -> bool:
         now = self._clock()
         refill = (now - self._refilled_at) * MAX_LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + refill)
         self._refilled_at = now
-        if self._tokens < 1:
+        if self._tokens < 1 + reserved:
             return False
         self._tokens -= 1
         return True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import json
 import os
 
-from flamingoway.queues.decisions import BURST_LINES, DecisionLog
+from flamingoway.queues.decisions import BURST_LINES, RESERVED_LINES, DecisionLog
 
 
 class Clock:
@@ -45,3 +45,18 @@
     clock.now += 1
     log.write("next")
     assert json.loads(os.read(read, 100_000))["dropped_lines"] == 50
+
+
+def test_a_flood_of_starts_leaves_room_for_other_lines():
+    """Guards against a log that tells of thousands of starts and of no cancellation."""
+    read, write = os.pipe()
+    log = DecisionLog("n1", write, Clock())
+    for _ in range(10 * int(BURST_LINES)):
+        log.write("starts sent")
+        os.read(read, 100_000) if log.dropped == 0 else None
+    assert log.dropped == 10 * BURST_LINES - (BURST_LINES - RESERVED_LINES)
+    dropped = log.dropped
+    for _ in range(int(RESERVED_LINES)):
+        log.write("cancellation learned")
+        os.read(read, 100_000)
+    assert log.dropped == dropped
