Log who ordered each start and stop, and on what basis

A report of a worker that runs what nobody asked for could not be traced: no line told which process had sent a start, with which payload and token, and what it knew of the job and its cancellation at that time.

- starts sent, before the order leaves: task, run, worker, token, digest of the payload, checkpoint, state, cancellation and revision of the job, time since the decision; revision and age of the copy of the store. starts answered: the reply.
Lines on an order are written before its reply, so that they are there if the process is killed meanwhile.
- stops sent, stops answered (was: stop sent, after the reply only), stopped runs ended with outcome and checkpoint, runs dropped, runs adopted.
- jobs learned (copy, announcement or caller), jobs taken over, cancellation learned.
- jobs stored, job write not applied, job write unresolved; cancellation answered with every outcome, no such job included.

No decision changes.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -30,6 +30,7 @@
 )
 from .placement import allocated_resources
 from .records import StepProgress
+from .rows import MAX_CHECKPOINT_CHARS, write_rows
 from .runs import (
     GANG_KEY,
     MAX_LEASE_FACTOR,
@@ -427,9 +428,15 @@
                 heard_age_s=round(now - worker.last_answer_at, 2),
                 why=why,
             )
+            self._log_dropped(worker, worker.runs.values())
         for run in list(worker.runs.values()):
             self._release_run(run, now)
 
+    def _log_dropped(self, worker: WorkerState, runs: Iterable[Run]) -> None:
+        rows = [{"task": run.task_id, "run": run.number} for run in runs]
+        worker_id = worker.entry.worker_id
+        write_rows(self._log, "runs dropped", rows, worker=worker_id)
+
     def _worker(self, entry: WorkerEntry) -> WorkerState:
         worker = self._workers.get(entry.worker_id)
         if worker is None:
@@ -455,6 +462,7 @@
             lost=len(reported),
             unresolved=len(worker.runs) - len(reported),
         )
+        self._log_dropped(worker, reported)
         worker.token += 1
         worker.unsettle()
         worker.orphans.clear()
@@ -502,6 +510,7 @@
             for run in worker.runs.values():
                 run.moved_at = min(now, run.moved_at + unobserved_s)
         worker.last_answer_at = now
+        self._log_stopped(worker, report)
         for ended in report.ended:
             if ended.sequence > worker.processed:
                 self._on_run_ended(worker, ended, now, wall)
@@ -537,17 +546,28 @@
     ) -> None:
         seen = set()
         orphans = {}
+        adopted = []
         for row in report.running:
             key = (row.task_id, row.number)
             seen.add(key)
             run = worker.runs.get(key)
             if run is None:
                 run = self._adopt(worker, row, token, now, wall)
+                if run is not None:
+                    adopted.append({"task": row.task_id, "run": row.number})
             if run is None:
                 orphans[key] = self._stop_orphan(worker, row, now)
                 continue
             self._note_progress(run, row, now)
         worker.orphans = orphans
+        write_rows(
+            self._log,
+            "runs adopted",
+            adopted,
+            worker=worker.entry.worker_id,
+            epoch=self._epoch,
+            token=token,
+        )
         if not report.complete:
             # A run that is not listed may be among the ends that follow.
             return
@@ -627,11 +647,35 @@
             run=row.number,
             worker=worker.entry.worker_id,
         )
-        self.orders.append(StopRun(worker, row.task_id, row.number))
+        self.orders.append(StopRun(worker, row.task_id, row.number, now))
         return now
 
     # Ends
 
+    def _log_stopped(self, worker: WorkerState, report: WorkerReport) -> None:
+        """Log the ends of runs that were ordered to stop or are not tracked."""
+        rows = []
+        for ended in report.ended:
+            if ended.sequence <= worker.processed:
+                continue
+            run = worker.runs.get((ended.task_id, ended.number))
+            if run is None or run.phase is RunPhase.STOPPING:
+                row = {
+                    "task": ended.task_id,
+                    "run": ended.number,
+                    "outcome": ended.kind,
+                    "checkpoint": ended.checkpoint[:MAX_CHECKPOINT_CHARS],
+                    "tracked": run is not None,
+                }
+                rows.append(row)
+        write_rows(
+            self._log,
+            "stopped runs ended",
+            rows,
+            worker=worker.entry.worker_id,
+            epoch=self._epoch,
+        )
+
     def _on_run_ended(
         self, worker: WorkerState, ended: EndedTask, now: float, wall: float
     ) -> None:
@@ -680,6 +724,7 @@
                 run=ended.number,
                 worker=worker.entry.worker_id,
                 outcome=ended.kind,
+                checkpoint=ended.checkpoint[:MAX_CHECKPOINT_CHARS],
             )
 
     def _mark_done(
@@ -775,7 +820,7 @@
         run.phase = RunPhase.STOPPING
         if now - run.stop_sent_at >= STOP_REPEAT_S:
             run.stop_sent_at = now
-            self.orders.append(StopRun(run.worker, run.task_id, run.number))
+            self.orders.append(StopRun(run.worker, run.task_id, run.number, now))
 
     def repeat_stops(self, now: float) -> None:
         """Repeat stop orders to runs whose end has not been reported."""
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from ..errors import (
@@ -28,6 +29,7 @@
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
 from .records import JobRecord, QueueRecord
 from .relay import Relay
+from .rows import payload_digest
 from .session import read_epoch
 from .table import JobTable, TableJob
 
@@ -136,12 +138,29 @@
         self._recently_accepted: set[str] = set()
         # Jobs that the leader notifies this process of.
         self._stored_here: set[str] = set()
+        self._source_of_change = "copy"
 
     @property
     def desired(self) -> DesiredState | None:
         """The configuration in force, ``None`` before the first."""
         return self._desired
 
+    @property
+    def source_of_change(self) -> str:
+        """How the change that the table reports became known here, for the log.
+
+        ``announcement``, ``caller`` or, by default, ``copy``.
+        """
+        return self._source_of_change
+
+    @contextmanager
+    def _changing_table(self, source: str):
+        self._source_of_change = source
+        try:
+            yield
+        finally:
+            self._source_of_change = "copy"
+
     def set_desired_state(self, desired: DesiredState) -> None:
         """Apply a configuration."""
         self._desired = desired
@@ -197,6 +216,7 @@
             job=spec.job_id,
             queue=spec.queue,
             version=self._desired.version if self._desired else 0,
+            payload=payload_digest(spec.payload),
         )
 
     async def _store_or_hold(
@@ -369,9 +389,32 @@
             OutcomeUnknown: The cancellation may or may not be stored.
             Refused: It is not stored.
         """
+        began = asyncio.get_running_loop().time()
+        outcome = "interrupted"
+        try:
+            outcome = await self._cancel(job_id, timeout_s, relay)
+        except FlamingowayError as exc:
+            outcome = exc.message
+            raise
+        finally:
+            job = self._table.find(job_id)
+            self._log.write(
+                "cancellation answered",
+                job=job_id,
+                outcome=outcome,
+                relayed=not relay,
+                took_s=round(asyncio.get_running_loop().time() - began, 3),
+                state=None if job is None else job.state,
+                job_revision=None if job is None else job.revision,
+                copy_revision=self._mirror.revision,
+                copy_age_s=round(self._mirror.age_s, 3),
+            )
+
+    async def _cancel(self, job_id: str, timeout_s: float, relay: bool) -> str:
+        """Cancel a job and return the outcome for the log."""
         job = self._table.find(job_id)
         if job is not None and (job.state.final or job.cancelled):
-            return
+            return f"already {job.reported_state}"
         if relay:
             deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
             attempts = (
@@ -384,7 +427,9 @@
         self._log.write("job cancelled", job=job_id)
         if self._table.find(job_id) is not None:
             key = records.CANCEL_PREFIX + job_id
-            self._table.apply_changes([WatchEvent(key, KeyValue(key, b"1", 0, 0))])
+            with self._changing_table("caller"):
+                self._table.apply_changes([WatchEvent(key, KeyValue(key, b"1", 0, 0))])
+        return "stored"
 
     async def _store_cancel(
         self, job_id: str, check_exists: bool, timeout_s: float
@@ -497,10 +542,16 @@
         began = asyncio.get_running_loop().time()
         try:
             result = await self._store.txn(compares, puts, [c.key for c in compares])
-        except StoreOutcomeUnknown:
+        except StoreOutcomeUnknown as exc:
             for pending in batch:
                 pending.failed = pending.uncertain = True
             self._write_failed_at = asyncio.get_running_loop().time()
+            self._log.write(
+                "job write unresolved",
+                jobs=[pending.job_id for pending in batch],
+                took_s=round(self._write_failed_at - began, 3),
+                why=exc.message,
+            )
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
             return
         except BadRequest as exc:
@@ -514,6 +565,14 @@
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
             return
         self._last_write_s = asyncio.get_running_loop().time() - began
+        self._log.write(
+            "jobs stored" if result.succeeded else "job write not applied",
+            jobs=[pending.job_id for pending in batch],
+            found=[records.id_in_key(key) for key in keys if key in result.reads],
+            revision=result.revision,
+            epoch=None if epoch is None else read_epoch(epoch)[0],
+            took_s=round(self._last_write_s, 3),
+        )
         if result.succeeded and epoch is not None:
             self._announce(batch, read_epoch(epoch)[0], result.revision)
             self._add_to_table(batch, result.revision)
@@ -586,7 +645,8 @@
         key = records.JOB_PREFIX + request.job_id
         revision = request.revision
         item = KeyValue(key, request.value, revision, revision)
-        self._table.apply_changes([WatchEvent(key, item)])
+        with self._changing_table("announcement"):
+            self._table.apply_changes([WatchEvent(key, item)])
 
 
 def _fail(pending: _PendingJob) -> None:
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -419,11 +419,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Order to stop a run; the run may belong to a former leader."""
+    """Order to stop a run; the run may belong to a former leader.
+
+    Attributes:
+        decided_at: Time of the decision.
+    """
 
     worker: WorkerState
     task_id: str
     number: int
+    decided_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -38,6 +38,7 @@
 from .records import LeaderRecord, ProcessRecord, WorkerRecord, encode_progress
 from .registry import WorkerRegistry
 from .relay import Relay
+from .rows import MAX_CHECKPOINT_CHARS, RowLog, payload_digest, write_rows
 from .runs import (
     LEASE_EXPIRY_MARGIN_S,
     MIN_CLOCK_RATE,
@@ -94,6 +95,8 @@
 # them that one write deletes.
 EXPIRY_INTERVAL_S = 5.0
 EXPIRED_JOBS_PER_WRITE = 9
+# Replies to orders that arrive within this time share a line of the log.
+REPLY_LOG_DELAY_S = 0.05
 
 
 class LeadershipLost(Exception):
@@ -172,6 +175,11 @@
         self._cluster = ClusterState(leadership.epoch, lease_s, log)
         self._planner = Planner(self._cluster, log)
         self._sender = OrderSender(self._send, self._spawn)
+        self._jobs_learned = RowLog(log, "jobs learned")
+        self._starts_sent = RowLog(log, "starts sent")
+        self._starts_answered = RowLog(log, "starts answered", REPLY_LOG_DELAY_S)
+        self._stops_sent = RowLog(log, "stops sent")
+        self._stops_answered = RowLog(log, "stops answered", REPLY_LOG_DELAY_S)
         self._plan_needed = asyncio.Event()
         self._flush_needed = asyncio.Event()
         self._poll_wakeups: dict[str, asyncio.Event] = {}
@@ -223,6 +231,14 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            for rows in (
+                self._jobs_learned,
+                self._starts_sent,
+                self._starts_answered,
+                self._stops_sent,
+                self._stops_answered,
+            ):
+                rows.flush()
 
     async def resign(self) -> None:
         """Give up the leadership, so that the next leader need not wait."""
@@ -288,6 +304,11 @@
             ),
             mirror_revision=self._mirror.revision,
         )
+        rows = [
+            self._job_row(self._table.jobs[job_id], job)
+            for job_id, job in self._cluster.jobs.items()
+        ]
+        write_rows(self._log, "jobs taken over", rows, epoch=self._cluster.epoch)
 
     def configure(self) -> None:
         """Put a new configuration into force."""
@@ -296,16 +317,58 @@
 
     def _on_job(self, job: TableJob) -> None:
         now = self._clock()
+        source = self._intake.source_of_change
         if job.cancelled and job.job_id in self._cluster.jobs:
+            self._log_cancellation(job, source)
             try:
                 self._cluster.cancel_job(job.job_id, now, time.time())
             except Exception as exc:
                 # The workers are told to stop runs that are no longer tracked.
                 self._set_job_aside(job.job_id, exc)
-        else:
+        elif job.job_id not in self._cluster.jobs:
             self._add_job(job)
+            self._log_learned(job, source)
         self._after_event()
 
+    def _log_cancellation(self, job: TableJob, source: str) -> None:
+        open_job = self._cluster.jobs[job.job_id]
+        if open_job.state.final:
+            return
+        self._log.write(
+            "cancellation learned",
+            job=job.job_id,
+            by=source,
+            epoch=self._cluster.epoch,
+            copy_revision=self._mirror.revision,
+            copy_age_s=round(self._mirror.age_s, 3),
+            job_revision=job.revision,
+            state=open_job.state,
+            runs=sum(len(step.live) for step in open_job.steps.values()),
+        )
+
+    def _log_learned(self, job: TableJob, source: str) -> None:
+        open_job = self._cluster.jobs.get(job.job_id)
+        if open_job is None:
+            # It has ended, or its record is not valid.
+            return
+        self._jobs_learned.add(
+            self._job_row(job, open_job),
+            by=source,
+            epoch=self._cluster.epoch,
+            copy_revision=self._mirror.revision,
+            copy_age_s=round(self._mirror.age_s, 3),
+        )
+
+    def _job_row(self, stored: TableJob, job: OpenJob) -> dict:
+        return {
+            "job": stored.job_id,
+            "job_revision": stored.revision,
+            "accepted_by": job.accepted_by,
+            "state": job.state,
+            "cancelled": stored.cancelled,
+            "inherited": job.inherited,
+        }
+
     def _add_job(self, job: TableJob) -> None:
         inherited = job.revision < self._leadership.elected_revision
         try:
@@ -510,11 +573,16 @@
         reply = StartReply.NOT_SENT
         if self.may_send_orders and self._cluster.may_start(run):
             sent_at = self._clock()
+            self._log_start(start, sent_at)
             # The order may have been sent if an error occurred.
             reply = StartReply.UNKNOWN
             with self._faults.contain("start", run.task_id):
                 reply = await self._workers.start(run.worker.entry, start.order)
-            self._metrics.start_seconds.observe(self._clock() - sent_at)
+            took_s = self._clock() - sent_at
+            self._metrics.start_seconds.observe(took_s)
+            row = _row(run.task_id, run.number, run.worker)
+            row |= {"reply": reply, "took_s": round(took_s, 3)}
+            self._starts_answered.add(row)
         self._metrics.starts.labels(reply.value).inc()
         self._cluster.on_start_reply(run, reply, self._clock())
         if reply is not StartReply.RUNNING:
@@ -524,21 +592,46 @@
             if self._planner.starts_limited:
                 self._plan_needed.set()
 
+    def _log_start(self, start: StartRun, now: float) -> None:
+        """Log an order to start a run, and what it is based on, before it is sent."""
+        order, job = start.order, start.run.step.job
+        stored = self._table.find(job.spec.job_id)
+        row = {
+            "task": order.task_id,
+            "run": order.number,
+            "worker": order.worker_id,
+            "token": order.token,
+            "payload": payload_digest(order.payload),
+            "checkpoint": order.checkpoint[:MAX_CHECKPOINT_CHARS],
+            "state": job.state,
+            "cancelled": None if stored is None else stored.cancelled,
+            "job_revision": None if stored is None else stored.revision,
+            "decided_age_s": round(now - start.run.placed_at, 3),
+        }
+        self._starts_sent.add(
+            row,
+            epoch=self._cluster.epoch,
+            copy_revision=self._mirror.revision,
+            copy_age_s=round(self._mirror.age_s, 2),
+        )
+
     async def _stop(self, stop: StopRun) -> None:
         if not self.may_send_orders:
             return
         worker, done = stop.worker, False
+        sent_at = self._clock()
+        row = _row(stop.task_id, stop.number, worker)
+        sent = {
+            "token": worker.token,
+            "decided_age_s": round(sent_at - stop.decided_at, 3),
+        }
+        self._stops_sent.add(row | sent, epoch=self._cluster.epoch)
         with self._faults.contain("stop", stop.task_id):
             done = await self._workers.stop(
                 worker.entry, stop.task_id, stop.number, worker.token
             )
-        self._log.write(
-            "stop sent",
-            task=stop.task_id,
-            run=stop.number,
-            worker=worker.entry.worker_id,
-            taken=done,
-        )
+        took_s = round(self._clock() - sent_at, 3)
+        self._stops_answered.add(row | {"taken": done, "took_s": took_s})
 
     def _on_advice(self, call: AdviceCall, advice: Advice | None) -> None:
         try:
@@ -924,3 +1017,8 @@
     def _fail(self, why: str) -> None:
         if not self._failed.done():
             self._failed.set_exception(LeadershipLost(why))
+
+
+def _row(task_id: str, number: int, worker: WorkerState) -> dict:
+    """Return the fields of a row of the log that name a run."""
+    return {"task": task_id, "run": number, "worker": worker.entry.worker_id}
--- /dev/null
+++ b/tests/test_queue_log.py
@@ -0,0 +1,243 @@
+"""Checks that the logs tell who ordered a start or a stop, when and on what basis."""
+
+import asyncio
+import json
+import os
+from dataclasses import replace
+
+from flamingoway.model import Resources
+from flamingoway.queues.decisions import DecisionLog
+from flamingoway.queues.model import Step, StepJobSpec, StepJobState
+from flamingoway.queues.rows import (
+    MAX_CHECKPOINT_CHARS,
+    MAX_ROWS,
+    RowLog,
+    payload_digest,
+)
+from tests.platform_cell import call, run_in_cell, until
+from tests.queue_world import World
+from tests.test_queue_intake import JOB, run_with_cell
+from tests.virtual import run_virtual
+
+LASTING = StepJobSpec(
+    "a1", "checks", "payload", (Step(2, Resources(1000, 1000), 1.0, lasting=True),)
+)
+
+
+def run_world(body):
+    """Return the lines of a world of three nodes, and what the test returns.
+
+    Args:
+        body: Called with the world, its leader and the name of another node.
+    """
+
+    async def main():
+        world = World(1, failure_share=0.0)
+        world.duration = lambda task_id: 60.0
+        await world.begin()
+        leader = world.leader()
+        other = next(name for name in world.names if name != leader)
+        result = await body(world, leader, other)
+        await world.end()
+        assert world.checker.violations == []
+        return world.lines, result
+
+    return run_virtual(main)
+
+
+def entries(lines, event):
+    """Return the node and the fields of each row of an event, or of its lines."""
+    found = []
+    for _, node, name, fields in lines:
+        if name == event:
+            shared = {key: value for key, value in fields.items() if key != "rows"}
+            rows = fields.get("rows", [{}])
+            found += [(node, shared | row) for row in rows]
+    return found
+
+
+def test_a_start_is_logged_with_its_order_its_basis_and_its_reply():
+    async def body(world, leader, other):
+        assert await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        return leader, other
+
+    lines, (leader, other) = run_world(body)
+    ((_, accepted),) = entries(lines, "job accepted")
+    ((storing_node, stored),) = entries(lines, "jobs stored")
+    assert (storing_node, stored["jobs"]) == (other, ["a1"])
+    assert accepted["payload"] == payload_digest("payload")
+    ((learning_node, learned),) = entries(lines, "jobs learned")
+    assert (learning_node, learned["by"]) == (leader, "copy")
+    assert learned["job_revision"] == stored["revision"]
+    assert learned["accepted_by"] == other
+    starts = entries(lines, "starts sent")
+    assert [node for node, _ in starts] == [leader] * 2
+    assert [start["task"] for _, start in starts] == ["a1.0.0.0", "a1.0.0.1"]
+    for _, start in starts:
+        assert start["run"] == 1
+        assert start["worker"].startswith("w")
+        assert start["token"] >= 100_000 * start["epoch"] > 0
+        assert start["payload"] == accepted["payload"]
+        assert start["checkpoint"] == ""
+        assert (start["state"], start["cancelled"]) == (StepJobState.QUEUED, False)
+        assert start["job_revision"] == stored["revision"]
+        assert start["copy_revision"] > 0
+        assert start["copy_age_s"] >= 0 and start["decided_age_s"] >= 0
+    replies = entries(lines, "starts answered")
+    assert {reply["task"] for _, reply in replies} == {"a1.0.0.0", "a1.0.0.1"}
+    assert {reply["reply"].value for _, reply in replies} == {"running"}
+
+
+def test_a_job_is_logged_as_announced_if_the_leader_has_not_read_it_yet():
+    async def body(world, leader, other):
+        # After two changes in a row the leader reads the next only 0.1 s later.
+        for job_id in ("a1", "a2", "a3"):
+            await world.submit(other, replace(LASTING, job_id=job_id))
+        await asyncio.sleep(1.0)
+
+    lines, _ = run_world(body)
+    learned = {row["job"]: row for _, row in entries(lines, "jobs learned")}
+    assert learned["a3"]["by"] == "announcement"
+    assert learned["a3"]["job_revision"] > learned["a3"]["copy_revision"]
+
+
+def test_a_cancellation_is_logged_from_the_request_to_the_end_of_each_run():
+    async def body(world, leader, other):
+        await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        await world.cancel(other, "a1")
+        await asyncio.sleep(2.0)
+        await world.cancel(other, "a1")
+        return leader, other
+
+    lines, (leader, other) = run_world(body)
+    answers = entries(lines, "cancellation answered")
+    outcomes = [answer["outcome"] for _, answer in answers]
+    assert [node for node, _ in answers] == [other] * 2
+    assert outcomes == ["stored", "already cancelled"]
+    ((node, learned),) = entries(lines, "cancellation learned")
+    assert (node, learned["by"], learned["job"]) == (leader, "copy", "a1")
+    assert learned["runs"] == 2
+    assert learned["copy_revision"] > learned["job_revision"] > 0
+    tasks = ["a1.0.0.0", "a1.0.0.1"]
+    for event in ("stops sent", "stops answered", "stopped runs ended"):
+        rows = entries(lines, event)
+        assert {node for node, _ in rows} == {leader}
+        assert sorted(row["task"] for _, row in rows) == tasks, event
+    assert all(row["token"] > 0 for _, row in entries(lines, "stops sent"))
+    assert all(row["taken"] for _, row in entries(lines, "stops answered"))
+
+
+def test_a_cancellation_asked_of_the_leader_is_logged_as_learned_from_its_caller():
+    async def body(world, leader, other):
+        await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        await world.cancel(leader, "a1")
+        await asyncio.sleep(1.0)
+
+    lines, _ = run_world(body)
+    ((_, learned),) = entries(lines, "cancellation learned")
+    assert learned["by"] == "caller"
+
+
+def test_the_cancellation_of_an_unknown_job_is_logged_with_the_answer():
+    async def body(world, leader, other):
+        await world.cancel(other, "b2")
+        return other
+
+    lines, other = run_world(body)
+    ((node, answer),) = entries(lines, "cancellation answered")
+    assert (node, answer["job"], answer["outcome"]) == (other, "b2", "no such job")
+    assert (answer["state"], answer["job_revision"]) == (None, None)
+    assert answer["copy_revision"] > 0
+
+
+def test_a_takeover_is_logged_with_the_jobs_and_the_runs_that_it_inherits():
+    async def body(world, leader, other):
+        await world.submit(leader, LASTING)
+        await asyncio.sleep(1.0)
+        await world.kill_node(leader)
+        await asyncio.sleep(10.0)
+        return world.leader()
+
+    lines, successor = run_world(body)
+    ((node, job),) = entries(lines, "jobs taken over")
+    assert (node, job["job"], job["cancelled"]) == (successor, "a1", False)
+    assert job["inherited"] and job["epoch"] == 2
+    adopted = entries(lines, "runs adopted")
+    assert sorted(row["task"] for _, row in adopted) == ["a1.0.0.0", "a1.0.0.1"]
+
+
+def test_a_write_of_a_job_that_may_be_applied_later_is_logged():
+    async def body(cell):
+        cell.store.drop_answers(1)
+        await cell.intake.submit(JOB, 3.0)
+        lines = dict(cell.log.lines)
+        assert lines["job write unresolved"]["jobs"] == [JOB.job_id]
+        assert lines["job write not applied"]["found"] == [JOB.job_id]
+
+    run_with_cell(body)
+
+
+def test_lines_with_the_longest_rows_are_complete():
+    """Guards against a line that is cut and cannot be read."""
+    read, write = os.pipe()
+
+    async def main():
+        rows = RowLog(DecisionLog("front-breizh-b-1", write), "starts sent")
+        for index in range(MAX_ROWS):
+            row = {
+                "task": f"{'a' * 64}.999999999.999999999.{100_000_000 + index}",
+                "run": 10**9,
+                "worker": "w" * 64,
+                "token": 10**12,
+                "payload": payload_digest("x" * 4000),
+                "checkpoint": "c" * MAX_CHECKPOINT_CHARS,
+                "state": StepJobState.RUNNING,
+                "cancelled": False,
+                "job_revision": 10**12,
+                "decided_age_s": 12345.678,
+            }
+            rows.add(row, epoch=10**6, copy_revision=10**12, copy_age_s=1234.56)
+
+    run_virtual(main)
+    assert len(json.loads(os.read(read, 10_000))["rows"]) == MAX_ROWS
+
+
+def test_the_logs_of_real_processes_tell_of_a_start_and_its_cancellation(tmp_path):
+    async def body(cell):
+        job = {"spec": "payload", "steps": [{"count": 1, "longRunning": True}]}
+        leader = cell.leader()
+        (other,) = [entry for entry in cell.entries if entry is not leader]
+        for worker in cell.workers:
+            worker._task_s = 60.0
+        path = "/p/5c0e7a21d94b36f8"
+        assert (await call("POST", path, other.front, job)).code == 200
+
+        async def started():
+            return any(worker.running for worker in cell.workers)
+
+        async def stopped():
+            return not await started()
+
+        await until(started)
+        assert (await call("DELETE", path, other.front)).code == 200
+        assert (await call("DELETE", path + "0", other.front)).code == 410
+        await until(stopped)
+        await asyncio.sleep(0.5)
+        (order,) = [body for worker in cell.workers for body in worker.starts]
+        lines, _ = await leader.stop()
+        (sent,) = [line for line in lines if line["event"] == "starts sent"]
+        (row,) = sent["rows"]
+        assert sent["process"] == leader.name
+        assert row["task"] == order["task"] and row["run"] == order["run"]
+        assert row["token"] == order["fencingToken"]
+        assert row["payload"] == payload_digest(order["spec"])
+        (ended,) = [line for line in lines if line["event"] == "stopped runs ended"]
+        assert ended["rows"][0]["outcome"] == "stopped"
+        lines, _ = await other.stop()
+        answers = [line for line in lines if line["event"] == "cancellation answered"]
+        assert [line["outcome"] for line in answers] == ["stored", "no such job"]
+
+    run_in_cell(tmp_path, body)
