--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -433,7 +433,14 @@
             self._release_run(run, now)
 
     def _log_dropped(self, worker: WorkerState, runs: Iterable[Run]) -> None:
-        rows = [{"task": run.task_id, "run": run.number} for run in runs]
+        rows = [
+            {
+                "task": run.task_id,
+                "run": run.number,
+                "checkpoint": run.checkpoint[:MAX_CHECKPOINT_CHARS],
+            }
+            for run in runs
+        ]
         worker_id = worker.entry.worker_id
         write_rows(self._log, "runs dropped", rows, worker=worker_id)
 
@@ -579,6 +586,7 @@
                     run=run.number,
                     worker=worker.entry.worker_id,
                     unresolved=run.unresolved,
+                    checkpoint=run.checkpoint[:MAX_CHECKPOINT_CHARS],
                 )
                 self._release_run(run, now)
 
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -15,6 +15,7 @@
     payload_digest,
 )
 from tests.platform_cell import call, run_in_cell, until
+from tests.queue_cluster import Bench, step
 from tests.queue_world import World
 from tests.test_queue_intake import JOB, run_with_cell
 from tests.virtual import run_virtual
@@ -241,3 +242,16 @@
         assert [line["outcome"] for line in answers] == ["stored", "no such job"]
 
     run_in_cell(tmp_path, body)
+
+
+def test_the_checkpoint_of_a_lost_run_is_logged():
+    """Guards against a start whose checkpoint no line explains."""
+    bench = Bench(workers=1)
+    bench.submit("a1", step(checkpointing=True))
+    bench.plan()
+    bench.report("w0", [("a1.0.0.0", 1, "c1", 5.0)])
+    worker = bench.worker("w0")
+    bench.cluster.drop_runs(worker, bench.now, "its lease has expired")
+    ((_, fields),) = [line for line in bench.log.lines if line[0] == "runs dropped"]
+    assert fields["worker"] == "w0"
+    assert fields["rows"] == [{"task": "a1.0.0.0", "run": 1, "checkpoint": "c1"}]
