--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -14,7 +14,7 @@
 
 def test_every_event_of_the_example_lines_exists():
     events = re.findall(r'"event":"([^"]+)"', PAGE)
-    assert len(events) == 4
+    assert len(events) == 6
     for event in events:
         assert f'"{event}"' in SOURCES, event
 
