Take only ids of 16 hexadecimal digits as ids of jobs

What callers could see: a worker runs a task whose job id nobody chose (UNASKED, also ROUTE).

Cause: the adapter took any 1 to 64 letters and digits after the prefix as an id. While a process does not have a route in force, or has it no more, requests for it may match a route with a shorter prefix, and the rest of the longer prefix and the id made up one new id.

Tests that used shorter or longer ids use ids of 16 digits now; what they assert is unchanged.

--- a/flamingoway/platform/ingress.py
+++ b/flamingoway/platform/ingress.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers: paths, bodies and statuses of the platform's job API."""
 
+import string
 import time
 
 from ..errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
@@ -14,11 +15,14 @@
 # A longer deadline is treated as this one, since a caller is not held for hours.
 MAX_TIMEOUT_S = 3600.0
 MAX_DEADLINE_CHARS = 18
-MAX_JOB_ID_CHARS = 64
+# A job id has exactly this many hexadecimal digits. Otherwise, while a route is not in
+# force, its requests could be taken for jobs of a route with a shorter prefix.
+JOB_ID_CHARS = 16
 MAX_LOGGED_PATH_CHARS = 120
 # Callers treat this status like a missing answer: they repeat the request with the same
 # id at another process.
 OUTCOME_UNKNOWN_STATUS = 504
+HEX_DIGITS = frozenset(string.hexdigits)
 STATUSES = {Code.NOT_FOUND: 410, Code.BODY_TOO_LARGE: 413, Code.MEMBER_LIMIT: 429}
 
 
@@ -99,7 +103,7 @@
 
 
 def _is_job_id(text: str) -> bool:
-    return len(text) <= MAX_JOB_ID_CHARS and text.isascii() and text.isalnum()
+    return len(text) == JOB_ID_CHARS and HEX_DIGITS.issuperset(text)
 
 
 def _timeout(request: HttpRequest) -> float:
--- a/tests/test_invalid_records.py
+++ b/tests/test_invalid_records.py
@@ -63,10 +63,10 @@
             await cell.operator.txn([], [Put(key, value)])
             if number % 6 == 0:
                 await replace_leader(cell)
-            await complete(cell.entries[number % 3], f"00a{number}")
+            await complete(cell.entries[number % 3], f"{0xA00 + number:016x}")
             assert cell.leader() is not None, name
         await replace_leader(cell)
-        await complete(cell.entries[0], "00b0")
+        await complete(cell.entries[0], "00000000000000b0")
         check_processes(cell)
         metrics = (await call("GET", "/metrics", cell.leader().metrics)).body
         assert b'flamingoway_queue_skipped_records_total{kind="worker"}' in metrics
@@ -78,13 +78,13 @@
     """Guards against orders to a worker that the registry no longer shows."""
 
     async def body(cell):
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         invalid = invalid_records.worker_entries(SERVICE)["port out of range"]
         await cell.operator.txn([], [Put("servers/w0", invalid)])
         await asyncio.sleep(0.5)
         before = len(cell.workers[0].starts)
         for number in range(4):
-            await complete(cell.entries[number % 3], f"00b{number}")
+            await complete(cell.entries[number % 3], f"{0xB00 + number:016x}")
         assert len(cell.workers[0].starts) == before
 
     run_cell(body)
@@ -100,7 +100,7 @@
                 await cell.operator.txn([], [Put(key, value)])
             await cell.operator.txn([], [Put("fw/unknown", value)])
             await replace_leader(cell)
-            await complete(cell.entries[index], f"00a{index}")
+            await complete(cell.entries[index], f"{0xA00 + index:016x}")
         check_processes(cell)
 
     run_cell(body)
@@ -111,11 +111,11 @@
     """Guards against a counter that nobody can read and so nobody can follow."""
 
     async def body(cell):
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         await cell.operator.txn([], [Put("fw/epoch", value)])
-        await complete(cell.entries[1], "00a1")
+        await complete(cell.entries[1], "00000000000000a1")
         await replace_leader(cell)
-        await complete(cell.entries[0], "00a2")
+        await complete(cell.entries[0], "00000000000000a2")
         check_processes(cell)
 
     run_cell(body, entries=2)
@@ -128,12 +128,12 @@
         for number, (name, data) in enumerate(JOB_BODIES.items()):
             began = time.monotonic()
             front = cell.entries[number % 3].front
-            answer = await call("POST", f"/p/00d{number}", front, data)
+            answer = await call("POST", f"/p/{0xD00 + number:016x}", front, data)
             assert answer.code == 400, (name, answer.body)
             assert time.monotonic() - began < REFUSAL_S
             assert b"error" in answer.body
         await replace_leader(cell)
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         check_processes(cell)
 
     run_cell(body)
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -208,7 +208,7 @@
     """Guards against a worker that left, or a queue that was removed, in use again."""
 
     async def play(cell):
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         left = cell.workers[0]
         await cell.operator.txn([], [Delete(f"servers/{left.worker_id}")])
         value = config(2, SERVICE, {"plans": "/p/"})
@@ -222,9 +222,9 @@
         for entry in cell.entries:
             await entry.ready_again()
         for number in range(4):
-            await complete(cell.entries[number % 2], f"00b{number}")
+            await complete(cell.entries[number % 2], f"{0xB00 + number:016x}")
         assert len(left.starts) == before
-        answer = await call("POST", "/s/00c0", cell.entries[0].front, JOB)
+        answer = await call("POST", "/s/00000000000000c0", cell.entries[0].front, JOB)
         assert answer.code == 404
 
     run_in_cell(tmp_path, play)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -18,10 +18,10 @@
 def test_a_job_runs_through_any_process(run_cell):
     async def body(cell):
         for index, entry in enumerate(cell.entries):
-            await complete(entry, f"00a{index}")
+            await complete(entry, f"{0xA00 + index:016x}")
         started = [s["task"] for worker in cell.workers for s in worker.starts]
         assert len(started) == len(set(started)) == 8
-        assert await state(cell.entries[0], "00a1") == "completed"
+        assert await state(cell.entries[0], "0000000000000a01") == "completed"
         metrics = await call("GET", "/metrics", cell.entries[0].metrics)
         assert b"flamingoway_queue_requests_total" in metrics.body
         lines, code = await cell.entries[0].stop()
@@ -38,13 +38,13 @@
     """Guards against jobs that are not continued after their leader has ended."""
 
     async def body(cell):
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         leader = cell.leader()
         (other,) = [entry for entry in cell.entries if entry is not leader]
         stopping = asyncio.create_task(leader.stop(signal_number))
-        await complete(other, "00a1")
+        await complete(other, "00000000000000a1")
         await stopping
-        assert await state(other, "00a0") == "completed"
+        assert await state(other, "00000000000000a0") == "completed"
 
     run_cell(body)
 
@@ -56,7 +56,7 @@
         entry = cell.entries[0]
         stopping = asyncio.create_task(entry.stop())
         for index in range(10):
-            answer = await call("POST", f"/p/00b{index}", entry.front, JOB)
+            answer = await call("POST", f"/p/{0xB00 + index:016x}", entry.front, JOB)
             assert answer.code == 200
             await asyncio.sleep(0.1)
         lines, code = await stopping
@@ -68,8 +68,8 @@
 
 def test_jobs_survive_when_all_processes_are_killed(run_cell):
     async def body(cell):
-        await complete(cell.entries[0], "00a0")
-        accepted = await call("POST", "/s/00a1", cell.entries[0].front, JOB)
+        await complete(cell.entries[0], "00000000000000a0")
+        accepted = await call("POST", "/s/00000000000000a1", cell.entries[0].front, JOB)
         assert accepted.code == 200
         for entry in cell.entries:
             await entry.stop(signal.SIGKILL)
@@ -77,12 +77,12 @@
             await entry.start()
         for entry in cell.entries:
             await entry.ready_again()
-        assert await state(cell.entries[0], "00a0") == "completed"
+        assert await state(cell.entries[0], "00000000000000a0") == "completed"
         answer = None
 
         async def completed():
             nonlocal answer
-            answer = await call("GET", "/s/00a1", cell.entries[1].front)
+            answer = await call("GET", "/s/00000000000000a1", cell.entries[1].front)
             return b"completed" in answer.body
 
         await until(completed)
@@ -96,10 +96,10 @@
 
     async def submit(cell, number):
         entry = cell.entries[number % 3]
-        return (await call("POST", f"/p/00c{number}", entry.front, JOB)).code
+        return (await call("POST", f"/p/{0xC00 + number:016x}", entry.front, JOB)).code
 
     async def body(cell):
-        await complete(cell.entries[0], "00a0")
+        await complete(cell.entries[0], "00000000000000a0")
         cell.standin.faults.silent = fault == "silent"
         cell.standin.faults.status = 503 if fault == "refusing" else 0
         await asyncio.sleep(1.5)
@@ -109,7 +109,7 @@
         cell.standin.faults.silent, cell.standin.faults.status = False, 0
         assert await asyncio.gather(*calls) == [200] * 9
         for number in range(9):
-            job_id = f"00c{number}"
+            job_id = f"{0xC00 + number:016x}"
 
             async def completed(job_id=job_id):
                 return await state(cell.entries[0], job_id) == "completed"
@@ -129,7 +129,7 @@
         entry.path.write_text(yaml.safe_dump(entry.settings))
         entry.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.5)
-        await complete(entry, "00a0")
+        await complete(entry, "00000000000000a0")
         lines, _ = await entry.stop()
         events = [line["event"] for line in lines]
         assert "reload refused" in events and "reloaded" in events
--- a/tests/test_queue_faults.py
+++ b/tests/test_queue_faults.py
@@ -279,7 +279,7 @@
         cell.intake.submit = fail
         ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         body = b'{"spec":"x","steps":[{"count":1}]}'
-        answer = await ingress.handle(Request("POST", "/p/00aa", body))
+        answer = await ingress.handle(Request("POST", "/p/00000000000000aa", body))
         assert answer.status == 504
 
     run_with_cell(body)
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -49,7 +49,8 @@
 # The number of waiting jobs may be this old, by the users' rules.
 COUNT_AGE_S = 2.0
 QUEUE = Queue("plans", "jobs.example", "/p/", "s", 1, 3, 2.0, 1.0)
-JOB = StepJobSpec("00aa", "plans", "x", (Step(1, Resources(1000, 1000)),))
+JOB = StepJobSpec("00000000000000aa", "plans", "x", (Step(1, Resources(1000, 1000)),))
+JOB_PATH = f"/p/{JOB.job_id}"
 
 
 class Peers:
@@ -609,14 +610,14 @@
 @pytest.mark.parametrize(
     "request_, status",
     [
-        (Request("POST", "/p/00aa", b'{"spec":"x","steps":[{"count":1}]}'), 200),
-        (Request("POST", "/p/00aa", b"{"), 400),
-        (Request("POST", "/q/00aa", b"{}"), 404),
-        (Request("POST", "/p/00aa", b"{}", host="other"), 404),
+        (Request("POST", JOB_PATH, b'{"spec":"x","steps":[{"count":1}]}'), 200),
+        (Request("POST", JOB_PATH, b"{"), 400),
+        (Request("POST", f"/q/{JOB.job_id}", b"{}"), 404),
+        (Request("POST", JOB_PATH, b"{}", host="other"), 404),
         (Request("GET", "/p/"), 200),
-        (Request("GET", "/p/00aa"), 410),
-        (Request("DELETE", "/p/00aa"), 410),
-        (Request("PUT", "/p/00aa"), 405),
+        (Request("GET", JOB_PATH), 410),
+        (Request("DELETE", JOB_PATH), 410),
+        (Request("PUT", JOB_PATH), 405),
     ],
 )
 def test_response_statuses(request_, status):
@@ -649,9 +650,9 @@
 
     async def check(cell):
         ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
-        answer = await ingress.handle(Request("POST", "/p/00aa", data))
+        answer = await ingress.handle(Request("POST", JOB_PATH, data))
         assert answer.status == 400 and why in answer.body.decode()
-        assert (await ingress.handle(Request("GET", "/p/00aa"))).status == 410
+        assert (await ingress.handle(Request("GET", JOB_PATH))).status == 410
 
     run_with_cell(check)
 
@@ -660,7 +661,7 @@
     async def body(cell):
         ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
         data = b'{"spec":"%s","steps":[{"count":1},{"after":[0]}]}' % (b"x" * 4000)
-        answer = await ingress.handle(Request("POST", "/p/00aa", data))
+        answer = await ingress.handle(Request("POST", JOB_PATH, data))
         assert answer.status == 200
 
     run_with_cell(body)
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -224,7 +224,7 @@
 
         await until(started)
         assert (await call("DELETE", path, other.front)).code == 200
-        assert (await call("DELETE", path + "0", other.front)).code == 410
+        assert (await call("DELETE", "/p/5c0e7a21d94b36f9", other.front)).code == 410
         await until(stopped)
         await asyncio.sleep(0.5)
         (order,) = [body for worker in cell.workers for body in worker.starts]
