Submit invalid jobs with valid ids in the soak, and name the limit of ids

Since ids have 16 hexadecimal digits, the soak's ids of invalid jobs would have been answered 404 before their bodies were read, and the check could not fail.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,6 +31,8 @@
 WORKER_CORES_MILLI = 16_000
 SUBMIT_ATTEMPTS = 4
 QUEUES = {"plans": "/p/", "sorts": "/s/"}
+# First id of jobs that are not valid.
+INVALID_ID = 0xBAD0 << 48
 FAULTS = {}
 
 
@@ -367,8 +369,8 @@
 
 @fault
 async def submit_invalid_jobs(soak):
-    for name, body in invalid_records.job_bodies().items():
-        path = f"/p/invalid{name.replace(' ', '')}"
+    for number, (name, body) in enumerate(invalid_records.job_bodies().items()):
+        path = f"/p/{INVALID_ID + number:016x}"
         answer = await call("POST", path, soak.rng.choice(soak.entries).front, body)
         if answer.code == 200:
             soak.ledger.broken.append(f"LIMITS {name} was accepted")
