Refuse a submission that arrives after its cancellation

A cancellation of an id without a job was answered NOT_FOUND, "not run", from the memory of the process alone. A submission of that id that was still on its way (a relayed request whose reply was lost, a repeated one, one held in a paused process) was accepted afterwards and ran. A paused former owner also denied a job that its successor had accepted.

The owner now commits such a cancellation, and refuses a later submission of the member with this id with CANCELLED_BEFORE. NOT_FOUND is answered only after the commit, so that a former owner can't give it.

--- a/flamingoway/core/ledger.py
+++ b/flamingoway/core/ledger.py
@@ -35,6 +35,7 @@
     task_id_of,
     task_index_of,
 )
+from .withdrawals import Withdrawal, Withdrawals
 
 ZERO = Resources()
 
@@ -48,6 +49,7 @@
     def __init__(self):
         self._jobs: dict[str, Job] = {}
         self._tasks: dict[str, Task] = {}
+        self._withdrawals = Withdrawals()
         self._capacity: dict[str, Resources] = {}
         self._used: dict[str, Resources] = {}
         self._tasks_on: dict[str, dict[str, Task]] = {}
@@ -75,6 +77,11 @@
         """Tasks by id; read only."""
         return self._tasks
 
+    @property
+    def withdrawals(self) -> Withdrawals:
+        """Job ids that were cancelled before their submission arrived; read only."""
+        return self._withdrawals
+
     @property
     def workers(self) -> list[str]:
         """Ids of the workers whose capacity is known."""
@@ -158,7 +165,7 @@
 
     def snapshot(self) -> list[bytes]:
         """Return the encoded state, split into parts of at most 512 KiB."""
-        return encode_snapshot(self._jobs.values())
+        return encode_snapshot(self._jobs.values(), self._withdrawals)
 
     @classmethod
     def restore(cls, parts: Iterable[bytes]) -> "Ledger":
@@ -168,8 +175,10 @@
             LedgerError: If the parts cannot be decoded or have an unknown format.
         """
         ledger = cls()
-        for job in decode_snapshot(parts):
+        jobs, withdrawals = decode_snapshot(parts)
+        for job in jobs:
             ledger._add_job(job)
+        ledger._withdrawals = Withdrawals(withdrawals)
         return ledger
 
     def _add_job(self, job: Job) -> None:
@@ -217,6 +226,8 @@
         spec = record.spec
         if spec.job_id in self._jobs:
             raise LedgerError(f"job {spec.job_id} has already been accepted")
+        if self._withdrawals.contains(spec.environment, spec.member, spec.job_id):
+            raise LedgerError(f"job {spec.job_id} has been cancelled")
         job = Job(spec, record.at)
         job.tasks = [
             Task(task_id_of(spec.job_id, index), spec.job_id)
@@ -294,7 +305,14 @@
                 task.state = TaskState.FAILED if failed else TaskState.CANCELLED
 
     def _apply_cancel(self, record: CancelRequested) -> None:
-        self._job(record.job_id)
+        if record.job_id in self._jobs:
+            return
+        if not record.member:
+            raise LedgerError(f"unknown job {record.job_id}")
+        withdrawal = Withdrawal(
+            record.environment, record.member, record.job_id, record.at
+        )
+        self._withdrawals.add(withdrawal)
 
     def _apply_job_removed(self, record: JobRemoved) -> None:
         job = self._job(record.job_id)
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -124,6 +124,12 @@
         if existing is not None:
             state.effect(_duplicate_reply(existing, spec, waiter))
             return
+        if state.ledger.withdrawals.contains(
+            spec.environment, spec.member, spec.job_id
+        ):
+            message = "the job id was cancelled before this submission"
+            state.effect(Reply(waiter, Code.CANCELLED_BEFORE, spec.job_id, message))
+            return
         refused = refusal(spec, waiter, state.index, state.queue)
         if refused is not None:
             state.effect(refused)
@@ -143,18 +149,21 @@
         now: float,
         wall: float,
     ) -> None:
-        """Cancel a job of a member; has no effect on a finished job."""
+        """Cancel a job of a member; has no effect on a finished job.
+
+        The id of an unknown job is kept, since its submission may still arrive.
+        """
         state = self._state
         state.set_time(now, wall)
         job = state.ledger.jobs.get(job_id)
-        if job is None or (job.spec.environment, job.spec.member) != (
-            environment,
-            member,
-        ):
+        if job is None:
+            self._withdraw(CancelRequested(job_id, wall, environment, member), waiter)
+            return
+        if (job.spec.environment, job.spec.member) != (environment, member):
             state.effect(Reply(waiter, Code.NOT_FOUND, job_id, "no such job"))
             return
         if not job.state.final:
-            state.record(CancelRequested(job_id, wall))
+            state.record(CancelRequested(job_id, wall, environment, member))
             state.end_job(
                 job, JobState.CANCELLED, Code.JOB_CANCELLED, "cancelled by the member"
             )
@@ -255,6 +264,23 @@
         placer = self._placer
         return waiting_reasons(self._state, job, placer.reserved_for, placer.quotas)
 
+    def _withdraw(self, request: CancelRequested, waiter: object) -> None:
+        """Keep the cancellation of a job id without a job."""
+        state = self._state
+        environment, member, job_id = (
+            request.environment,
+            request.member,
+            request.job_id,
+        )
+        withdrawals = state.ledger.withdrawals
+        if not withdrawals.contains(environment, member, job_id):
+            if not withdrawals.accepts(environment, member, request.at):
+                message = "too many cancellations of unknown jobs"
+                state.effect(Reply(waiter, Code.MEMBER_LIMIT, job_id, message))
+                return
+            state.record(request)
+        state.effect(Reply(waiter, Code.NOT_FOUND, job_id, "no such job"))
+
     def _enqueue_restored(self) -> None:
         self._state.count_restored_preemptible()
         for job in self._state.ledger.jobs.values():
--- a/flamingoway/core/snapshot.py
+++ b/flamingoway/core/snapshot.py
@@ -6,6 +6,7 @@
 
 from ..errors import FlamingowayError
 from ..model import Job, JobSpec, JobState, Task, TaskState
+from .withdrawals import Withdrawal
 
 SNAPSHOT_FORMAT = 1
 MAX_PART_BYTES = 512 * 1024
@@ -40,11 +41,21 @@
     tasks: list[_TaskRow]
 
 
+class _WithdrawalRow(msgspec.Struct, array_like=True):
+    """A cancelled job id without a job."""
+
+    environment: str
+    member: str
+    job_id: str
+    at: float
+
+
 class _Snapshot(msgspec.Struct, array_like=True):
     """Complete state of a shard."""
 
     format: int
     jobs: list[_JobRow]
+    withdrawals: list[_WithdrawalRow] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -61,16 +72,22 @@
     return int(task_id.rpartition("/")[2])
 
 
-def encode_snapshot(jobs: Iterable[Job]) -> list[bytes]:
-    """Encode jobs as a snapshot, in parts of at most ``MAX_PART_BYTES``."""
-    snapshot = _Snapshot(SNAPSHOT_FORMAT, [_row_from_job(job) for job in jobs])
+def encode_snapshot(
+    jobs: Iterable[Job], withdrawals: Iterable[Withdrawal] = ()
+) -> list[bytes]:
+    """Encode the state as a snapshot, in parts of at most ``MAX_PART_BYTES``."""
+    snapshot = _Snapshot(
+        SNAPSHOT_FORMAT,
+        [_row_from_job(job) for job in jobs],
+        [_WithdrawalRow(w.environment, w.member, w.job_id, w.at) for w in withdrawals],
+    )
     data = _ENCODER.encode(snapshot)
     starts = range(0, len(data), MAX_PART_BYTES)
     return [data[start : start + MAX_PART_BYTES] for start in starts]
 
 
-def decode_snapshot(parts: Iterable[bytes]) -> list[Job]:
-    """Decode the jobs of a snapshot from its parts, in order.
+def decode_snapshot(parts: Iterable[bytes]) -> tuple[list[Job], list[Withdrawal]]:
+    """Decode the jobs and withdrawals of a snapshot from its parts, in order.
 
     Raises:
         LedgerError: If the parts cannot be decoded or have an unknown format.
@@ -83,7 +100,12 @@
         raise LedgerError(
             f"unknown snapshot format {snapshot.format}, expected {SNAPSHOT_FORMAT}"
         )
-    return [_job_from_row(row) for row in snapshot.jobs]
+    jobs = [_job_from_row(row) for row in snapshot.jobs]
+    withdrawals = [
+        Withdrawal(row.environment, row.member, row.job_id, row.at)
+        for row in snapshot.withdrawals
+    ]
+    return jobs, withdrawals
 
 
 def _row_from_job(job: Job) -> _JobRow:
--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -172,8 +172,11 @@
         return JobList([_summary_of(job) for job in jobs[: request.limit]])
 
     async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
-        _find_job(owner, request)
         reply = await owner.cancel(request.job_id, request.environment, request.member)
+        if reply.code == Code.NOT_FOUND:
+            raise _not_found(request.job_id)
+        if reply.code == Code.MEMBER_LIMIT:
+            raise Refused(reply.message, Code.MEMBER_LIMIT, retry_after=RETRY_AFTER_S)
         return SubmitReply(int(reply.code), request.job_id, reply.message)
 
     async def _explain(self, owner: ShardOwner, request: ExplainJob) -> Explanation:
@@ -233,7 +236,7 @@
     return msgspec.structs.replace(view_of(job), tasks={}, results={})
 
 
-def _find_job(owner: ShardOwner, request: GetJob | CancelJob) -> Job:
+def _find_job(owner: ShardOwner, request: GetJob) -> Job:
     job = owner.scheduler.view(request.job_id)
     if job is None or (job.spec.environment, job.spec.member) != (
         request.environment,
--- a/flamingoway/records.py
+++ b/flamingoway/records.py
@@ -82,10 +82,15 @@
 
 
 class CancelRequested(Record, tag="cr"):
-    """A member cancelled a job."""
+    """A member cancelled a job.
+
+    Without a job of this id, a later submission of the member with it is refused.
+    """
 
     job_id: str
     at: float = 0.0
+    environment: str = ""
+    member: str = ""
 
 
 class JobRemoved(Record, tag="jf"):
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 
+from flamingoway.core.effects import StartTask
 from flamingoway.core.ledger import Ledger
 from flamingoway.model import JobState, Policy, Resources, TaskState
 from flamingoway.status import Code
@@ -139,6 +140,17 @@
                 accepted = True
 
 
+def check_start(start: StartTask, cancelled: set[tuple[str, str]]) -> None:
+    """No start is sent for a job whose cancellation was answered.
+
+    Args:
+        start: A start that is about to be sent.
+        cancelled: Member and job id of each answered cancellation.
+    """
+    job = (start.spec.member, start.spec.job_id)
+    _require(job not in cancelled, f"{start.task_id} starts after its cancellation")
+
+
 def _require(condition: bool, message: str) -> None:
     if not condition:
         raise Violation(message)
--- a/tests/scheduling_world.py
+++ b/tests/scheduling_world.py
@@ -66,6 +66,13 @@
         self.finished.append(FinishedAttempt(task_id, attempt, outcome, result))
 
 
+@dataclass(frozen=True)
+class Cancellation:
+    """Waiter of a cancellation by a member."""
+
+    member: str
+
+
 class ShardSimulation:
     """One shard, driven by the methods in ``STEPS``.
 
@@ -83,6 +90,7 @@
         self.history: dict[str, list] = {}
         self.accepted: set[str] = set()
         self.removed: set[str] = set()
+        self.cancelled: set[tuple[str, str]] = set()
         self.old_reports: list[WorkerReport] = []
         self.replicas = 2
         self.job_count = 0
@@ -136,7 +144,8 @@
         job_id = f"j{pick % (self.job_count + 1)}"
         job = self.scheduler.view(job_id)
         member = job.spec.member if job else "m0"
-        self.scheduler.cancel(job_id, "e", member, None, self.now, self.now)
+        waiter = Cancellation(member)
+        self.scheduler.cancel(job_id, "e", member, waiter, self.now, self.now)
 
     def schedule(self, pick: int) -> None:
         self.now += (0.0, 0.1, 1.0, 15.0)[pick % 4]
@@ -344,9 +353,13 @@
     def _execute_effects(self, batch: Batch) -> None:
         for effect in batch.effects:
             if isinstance(effect, Reply):
-                if effect.waiter:
+                if isinstance(effect.waiter, Cancellation):
+                    self.cancelled.add((effect.waiter.member, effect.job_id))
+                elif effect.waiter:
                     self._answer(effect.job_id, effect.code)
             else:
+                if isinstance(effect, StartTask):
+                    invariants.check_start(effect, self.cancelled)
                 self.workers[effect.worker_id].mailbox.append(effect)
 
     def _answer_accepted(self, batch: Batch, code: Code) -> None:
--- /dev/null
+++ b/tests/test_cancellation.py
@@ -0,0 +1,267 @@
+"""Cancellations that race with submissions, owner changes and starts."""
+
+import asyncio
+import random
+
+import pytest
+
+from flamingoway import feeds, predecessor
+from flamingoway.core.ledger import Ledger
+from flamingoway.core.scheduler import Scheduler
+from flamingoway.core.withdrawals import (
+    MAX_PER_MEMBER,
+    RETENTION_S,
+    Withdrawal,
+    Withdrawals,
+)
+from flamingoway.errors import FlamingowayError, OutcomeUnknown
+from flamingoway.jobs import job_id_of
+from flamingoway.messages import CancelJob, SubmitJob
+from flamingoway.model import JobSpec, Policy
+from flamingoway.status import Code
+from tests.owner_bench import Cell, until
+from tests.test_jobs import ACTIVE
+from tests.test_jobs import run as run_remote
+
+
+@pytest.fixture(autouse=True)
+def short_intervals(monkeypatch):
+    async def is_deposed(self, former):
+        return True
+
+    monkeypatch.setattr(feeds, "WORKER_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(predecessor, "ASK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(predecessor.FormerOwners, "_is_deposed", is_deposed)
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 30))
+
+
+async def let_tasks_run():
+    await asyncio.sleep(0.1)
+
+
+def submission(job_id="j", member="m"):
+    return SubmitJob("s", "e", member, job_id, "k", 1, False, b"{}", "d")
+
+
+async def cancel(process, job_id="j", member="m"):
+    """Cancel a job at its owner; return the code of the answer."""
+    try:
+        reply = await process.service.handle(CancelJob("s", "e", member, job_id))
+    except FlamingowayError as exc:
+        return exc.code
+    return Code(reply.code)
+
+
+async def submit(process, job_id="j", member="m"):
+    reply = await process.service.handle(submission(job_id, member))
+    return Code(reply.code)
+
+
+async def same_owner(cell, process):
+    return process
+
+
+async def new_owner(cell, process):
+    await process.end()
+    return await (await cell.own("p2")).ready()
+
+
+async def new_owner_with_snapshot(cell, process):
+    parts = process.owner.scheduler.ledger.snapshot()
+    process = await new_owner(cell, process)
+    restored = Ledger.restore(parts).withdrawals
+    assert list(restored) == list(process.owner.scheduler.ledger.withdrawals)
+    return process
+
+
+@pytest.mark.parametrize("change", [same_owner, new_owner, new_owner_with_snapshot])
+def test_a_submission_that_arrives_after_its_cancellation_does_not_run(change):
+    """Guards against a start after a cancellation that found no job."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        assert await cancel(process) == Code.NOT_FOUND
+        assert await cancel(process) == Code.NOT_FOUND
+        process = await change(cell, process)
+        assert await submit(process) == Code.CANCELLED_BEFORE
+        assert Code.CANCELLED_BEFORE.ran == "no"
+        await let_tasks_run()
+        assert cell.network.starts() == []
+        assert await submit(process, "other") == Code.ACCEPTED
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_cancellation_decides_an_unresolved_submission(monkeypatch):
+    """Guards against "no such job" for a submission that is still on its way."""
+
+    async def scenario(remote):
+        call, held = remote.peers.call, []
+
+        async def hold(address, request, timeout_s, reply):
+            if isinstance(request, SubmitJob):
+                held.append(request)
+                raise OutcomeUnknown("no reply")
+            return await call(address, request, timeout_s, reply)
+
+        monkeypatch.setattr(remote.peers, "call", hold)
+        reply = await remote.submit()
+        assert reply.code == Code.WRITE_UNRESOLVED
+        assert reply.job_id == job_id_of("e", "m", "key")
+        with pytest.raises(FlamingowayError) as answer:
+            await remote.router.cancel("e", "m", reply.job_id)
+        assert answer.value.code == Code.NOT_FOUND
+        late = await remote.process.service.handle(held[0])
+        assert late.code == Code.CANCELLED_BEFORE
+        await let_tasks_run()
+        assert remote.cell.network.starts() == []
+
+    run_remote(scenario)
+
+
+def test_a_submission_whose_write_is_late_is_decided_by_the_new_owner():
+    """Guards against a write of a former owner that is applied after a cancellation."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        old = await (await cell.own("p1")).ready()
+        old.store.apply_late(0.2)
+        submitting = asyncio.create_task(submit(old))
+        await until(lambda: old.store.calls["txn"] >= 2)
+        old.store.down = True
+        new = await (await cell.own("p2")).ready()
+        assert await cancel(new) == Code.NOT_FOUND
+        await asyncio.sleep(0.3)
+        old.store.down = False
+        assert await submitting == Code.WRITE_UNRESOLVED
+        assert new.state() is None and cell.network.starts() == []
+        assert await submit(new) == Code.CANCELLED_BEFORE
+        await new.end()
+
+    run(scenario())
+
+
+def test_a_cancellation_waits_for_the_late_write_of_its_submission():
+    """Guards against an acknowledged cancellation of a job that is stored later."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        process.store.apply_late(0.1)
+        submitting = asyncio.create_task(submit(process))
+        await until(lambda: process.store.calls["txn"] >= 2)
+        process.store.down = True
+        cancelling = asyncio.create_task(cancel(process))
+        await let_tasks_run()
+        assert not submitting.done() and not cancelling.done()
+        process.store.down = False
+        assert await submitting == Code.ACCEPTED
+        assert await cancelling == Code.OK
+        starts = len(cell.network.starts())
+        process = await new_owner(cell, process)
+        assert process.state() == "cancelled"
+        await let_tasks_run()
+        assert len(cell.network.starts()) == starts
+        assert cell.network.workers["w1"].running == []
+        await process.end()
+
+    run(scenario())
+
+
+def test_an_acknowledged_cancellation_outlives_its_owner():
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        cell.network.delayed_processes.add("p1")
+        process = await (await cell.own()).ready()
+        assert await submit(process) == Code.ACCEPTED
+        await until(lambda: cell.network.delayed_commands)
+        assert await cancel(process) == Code.OK
+        late, cell.network.delayed_commands = cell.network.delayed_commands, []
+        process = await new_owner(cell, process)
+        assert process.state() == "cancelled"
+        cell.network.delayed_commands = late
+        assert cell.network.deliver() == len(late)
+        await let_tasks_run()
+        assert cell.network.starts() == []
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_member_cannot_cancel_a_future_job_of_another_member():
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        assert await cancel(process, member="stranger") == Code.NOT_FOUND
+        assert await submit(process) == Code.ACCEPTED
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_cancellation_of_an_unknown_job_is_refused_without_the_store():
+    """Guards against "no such job" that only the memory of a process supports."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        process.membership.store_up = False
+        assert await cancel(process) == Code.STORE_UNAVAILABLE
+        process.membership.store_up = True
+        assert await submit(process) == Code.ACCEPTED
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_former_owner_does_not_deny_a_job_of_its_successor():
+    """Guards against "no such job" from a process that was paused meanwhile."""
+
+    async def scenario():
+        cell = Cell(("w1", "w2"), documents={"e": ACTIVE})
+        cell.network.disconnected.add(("p1", "w2"))
+        old = await (await cell.own("p1")).ready()
+        # The former owner hears neither from its worker nor from the watch.
+        cell.network.disconnected.add(("p2", "w1"))
+        new = await (await cell.own("p2")).ready()
+        assert await submit(new) == Code.ACCEPTED
+        assert await cancel(old) == Code.OWNER_CHANGED
+        assert await cancel(new) == Code.OK
+        await new.end()
+
+    run(scenario())
+
+
+def test_cancellations_without_a_job_are_limited_and_expire():
+    spec = JobSpec("late", "e", "m", "k", Policy.BATCH)
+    scheduler = Scheduler("s", random.Random(1))
+
+    def reply():
+        return scheduler.take_batch().effects[-1].code
+
+    def cancel_at(job_id, at):
+        scheduler.cancel(job_id, "e", "m", None, at, at)
+        return reply()
+
+    for index in range(MAX_PER_MEMBER):
+        assert cancel_at(f"j{index}", 0.0) == Code.NOT_FOUND
+    assert cancel_at("late", 1.0) == Code.MEMBER_LIMIT
+    assert cancel_at("j0", 1.0) == Code.NOT_FOUND
+    scheduler.cancel("late", "e", "other", None, 1.0, 1.0)
+    assert reply() == Code.NOT_FOUND
+    assert cancel_at("late", RETENTION_S) == Code.NOT_FOUND
+    assert len(list(scheduler.ledger.withdrawals)) == 2
+    scheduler.submit(spec, None, RETENTION_S, RETENTION_S)
+    assert reply() == Code.CANCELLED_BEFORE
+
+
+def test_a_snapshot_keeps_the_order_of_expiry():
+    entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
+    restored = Withdrawals(entries)
+    restored.add(Withdrawal("e", "m", "j3", RETENTION_S + 1))
+    assert [w.job_id for w in restored] == ["j2", "j3"]
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -265,7 +265,8 @@
     for running in ([Attempt("j/0", 1)], []):
         report = WorkerReport("w1", 1, CAPACITY, running, acked_starts=True)
         rig.scheduler.on_report(report, rig.now, rig.now)
-        rig.scheduler.cancel("j", "e", "m", None, rig.now, rig.now)
+        if rig.scheduler.view("j") is not None:
+            rig.scheduler.cancel("j", "e", "m", None, rig.now, rig.now)
         rig.schedule(6.0)
         assert rig.scheduler.view("j") is None
     rig.submit(spec("j"))
