Repeat a committed stop without waiting for the store

A task could run on for the length of a store outage after its cancellation was answered OK: the stop was lost with its stream, the next report showed the task running, and the repeated stop joined the queue of effects that wait for the commit of earlier decisions.

A stop whose decision is durable has nothing to wait for. The controller now carries out a repeated stop at once, unless the open batch decides it or its first stop still awaits its commit. This covers stops that a new owner reads from the log as well.

Before: test_a_lost_stop_is_repeated_while_the_store_is_down fails in both forms (same owner, new owner): the task still runs.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Iterable
 
 from absl import logging
@@ -15,9 +16,9 @@
 from .core.scheduler import Scheduler
 from .errors import Fenced, Refused
 from .fleet import Fleet, WorkerSession
-from .model import JobSpec, WorkerInfo
+from .model import JobSpec, TaskState, WorkerInfo
 from .observation import ShardObserver
-from .records import AnyRecord, JobAccepted
+from .records import AnyRecord, JobAccepted, TaskStopping
 from .status import Code
 from .vmlist import Vm
 from .worker import LinkDown, LinkEvent, LinkFenced, ReportReceived
@@ -173,11 +174,26 @@
         self.collect()
 
     def collect(self) -> None:
-        """Pass the scheduler's open batch to the group commit."""
+        """Pass the scheduler's open batch to the group commit.
+
+        Repeated stops whose decision is durable do not wait for a commit. Otherwise a
+        cancelled task whose first stop was lost would run on during a store outage.
+        """
         batch = self._scheduler.take_batch()
-        effects = [effect for effect in batch.effects if self._add_if_new(effect)]
+        decided = {
+            Attempt(record.task_id, record.attempt)
+            for record in batch.records
+            if isinstance(record, TaskStopping)
+        }
+        effects, repeated = [], []
+        for effect in batch.effects:
+            if self._is_durable_stop(effect, decided):
+                repeated.append(effect)
+            elif self._add_if_new(effect):
+                effects.append(effect)
         self._fleet.note_decided(effects)
         self._committer.add(Batch(batch.records, effects))
+        self._fleet.carry_out(repeated)
 
     def check_workers(self) -> None:
         """Requeue the tasks of workers on which none can be running any more.
@@ -223,6 +239,27 @@
             if isinstance(effect, Reply):
                 _deliver(_discarded_reply(effect))
 
+    def _is_durable_stop(self, effect: Effect, decided: set[Attempt]) -> bool:
+        """Tell whether an effect repeats a stop that is committed.
+
+        Args:
+            effect: Effect of the open batch.
+            decided: Attempts that the open batch decides to stop.
+        """
+        if not isinstance(effect, StopTask):
+            return False
+        task = self._scheduler.ledger.tasks.get(effect.task_id)
+        if task is None or task.state is not TaskState.STOPPING:
+            return False
+        if (task.worker_id, task.attempt) != (effect.worker_id, effect.attempt):
+            return False
+        first_stops = {
+            dataclasses.replace(effect, checkpoint=checkpoint)
+            for checkpoint in (False, True)
+        }
+        is_decided = Attempt(effect.task_id, effect.attempt) in decided
+        return not is_decided and self._awaiting_commit.isdisjoint(first_stops)
+
     def _add_if_new(self, effect: Effect) -> bool:
         """Tell whether an effect is not a duplicate of one that awaits its commit."""
         if not isinstance(effect, DEDUPLICATED_EFFECTS):
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -265,3 +265,48 @@
     restored = Withdrawals(entries)
     restored.add(Withdrawal("e", "m", "j3", RETENTION_S + 1))
     assert [w.job_id for w in restored] == ["j2", "j3"]
+
+
+async def lose_commands(cell, process):
+    """Drop the delayed commands together with the stream that carried them."""
+    await until(lambda: cell.network.delayed_commands)
+    cell.network.disconnected.add(("p1", "w1"))
+    await until(lambda: process.owner.status["workers"] == 0)
+    cell.network.delayed_commands.clear()
+    cell.network.delayed_processes.clear()
+
+
+def is_running(cell, task_id):
+    return any(key[0] == task_id for key in cell.network.workers["w1"].running)
+
+
+@pytest.mark.parametrize("owner_changes", [False, True])
+def test_a_lost_stop_is_repeated_while_the_store_is_down(owner_changes):
+    """Guards against a run that goes on for an outage after its cancellation."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        for job_id, run_ms in (("j", -1), ("short", 1000)):
+            await process.submit(job_id, run_ms=run_ms)
+        await until(lambda: len(cell.network.workers["w1"].running) == 2)
+        cell.network.delayed_processes.add("p1")
+        assert await cancel(process) == Code.OK
+        await lose_commands(cell, process)
+        if owner_changes:
+            await process.end()
+            process = await cell.own("p2")
+            cell.network.disconnected.add(("p2", "w1"))
+            await until(lambda: process.owner.ready)
+        process.store.down = True
+        # The end of the other job waits for the store, and decisions wait behind it.
+        cell.clock.now += 2
+        cell.network.disconnected.clear()
+        await until(lambda: not process.owner._controller.committer.idle)
+        await let_tasks_run()
+        assert not is_running(cell, "j/0")
+        process.store.down = False
+        await until(lambda: process.state("short") == "succeeded")
+        await process.end()
+
+    run(scenario())
