Answer a repeated submission as unresolved while the first one is

A submission whose commit was not confirmed gets WRITE_UNRESOLVED. When the caller repeated it with the same key while the store was down or the process was stopping, the owner answered STORE_UNAVAILABLE or STOPPING, "not run", although the first one was still in its commit queue and ran once the store returned.

A submission of a job that the owner knows writes nothing, so the check for a writable store does not apply to it. It now waits behind the first one's commit as usual and is answered ALREADY_ACCEPTED or WRITE_UNRESOLVED.

Before: test_a_repeated_submission_is_not_refused_while_the_first_is_unresolved fails with Refused in both forms.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -93,7 +93,12 @@
         Raises:
             Refused: If nothing can be committed now; nothing is changed.
         """
-        self._check_writable()
+        # The first submission of a known job may still be committed, so that a repeated
+        # one must not be answered with "not run".
+        if self._scheduler.view(spec.job_id) is None:
+            self._check_writable()
+        else:
+            self._check_held()
         future = self._new_future()
         self._scheduler.submit(
             spec, future, self._context.clock(), self._context.wall_clock()
@@ -320,11 +325,14 @@
             self._scheduler.remove_worker(session.worker_id)
         self._fleet.drop(session.worker_id)
 
-    def _check_writable(self) -> None:
+    def _check_held(self) -> None:
         if self._relinquished:
             raise Refused(
                 "the shard has another owner", Code.OWNER_CHANGED, retry_after=1
             )
+
+    def _check_writable(self) -> None:
+        self._check_held()
         if self.stopping:
             raise Refused("this process is stopping", Code.STOPPING, retry_after=1)
         if not self.writable:
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from flamingoway import feeds, predecessor
+from flamingoway import owner as owner_module
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.scheduler import Scheduler
 from flamingoway.core.withdrawals import (
@@ -14,7 +15,7 @@
     Withdrawal,
     Withdrawals,
 )
-from flamingoway.errors import FlamingowayError, OutcomeUnknown
+from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.jobs import job_id_of
 from flamingoway.messages import CancelJob, SubmitJob
 from flamingoway.model import JobSpec, Policy
@@ -310,3 +311,35 @@
         await process.end()
 
     run(scenario())
+
+
+def store_down(process):
+    process.membership.store_up = False
+
+
+def stopping(process):
+    process.owner._controller.stopping = True
+
+
+@pytest.mark.parametrize("state", [store_down, stopping])
+def test_a_repeated_submission_is_not_refused_while_the_first_is_unresolved(
+    monkeypatch, state
+):
+    """Guards against "not run" for a job that runs once the store returns."""
+
+    async def scenario():
+        monkeypatch.setattr(owner_module, "WRITE_DEADLINE_S", 0.05)
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        process.store.pause()
+        assert await submit(process) == Code.WRITE_UNRESOLVED
+        state(process)
+        assert await submit(process) == Code.WRITE_UNRESOLVED
+        with pytest.raises(Refused):
+            await submit(process, "other")
+        process.store.resume()
+        await until(lambda: process.owner._controller.committer.idle)
+        assert await submit(process) == Code.ALREADY_ACCEPTED
+        await process.end()
+
+    run(scenario())
