Test that paths, ids and cut-off bodies submit nothing unasked

No fault was found: a path is matched as a whole, ids of jobs are derived from environment, member and key without ambiguity, and a body that is cut off is not handled.

--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -105,6 +105,58 @@
     assert submitted[0][:7] == arguments
 
 
+JOBS_PATH = f"/v1/{ENVIRONMENT}/jobs"
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        f"{JOBS_PATH}/",
+        f"{JOBS_PATH}/job-2",
+        f"{JOBS_PATH}/checks/slot",
+        f"{JOBS_PATH}x",
+        f"{JOBS_PATH}%2F",
+        f"{JOBS_PATH}/..",
+        f"/{JOBS_PATH}",
+        f"{JOBS_PATH}/../jobs",
+        f"/v1/{ENVIRONMENT}%2Fjobs",
+        f"/v1/{ENVIRONMENT}/sub/jobs",
+        f"/v1/{ENVIRONMENT}-2/jobs",
+        f"/v1/{ENVIRONMENT[:-1]}/jobs",
+        f"/v1/{ENVIRONMENT}/checks/slot/jobs",
+        f"http://other{JOBS_PATH}",
+    ],
+)
+def test_a_path_beside_a_route_submits_nothing(path):
+    """Guards against a request that is taken under another route or environment."""
+
+    async def scenario():
+        body = {"kind": "fit", "params": {}}
+        async with entry([]) as ingress:
+            answer = await call(ingress.port, check_request(body, path=path))
+            return answer, ingress._jobs.submitted
+
+    (_, _, body), submitted = asyncio.run(scenario())
+    assert submitted == []
+    assert json.loads(body)["code"] in (Code.NOT_FOUND, Code.BAD_REQUEST)
+
+
+def test_a_submission_whose_body_is_cut_off_is_not_handled():
+    """Guards against a job with a part of its parameters."""
+
+    async def scenario():
+        request = check_request({"kind": "fit", "params": {}}, path=JOBS_PATH)
+        async with entry([]) as ingress:
+            _, writer = await asyncio.open_connection("127.0.0.1", ingress.port)
+            writer.write(request[:-1])
+            await until(lambda: ingress.in_flight)
+            writer.close()
+            await until(lambda: not ingress.in_flight)
+            return ingress._jobs.submitted
+
+    assert asyncio.run(scenario()) == []
+
+
 def test_the_trace_of_the_caller_continues():
     """Guards against an entry process that drops the trace of its caller."""
     trace = "4bf92f3577b34da6a3ce929d0e0e4736"
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -176,6 +176,37 @@
     run(scenario)
 
 
+def test_job_ids_of_different_callers_differ():
+    """Guards against a submission that is taken for that of another caller."""
+    callers = [
+        ("e", "m", "k"),
+        ("em", "", "k"),
+        ("e", "mk", ""),
+        ("", "em", "k"),
+        ("e", "m", "k "),
+        ('e","m', "k", ""),
+        ("e", 'm","k', ""),
+    ]
+    keyed = [caller for caller in callers if caller[2]]
+    assert len({job_id_of(*caller) for caller in keyed}) == len(keyed)
+    assert job_id_of("e", "m", "") != job_id_of("e", "m", "")
+
+
+@pytest.mark.parametrize(
+    "params",
+    [
+        b'{"n": 123456789012345678902}',
+        b'{"n": 123456789012345678901.0}',
+        b'{"n": "123456789012345678901"}',
+        b'[{"n": 123456789012345678901}]',
+    ],
+)
+def test_other_parameters_are_another_request(params):
+    """Guards against a job that runs with the parameters of an earlier one."""
+    first = request_digest("k", 1, False, b'{"n": 123456789012345678901}')
+    assert first != request_digest("k", 1, False, params)
+
+
 def test_equal_parameters_in_another_order_are_the_same_request():
     first = request_digest("k", 1, False, b'{"a": 1, "b": 2}')
     assert first == request_digest("k", 1, False, b'{"b":2,"a":1}')
