Read the newest documents before a shard is taken over

A process whose watch was interrupted could acquire a shard before its follower had read the store again. It then applied the old document to the shard: a service that a newer document had ended was created and started anew, and jobs of kinds that it had removed were accepted.

The new owner now reads the newest documents in the same step as the epoch and the log, and takes over only after that.

Before: test_a_new_owner_starts_no_service_that_a_newer_document_has_ended fails, the service starts a second time.

--- a/flamingoway/follower.py
+++ b/flamingoway/follower.py
@@ -113,6 +113,14 @@
             await asyncio.sleep(delay * self._context.rng.uniform(0.5, 1.0))
             delay = min(delay * 2, MAX_RETRY_S)
 
+    async def refresh(self) -> None:
+        """Read the newest documents from the store.
+
+        Raises:
+            StoreUnavailable: If the store cannot be reached.
+        """
+        await self._read_heads()
+
     async def fetch_from_peers(self) -> None:
         """Fetch newer versions from all known peers."""
         own = self._context.settings.peer_address
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -286,6 +286,9 @@
         while True:
             try:
                 await self._guard.confirm()
+                # An older document than the former owner's would start services again
+                # that a newer one has ended.
+                await self._follower.refresh()
                 return await load(self._store, self._keys, self.shard)
             except (StoreUnavailable, StoreOutcomeUnknown) as exc:
                 logging.warning(
--- a/tests/owner_bench.py
+++ b/tests/owner_bench.py
@@ -97,15 +97,24 @@
 
 
 class FakeFeed:
-    """Replaces ``VmList`` and ``Follower``."""
+    """Replaces ``VmList`` and ``Follower``.
+
+    Attributes:
+        documents: Documents that this process knows.
+        stored: Newest documents in the store, if others.
+    """
 
     def __init__(self, vms=(), documents=None):
         self.vms = {vm.id: vm for vm in vms}
         self.documents = documents or {}
+        self.stored = {}
 
     def current(self, environment):
         return self.documents.get(environment)
 
+    async def refresh(self):
+        self.documents = self.documents | self.stored
+
     def subscribe(self):
         return asyncio.Queue()
 
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -15,7 +15,9 @@
     Withdrawal,
     Withdrawals,
 )
+from flamingoway.document import Document, DocumentVersion, ServiceKind
 from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
+from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
 from flamingoway.messages import CancelJob, SubmitJob
 from flamingoway.model import JobSpec, Policy
@@ -343,3 +345,31 @@
         await process.end()
 
     run(scenario())
+
+
+def document_with_services(version, *services):
+    document = Document("app", [], services=list(services))
+    return {"e": ActiveDocument("e", DocumentVersion(version, "", b""), document)}
+
+
+def test_a_new_owner_starts_no_service_that_a_newer_document_has_ended():
+    """Guards against a withdrawn service that runs again after a takeover."""
+
+    async def scenario():
+        service = ServiceKind("viewer", 1)
+        cell = Cell(documents=document_with_services(1, service))
+        process = await (await cell.own()).ready()
+        worker = cell.network.workers["w1"]
+        await until(lambda: worker.running)
+        cell.feed.documents = document_with_services(2)
+        process = await new_owner(cell, process)
+        await until(lambda: not worker.running)
+        # The next owner has missed the newer document so far.
+        cell.feed.documents = document_with_services(1, service)
+        cell.feed.stored = document_with_services(2)
+        process = await new_owner(cell, process)
+        await let_tasks_run()
+        assert len(cell.network.starts()) == 1
+        await process.end()
+
+    run(scenario())
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -10,7 +10,7 @@
 from flamingoway.context import Context
 from flamingoway.document import DocumentVersion, digest
 from flamingoway.environments import Environments
-from flamingoway.errors import OutcomeUnknown
+from flamingoway.errors import OutcomeUnknown, StoreUnavailable
 from flamingoway.follower import Follower
 from flamingoway.messages import Documents
 from flamingoway.peer import PeerClient, PeerServer
@@ -76,6 +76,25 @@
     return active
 
 
+def test_a_refresh_reads_a_version_that_the_watch_has_not_delivered():
+    """Guards against an owner that takes over with an old document."""
+
+    async def scenario(store, _start):
+        environments = Environments(make_settings(), store)
+        await environments.try_document("trial", make_document(1.0), 0, "ana")
+        follower = make_follower(store)
+        await follower.refresh()
+        assert follower.versions == {"trial": 1}
+        await environments.try_document("trial", make_document(2.0), 1, "ana")
+        await follower.refresh()
+        assert follower.versions == {"trial": 2}
+        store.down = True
+        with pytest.raises(StoreUnavailable):
+            await follower.refresh()
+
+    run(scenario)
+
+
 def test_new_version_arrives_by_the_watch():
     """Guards against new versions that take effect only after a restart."""
 
