--- a/flamingoway/snapshot.py
+++ b/flamingoway/snapshot.py
@@ -8,7 +8,7 @@
 
 from .errors import Fenced, FlamingowayError, StoreOutcomeUnknown, StoreUnavailable
 from .records import AnyRecord, decode_group
-from .store import Compare, Delete, Put, Store
+from .store import Compare, Delete, Put, Store, TxnResult
 from .store.keys import Keys, prefix_end
 
 RETRY_INTERVAL_S = 0.5
@@ -87,11 +87,12 @@
         Raises:
             Fenced: If another process owns the shard.
         """
+        replaced = await self._read_head_revision()
         for index, part in enumerate(parts):
             key = self._keys.snapshot_part(self._shard, generation, index)
             await self._apply([Put(key, part)])
         head = SnapshotHead(generation, len(parts), seq, _digest(parts))
-        await self._apply(self._head_update(head))
+        await self._update_head(head, replaced)
 
     def _head_update(self, head: SnapshotHead) -> list[Put | Delete]:
         keys, shard = self._keys, self._shard
@@ -105,17 +106,45 @@
             Delete(after, prefix_end(keys.snapshots(shard))),
         ]
 
+    async def _read_head_revision(self) -> int:
+        while True:
+            try:
+                entry = await self._store.get(self._keys.snapshot_head(self._shard))
+            except StoreUnavailable:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
+            return entry.mod_revision if entry is not None else 0
+
+    async def _update_head(self, head: SnapshotHead, replaced: int) -> None:
+        # A late copy of this write must not replace the head of a newer snapshot, whose
+        # parts it would delete, so it depends on the head that it replaces.
+        key = self._keys.snapshot_head(self._shard)
+        unchanged = Compare(key, "mod_revision", replaced)
+        operations = self._head_update(head)
+        result = await self._send([unchanged], operations, [key])
+        found = result.reads.get(key)
+        applied_before = found is not None and decode_head(found.value) == head
+        if not result.succeeded and not applied_before:
+            raise self._fenced_error()
+
     async def _apply(self, operations: list[Put | Delete]) -> None:
-        # All operations are idempotent, so they can be sent again after a lost answer.
+        if not (await self._send([], operations, [])).succeeded:
+            raise self._fenced_error()
+
+    async def _send(
+        self, compares: list[Compare], operations: list[Put | Delete], reads: list[str]
+    ) -> TxnResult:
+        """Send a write until it is answered, again after a lost answer."""
         while True:
             try:
-                result = await self._store.txn([self._epoch_unchanged], operations)
+                return await self._store.txn(
+                    [self._epoch_unchanged, *compares], operations, reads
+                )
             except (StoreUnavailable, StoreOutcomeUnknown):
                 await asyncio.sleep(RETRY_INTERVAL_S)
-                continue
-            if not result.succeeded:
-                raise Fenced(f"shard {self._shard} has another owner")
-            return
+
+    def _fenced_error(self) -> Fenced:
+        return Fenced(f"shard {self._shard} has another owner")
 
 
 async def load(store: Store, keys: Keys, shard: str) -> LoadedShard:
--- a/tests/test_commit.py
+++ b/tests/test_commit.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from flamingoway import snapshot
 from flamingoway.commit import MAX_GROUP_BYTES, GroupCommitter, LogPosition
 from flamingoway.core.effects import Batch, Reply
-from flamingoway.errors import Fenced, StoreUnavailable
+from flamingoway.errors import Fenced, StoreOutcomeUnknown, StoreUnavailable
 from flamingoway.records import CancelRequested, TaskEnded
 from flamingoway.snapshot import SnapshotWriter, load
 from flamingoway.store import Put
@@ -262,6 +263,57 @@
     run(scenario())
 
 
+class DelayingStore(MemoryStore):
+    """A store that delays the first write of one key and reports it as unknown."""
+
+    def __init__(self, key):
+        super().__init__()
+        self.key = key
+        self.delayed = None
+
+    async def txn(self, compares, operations, read_on_failure=None):
+        keys = [operation.key for operation in operations]
+        if self.delayed is None and self.key in keys:
+            self.delayed = (compares, operations, read_on_failure)
+            raise StoreOutcomeUnknown("no answer")
+        return await super().txn(compares, operations, read_on_failure)
+
+    async def apply_delayed(self):
+        return await super().txn(*self.delayed)
+
+
+@pytest.mark.parametrize(
+    "key", [KEYS.snapshot_head("s"), KEYS.snapshot_part("s", 1, 0)]
+)
+def test_a_late_write_of_a_snapshot_does_not_replace_a_newer_one(monkeypatch, key):
+    """Guards against a shard that cannot be loaded any more.
+
+    The head would name parts that the newer snapshot has deleted, and delete its parts.
+    """
+
+    async def scenario():
+        monkeypatch.setattr(snapshot, "RETRY_INTERVAL_S", 0.001)
+        harness = await Harness(DelayingStore(key)).open()
+        harness.add("a")
+        await until(lambda: harness.done)
+        writer = _writer(harness.store, harness.position)
+        await writer.write([b"old"], 1, 1)
+        harness.add("b")
+        harness.add("c")
+        await until(lambda: len(harness.done) == 3)
+        await writer.write([b"new"], 2, 2)
+        await harness.store.apply_delayed()
+        loaded = await load(harness.store, KEYS, "s")
+        assert loaded.snapshot == [b"new"]
+        assert loaded.generation == 2
+        await writer.write([b"newest"], 2, 3)
+        assert (await load(harness.store, KEYS, "s")).snapshot == [b"newest"]
+        assert len((await harness.store.range(KEYS.snapshots("s"))).items) == 1
+        await harness.close()
+
+    run(scenario())
+
+
 def test_a_fenced_owner_cannot_write_a_snapshot():
     async def scenario():
         old = await Harness().open(1)
