Ask for a key's outcome after a lost session

A process that was paused beyond its session took its own keys for owned without interruption when it had registered again: its view of the live processes need not show that the others had dropped it. A check that another process had run meanwhile ran a second time when it was repeated, against "a non-idempotent check runs at most once".

The registration of a new session is the sure sign. For keys issued before it, plus the margin for clocks, the process now does what it does while it can't reach the store: it asks the process that owns the key without it, which gives the outcome or fences the key. If that process does not answer, the outcome is unknown, as during an outage.

A second change of the membership during the pause remains an open issue of the design.

--- a/flamingoway/keyed.py
+++ b/flamingoway/keyed.py
@@ -6,7 +6,8 @@
 earlier than the takeover plus a margin gets the result "outcome unknown".
 
 While the store cannot be reached, a process cannot know whether the others still
-consider it live. It then also asks the process that would own the key without it.
+consider it live. It then also asks the process that would own the key without it. The
+same holds for keys that were issued before it registered a new session.
 """
 
 import asyncio
@@ -27,6 +28,7 @@
 from .errors import BadRequest, FlamingowayError, OutcomeUnknown, Refused
 from .messages import CheckReply, FenceKey, KeyedCheck, KeyState
 from .peer import PeerClient, PeerServer
+from .session import NEVER
 from .status import Code
 
 # Time reserved for the reply of a forwarded check to return.
@@ -57,6 +59,9 @@
         self._process_id = context.settings.process_id
         self._table = KeyTable()
         self._histories: dict[str, OwnerHistory] = {}
+        self._session_started_at = membership.session_started_at
+        # Wall-clock time at which a new session was first seen.
+        self._rejoined_at = float("-inf")
         self._tasks: set[asyncio.Task] = set()
         self.observe()
 
@@ -66,14 +71,23 @@
         server.handle(FenceKey, self.fence)
 
     def observe(self) -> None:
-        """Record the current live processes of each environment."""
+        """Record the session and the current live processes of each environment."""
         wall = self._context.wall_clock()
+        self._note_session(wall)
         for environment in self._context.settings.environments:
             history = self._histories.setdefault(
                 environment.name, OwnerHistory(self._process_id)
             )
             history.observe(self.processes(environment.name), wall)
 
+    def _note_session(self, wall: float) -> None:
+        started_at = self._membership.session_started_at
+        if started_at == self._session_started_at:
+            return
+        if self._session_started_at != NEVER:
+            self._rejoined_at = wall
+        self._session_started_at = started_at
+
     def processes(self, environment: str) -> set[str]:
         """Return the live processes of an environment's regions.
 
@@ -244,13 +258,21 @@
             )
             if reply is not None:
                 return reply
+        if not self._may_be_replaced(key):
+            return None
+        return await self._query_and_fence(
+            history.next_owner(key.text), request, key, False
+        )
+
+    def _may_be_replaced(self, key: Key) -> bool:
+        """Tell whether another process may own the key, or may have owned it.
+
+        The view of this process need not show it: the others drop a process without a
+        session, while that process may see itself without interruption.
+        """
         if not self._membership.store_up:
-            reply = await self._query_and_fence(
-                history.next_owner(key.text), request, key, False
-            )
-        else:
-            reply = None
-        return reply
+            return True
+        return key.stamp < self._rejoined_at + OWNERSHIP_MARGIN_S
 
     async def _query_and_fence(
         self,
--- a/flamingoway/membership.py
+++ b/flamingoway/membership.py
@@ -119,6 +119,11 @@
         """Clock time at which the last confirmed renewal was sent."""
         return self._session.last_contact
 
+    @property
+    def session_started_at(self) -> float:
+        """Clock time at which the current session was registered."""
+        return self._session.started_at
+
     def subscribe(self) -> asyncio.Queue[Event]:
         """Return a queue of future events; the properties give the current state."""
         queue: asyncio.Queue[Event] = asyncio.Queue()
--- a/tests/request_path.py
+++ b/tests/request_path.py
@@ -76,6 +76,7 @@
     def __init__(self, *infos: ProcessInfo):
         self.processes = {info.process_id: info for info in infos}
         self.store_up = True
+        self.session_started_at = 0.0
 
 
 class FakeJobs:
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -250,6 +250,34 @@
     assert len(ran) == 2
 
 
+@pytest.mark.parametrize("noticed", [True, False])
+def test_a_process_that_lost_its_session_asks_before_it_runs_a_key(noticed):
+    """Guards against a second run by an owner that was paused beyond its session.
+
+    The other process may have owned its keys meanwhile; its own view shows no change.
+    """
+
+    async def scenario(processes, clock, target):
+        paused, other = processes["p1"], processes["p2"]
+        paused.checks.refresh()
+        if noticed:
+            other.set_view(["p2"])
+            other.checks.refresh()
+        clock.now += OWNERSHIP_MARGIN_S + 1
+        key = key_of("p1", BOTH, clock.now)
+        replies = [await other.check(key)] if noticed else []
+        paused.membership.session_started_at += 60.0
+        other.set_view(BOTH)
+        replies.append(await paused.check(key))
+        clock.now += 2 * OWNERSHIP_MARGIN_S
+        replies.append(await paused.check(key_of("p1", BOTH, clock.now)))
+        return replies, target.ran
+
+    replies, ran = run(scenario)
+    assert set(codes(replies)) == {Code.OK}
+    assert len(ran) == 2
+
+
 @pytest.mark.parametrize(
     ("view", "owner", "code"),
     [("p1", "p3", Code.OWNER_UNAVAILABLE), ("p2", "p3", Code.OWNER_CHANGED)],
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -250,6 +250,27 @@
     run(body)
 
 
+def test_a_new_session_shows_that_the_others_may_have_dropped_the_process():
+    """Guards against a process that takes its view for proof that it stayed live."""
+
+    async def body(cell):
+        a, b = cell.start("a"), cell.start("b")
+        await cell.clock.advance(1)
+        started_at = a.session_started_at
+        await cell.clock.advance(8)
+        assert a.session_started_at == started_at
+        cell.stores["a"].pause()
+        await cell.clock.advance(8)
+        assert "a" not in b.processes
+        assert not a.store_up
+        cell.stores["a"].resume()
+        await cell.clock.advance(2)
+        assert "a" in b.processes and a.store_up
+        assert a.session_started_at > started_at
+
+    run(body)
+
+
 def test_a_restart_at_the_same_address_frees_its_shards_at_once():
     """Guards against waiting for the lease of an incarnation known to have ended."""
 
