--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -1,11 +1,11 @@
-"""Cancellations that race with submissions, owner changes and starts."""
+"""Nothing runs unasked: cancellations, submissions and pauses that race."""
 
 import asyncio
 import random
 
 import pytest
 
-from flamingoway import feeds, predecessor
+from flamingoway import epochguard, feeds, predecessor
 from flamingoway import owner as owner_module
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.scheduler import Scheduler
@@ -16,16 +16,24 @@
     Withdrawals,
 )
 from flamingoway.document import Document, DocumentVersion, ServiceKind
-from flamingoway.errors import FlamingowayError, OutcomeUnknown, Refused
+from flamingoway.errors import Fenced, FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
 from flamingoway.messages import CancelJob, SubmitJob
-from flamingoway.model import JobSpec, Policy
+from flamingoway.model import JobSpec, Policy, TaskState
+from flamingoway.proto import etcd_pb2 as pb
 from flamingoway.status import Code
-from tests.owner_bench import Cell, until
+from flamingoway.store.etcd import _to_batches
+from flamingoway.store.keys import Keys
+from flamingoway.worker import ReportReceived, from_report
+from tests.owner_bench import Cell, make_context, until
 from tests.test_jobs import ACTIVE
 from tests.test_jobs import run as run_remote
 
+LEASE_S = 15.0
+# With 10 % for clock drift.
+LEASE_EXPIRY_S = 16.5
+
 
 @pytest.fixture(autouse=True)
 def short_intervals(monkeypatch):
@@ -373,3 +381,167 @@
         await process.end()
 
     run(scenario())
+
+
+def test_a_cancelled_task_on_a_silent_worker_ends_with_its_lease():
+    """Guards against a run that goes on after a cancellation that the worker missed."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        await process.submit(run_ms=-1)
+        worker = cell.network.workers["w1"]
+        await until(lambda: worker.running)
+        cell.network.disconnected.add(("p1", "w1"))
+        await until(lambda: process.owner.status["workers"] == 0)
+        assert await cancel(process) == Code.OK
+        task = process.owner.scheduler.view("j").tasks[0]
+        assert task.state is TaskState.STOPPING
+        cell.clock.now += LEASE_S
+        worker.advance()
+        assert worker.running == []
+        cell.clock.now += LEASE_EXPIRY_S - LEASE_S
+        await until(lambda: task.state is TaskState.CANCELLED)
+        await process.end()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("delay_s", "starts"), [(1.0, 1), (LEASE_S, 0)])
+def test_a_start_in_flight_is_followed_by_its_stop_or_expires(delay_s, starts):
+    """Guards against a start that outlives the cancellation that overtook it."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        cell.network.delayed_processes.add("p1")
+        await process.submit(run_ms=-1)
+        await until(lambda: cell.network.delayed_commands)
+        assert await cancel(process) == Code.OK
+        cell.clock.now += delay_s
+        cell.network.deliver()
+        assert cell.network.workers["w1"].running == []
+        assert len(cell.network.starts()) == starts
+        cell.network.delayed_processes.clear()
+        task = process.owner.scheduler.view("j").tasks[0]
+        await until(lambda: task.state is TaskState.CANCELLED)
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_former_owner_that_hears_of_no_successor_changes_nothing():
+    """Guards against requests that a process handles after a pause.
+
+    Neither its watch nor its worker tells it of the new owner; its reads of the epoch
+    and its commits do.
+    """
+
+    async def scenario():
+        cell = Cell(("w1", "w2"), documents={"e": ACTIVE})
+        cell.network.disconnected.add(("p1", "w2"))
+        old = await (await cell.own("p1")).ready()
+        cell.network.disconnected.add(("p2", "w1"))
+        new = await (await cell.own("p2")).ready()
+        assert await submit(new, "new") == Code.ACCEPTED
+        assert await cancel(new, "new") == Code.OK
+        with pytest.raises(Refused) as refused:
+            await submit(old, "late")
+        assert refused.value.code == Code.OWNER_CHANGED
+        assert await submit(new, "late") == Code.ACCEPTED
+        await until(lambda: cell.network.starts("late/0"))
+        assert {worker for worker, _ in cell.network.starts()} == {"w2"}
+        await new.end()
+
+    run(scenario())
+
+
+def test_the_epoch_is_read_also_by_an_idle_owner(monkeypatch):
+    """Guards against leases that a former owner renews after a silent watch."""
+
+    async def scenario():
+        monkeypatch.setattr(epochguard, "CONFIRM_INTERVAL_S", 0.01)
+        cell = Cell(("w1", "w2"))
+        cell.network.disconnected.add(("p1", "w2"))
+        old = await (await cell.own("p1")).ready()
+        cell.network.disconnected.add(("p2", "w1"))
+        new = await (await cell.own("p2")).ready()
+        with pytest.raises(Fenced):
+            await old.task
+        await new.end()
+
+    run(scenario())
+
+
+class SlowStore:
+    """A store whose answer is read only ``delay_s`` after it was given."""
+
+    def __init__(self, clock, delay_s, entry):
+        self.clock = clock
+        self.delay_s = delay_s
+        self.entry = entry
+
+    async def get(self, key):
+        self.clock.now += self.delay_s
+        return self.entry
+
+
+def test_the_lease_horizon_counts_from_the_request_for_the_epoch():
+    """Guards against an answer that is taken for new after a pause."""
+
+    async def scenario():
+        cell = Cell()
+        process = await (await cell.own()).ready()
+        acquired = process.owner._acquired
+        entry = await process.store.get(Keys("test").epoch("s"))
+        context = make_context(cell.clock)
+        horizon_s = context.settings.limits.lease_horizon_s
+        store = SlowStore(cell.clock, horizon_s - 1, entry)
+        guard = epochguard.EpochGuard(context, store, None, acquired)
+        await guard.confirm()
+        assert guard.may_grant_leases()
+        cell.clock.now += 1
+        assert not guard.may_grant_leases()
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_report_read_after_a_pause_starts_nothing():
+    """Guards against a lease that counts from the reading of a report."""
+
+    async def scenario():
+        cell = Cell()
+        process = await (await cell.own()).ready()
+        link = process.owner._fleet.sessions["w1"].link
+        # The link sends no further report by itself.
+        now = cell.clock.now
+        link._clock = lambda: now
+        message = cell.network.workers["w1"].report(link._stream)
+        cell.clock.now += 100
+        process.owner._controller.on_link_event(
+            ReportReceived(
+                "w1",
+                link._stream_number,
+                message.command_seq,
+                cell.clock.now,
+                from_report(message, "w1"),
+            )
+        )
+        await process.submit()
+        await let_tasks_run()
+        assert cell.network.starts() == []
+        refusals = [e for e in cell.network.ledger if e["event"] == "refused"]
+        assert [entry["attempt"] for entry in refusals] == [1]
+        link._clock = cell.clock
+        await until(lambda: cell.network.starts() == [("w1", 2)])
+        await process.end()
+
+    run(scenario())
+
+
+def test_a_watch_response_without_events_reports_no_revision():
+    """Guards against a watch that skips changes because it has heard nothing."""
+    header = pb.ResponseHeader(revision=99)
+    assert _to_batches(pb.WatchResponse(header=header, created=True)) == []
+    assert _to_batches(pb.WatchResponse(header=header)) == []
