Test a submission held by a paused process against its cancellation

Real processes: the owner is stopped, a submission with a key is relayed to it, the new owner answers the cancellation, the old one continues with the request in its socket. The job does not run, and the repeated submission is refused.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -160,6 +160,35 @@
     assert_jobs_ran_once(cluster, ids)
 
 
+def test_a_submission_held_by_a_paused_owner_does_not_run_after_its_cancellation(
+    cluster,
+):
+    """Guards against a cancellation that overtakes the submission of its job."""
+    owner, other = owner_and_other(cluster)
+    member = member_at(other)
+    key = str(uuid.UUID(int=1, version=4))
+    owner.process.send(signal.SIGSTOP)
+    try:
+        held = member.submit("fit-plan", {"run_ms": 10}, key=key)
+        assert held.status == 504, held
+        job_id = held.body["job_id"]
+        wait_until(
+            lambda: member.submit("fit-plan", {"run_ms": 10}).status == 202,
+            TAKEOVER_S + 5,
+            "a submission accepted by the new owner",
+        )
+        cancelled = member.cancel(job_id)
+    finally:
+        owner.process.send(signal.SIGCONT)
+    assert (cancelled.status, cancelled.body["ran"]) == (404, "no")
+    time.sleep(2.0)
+    repeated = member.submit("fit-plan", {"run_ms": 10}, key=key)
+    assert (repeated.status, repeated.body["name"]) == (409, "CANCELLED_BEFORE")
+    assert member_at(owner).cancel(job_id).status == 404
+    ledger = cluster.worker_ledger(cluster.deployments[0])
+    assert not all_started(ledger, [job_id])
+
+
 def test_one_trace_covers_every_process_of_a_job(cluster):
     """Guards against a process that does not pass the trace context on."""
     owner, other = owner_and_other(cluster)
