Show that a range read drops a cancellation stored after it began

What callers could see: a process that answered 410 and stored the cancellation adds the job as not cancelled if its record arrives next, until the next watch delivers the cancellation.

Cause: JobTable.replace removes entries without an acceptance whatever the revision of their cancellation, and Intake._note_cancelled notes none.

Evidence: the test fails. Proposal: keep the revision of the cancellation in TableJob, and let _keys leave out entries whose cancellation is newer than the read.

--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -5,16 +5,17 @@
 
 import pytest
 
+from flamingoway.errors import BadRequest
 from flamingoway.queues import records
 from flamingoway.queues.faults import FaultReporter
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S, Mirror
 from flamingoway.queues.table import JobTable
-from flamingoway.store import ChangeSet, Put, RangeResult
+from flamingoway.store import ChangeSet, KeyValue, Put, RangeResult, WatchEvent
 from standins import kv
 from standins.memory import MemoryStore
 from tests.queue_cluster import RecordingLog
-from tests.test_queue_intake import JOB
+from tests.test_queue_intake import JOB, run_with_cell
 from tests.virtual import run_virtual
 
 
@@ -81,3 +82,33 @@
         return table.find(JOB.job_id).cancelled
 
     assert run_virtual(main)
+
+
+def test_a_slow_read_keeps_a_cancellation_that_was_stored_after_it():
+    """Guards against a job that starts where its cancellation was acknowledged."""
+
+    async def body(cell):
+        read, arrived = cell.store.range, asyncio.Event()
+
+        async def range_slowly(*args):
+            result = await read(*args)
+            await arrived.wait()
+            return result
+
+        cell.store.range = range_slowly
+        catch_up = asyncio.create_task(cell.mirror.catch_up())
+        await asyncio.sleep(0.01)
+        with pytest.raises(BadRequest):
+            await cell.intake.cancel(JOB.job_id, 3.0)
+        arrived.set()
+        await catch_up
+        added = []
+        cell.table.on_job = lambda job: added.append(job.cancelled)
+        value = records.encode(records.JobRecord(JOB, 0.0))
+        revision = cell.engine.revision + 1
+        key = records.JOB_PREFIX + JOB.job_id
+        item = KeyValue(key, value, revision, revision)
+        cell.table.apply_changes([WatchEvent(key, item)])
+        assert added == [True]
+
+    run_with_cell(body)
