Show that a start is sent after a pause during its connection attempt

What workers could see: a start order that was checked against the leadership before the VM was suspended and is sent after it, without another check.

Cause: Term._start checks may_send_orders before HttpClient.call, which may first connect. The timeout of that runs on the clock of the event loop, which does not count suspended time.

A worker that a successor has polled rejects the order by its token; one that has restarted since and was not polled does not. Proposal: check a deadline on the client's clock after connecting, and raise NotSent.

--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -6,6 +6,7 @@
 import pytest
 
 from flamingoway.errors import BadRequest
+from flamingoway.platform import client
 from flamingoway.queues import records
 from flamingoway.queues.faults import FaultReporter
 from flamingoway.queues.metrics import QueueMetrics
@@ -112,3 +113,40 @@
         assert added == [True]
 
     run_with_cell(body)
+
+
+def test_an_order_is_not_sent_after_a_pause_while_its_connection_is_opened(
+    monkeypatch,
+):
+    """Guards against a start long after the check whether orders may be sent."""
+    now = 0.0
+    received = []
+    connect = client._connect
+
+    async def connect_during_pause(address, timeout_s):
+        nonlocal now
+        connection = await connect(address, timeout_s)
+        # The clock of the event loop does not count the time of a suspended VM.
+        now += 10.0
+        return connection
+
+    async def answer(reader, writer):
+        received.append(await reader.read(1000))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        http = client.HttpClient(lambda: now)
+        try:
+            await http.call(f"127.0.0.1:{port}", "POST", "/run-start", b"{}", 0.6)
+        except client.NotSent:
+            pass
+        finally:
+            http.close()
+            server.close()
+
+    monkeypatch.setattr(client, "_connect", connect_during_pause)
+    asyncio.run(main())
+    assert received == []
