Show that a DELETE of an accepted job is lost where its route is not in force

What callers could see: a job whose route was removed, or is not in force yet at the process that gets the DELETE, cannot be cancelled: 404, nothing is stored and its tasks run on.

Cause: JobIngress._route needs a queue before it looks at the method and the id, although a cancellation needs only the id.

Proposal: store the cancellation of a known job all the same and go on answering 404, since an answer of success on a removed route would break the rule on configurations.

--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -6,17 +6,20 @@
 import pytest
 
 from flamingoway.errors import BadRequest
+from flamingoway.httpserver import HttpRequest
 from flamingoway.platform import client
+from flamingoway.platform.ingress import JobIngress
 from flamingoway.queues import records
 from flamingoway.queues.faults import FaultReporter
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S, Mirror
+from flamingoway.queues.model import DesiredState
 from flamingoway.queues.table import JobTable
 from flamingoway.store import ChangeSet, KeyValue, Put, RangeResult, WatchEvent
 from standins import kv
 from standins.memory import MemoryStore
 from tests.queue_cluster import RecordingLog
-from tests.test_queue_intake import JOB, run_with_cell
+from tests.test_queue_intake import JOB, JOB_PATH, run_with_cell
 from tests.virtual import run_virtual
 
 
@@ -150,3 +153,45 @@
     monkeypatch.setattr(client, "_connect", connect_during_pause)
     asyncio.run(main())
     assert received == []
+
+
+async def request(cell, method, path, body=b""):
+    ingress = JobIngress(cell.intake, cell.metrics, cell.faults)
+    disconnected = asyncio.get_running_loop().create_future()
+    headers = {"Host": "jobs.example"}
+    answer = await ingress.handle(
+        HttpRequest(method, path, "", headers, body, disconnected)
+    )
+    return answer.status
+
+
+def test_a_job_can_be_cancelled_after_its_route_was_removed():
+    """Guards against a job that runs on because its cancellation finds no route."""
+    found = {}
+
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        cell.intake.set_desired_state(DesiredState(2, ()))
+        found["status"] = await request(cell, "DELETE", JOB_PATH)
+        key = (records.CANCEL_PREFIX + JOB.job_id).encode()
+        found["stored"] = len(cell.engine.range(kv.RangeOp(key)).entries)
+
+    run_with_cell(body)
+    assert found["stored"] == 1, found
+
+
+def test_a_job_can_be_cancelled_before_its_route_is_in_force_here():
+    """Guards against a process with an older configuration that ignores a DELETE."""
+    found = {}
+
+    async def body(cell):
+        value = records.encode(records.JobRecord(JOB, 0.0, "n2"))
+        await cell.store.txn([], [Put(records.JOB_PREFIX + JOB.job_id, value)])
+        await asyncio.sleep(1.0)
+        cell.intake.set_desired_state(DesiredState(0, ()))
+        found["status"] = await request(cell, "DELETE", JOB_PATH)
+        key = (records.CANCEL_PREFIX + JOB.job_id).encode()
+        found["stored"] = len(cell.engine.range(kv.RangeOp(key)).entries)
+
+    run_with_cell(body)
+    assert found["stored"] == 1, found
