Show that a lost run falls back to the checkpoint of an earlier run

What callers could see: work done again after a worker was lost, although a poll had shown a newer checkpoint.

Cause: ClusterState._release_run stores the reported checkpoint only if the step has none, so that it does not replace the one of an end that was just processed.

Evidence: the test fails (c1 instead of c5). Proposal: let an end update run.checkpoint, and store that without regard to the older one.

--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -13,12 +13,13 @@
 from flamingoway.queues.faults import FaultReporter
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S, Mirror
-from flamingoway.queues.model import DesiredState
+from flamingoway.queues.model import DesiredState, EndKind
+from flamingoway.queues.runs import StartRun
 from flamingoway.queues.table import JobTable
 from flamingoway.store import ChangeSet, KeyValue, Put, RangeResult, WatchEvent
 from standins import kv
 from standins.memory import MemoryStore
-from tests.queue_cluster import RecordingLog
+from tests.queue_cluster import Bench, RecordingLog, step
 from tests.test_queue_intake import JOB, JOB_PATH, run_with_cell
 from tests.virtual import run_virtual
 
@@ -195,3 +196,23 @@
 
     run_with_cell(body)
     assert found["stored"] == 1, found
+
+
+def test_a_lost_run_continues_from_its_newest_checkpoint():
+    """Guards against work done again from a checkpoint of an earlier run."""
+    bench = Bench(workers=2)
+    bench.submit("a1", step(1, checkpointing=True))
+    (run,) = bench.plan()
+    bench.end(run, EndKind.STOPPED, checkpoint="c1")
+    bench.now += 1.0
+    bench.planner.run(bench.now)
+    (start,) = bench.orders(StartRun)
+    assert start.order.checkpoint == "c1"
+    worker_id = start.order.worker_id
+    row = (start.order.task_id, start.order.number, "c5", 50.0)
+    bench.report(worker_id, [row])
+    bench.cluster.drop_runs(bench.worker(worker_id), bench.now, "lost")
+    bench.now += 1.0
+    bench.planner.run(bench.now)
+    (start,) = bench.orders(StartRun)
+    assert start.order.checkpoint == "c5"
