Show that a cancelled call may leave its connection open

What workers could see: connections that carry no further calls and stay open; a worker takes 64 from all processes together.

Cause: if a call is cancelled between the arrival of its answer and the resumption of its task, the connection is not busy any more, so HttpClient.call neither closes nor keeps it. A leader cancels polls whenever it wakes a poll loop.

Proposal: close the connection on every way out that does not keep it.

--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -216,3 +216,39 @@
     bench.planner.run(bench.now)
     (start,) = bench.orders(StartRun)
     assert start.order.checkpoint == "c5"
+
+
+def test_a_call_that_is_cancelled_as_its_answer_arrives_closes_its_connection(
+    monkeypatch,
+):
+    """Guards against connections to a worker that stay open unused."""
+    complete = client._Connection.on_message_complete
+    calls = []
+    connections = []
+
+    def cancel_on_completion(connection):
+        complete(connection)
+        connections.append(connection)
+        calls[-1].cancel()
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"{}")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        await writer.drain()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        http = client.HttpClient(asyncio.get_running_loop().time)
+        call = http.call(f"127.0.0.1:{port}", "POST", "/hold", b"{}", 5.0)
+        calls.append(asyncio.create_task(call))
+        await asyncio.wait(calls)
+        left_open = [c for c in connections if c.open and c not in http._idle]
+        for connection in connections:
+            connection.close()
+        http.close()
+        server.close()
+        return len(connections), left_open
+
+    monkeypatch.setattr(client._Connection, "on_message_complete", cancel_on_completion)
+    assert asyncio.run(main()) == (1, [])
