Do not count a pause as time without a change

Found by the review of the change to the mirror: a process that was paused for 5 s or more just after its watch had missed changes compared the time at which it read the next answer with that of the one before the pause, and went on past the skipped changes for good.

Change: a revision counts only if it was reported 5 s before the present call was sent.

--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -213,7 +213,7 @@
             if changes.events:
                 self._apply(changes)
             else:
-                self._note_reported(changes.revision)
+                self._note_reported(changes.revision, began)
         self._on_answer(began)
 
     def _apply(self, changes: ChangeSet) -> None:
@@ -226,12 +226,16 @@
         self._heartbeat_seen = self._heartbeat_key in latest
         self._listener.apply_changes(list(latest.values()))
 
-    def _note_reported(self, revision: int) -> None:
-        """Advance to the revisions reported at least ``GAP_S`` ago."""
-        now = self._clock()
-        self._reported.append((now, revision))
-        while self._reported and now - self._reported[0][0] >= GAP_S:
+    def _note_reported(self, revision: int, began: float) -> None:
+        """Advance to the revisions reported ``GAP_S`` before the call was sent.
+
+        Args:
+            revision: Revision that the answer reported without changes.
+            began: Time at which the call was sent.
+        """
+        while self._reported and began - self._reported[0][0] >= GAP_S:
             self._revision = max(self._revision, self._reported.popleft()[1])
+        self._reported.append((self._clock(), revision))
 
     async def _read(self) -> None:
         began = self._clock()
