Keep a cancellation that was stored while a range read was on its way

Change: the table keeps the revision of a cancellation and, as for announced jobs, does not remove one that is newer than the read.

Evidence: test_a_slow_read_keeps_a_cancellation_that_was_stored_after_it failed and passes.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -20,7 +20,7 @@
     StoreUnavailable,
 )
 from ..status import Code
-from ..store import Compare, KeyValue, Put, WatchEvent
+from ..store import Compare, KeyValue, Put, TxnResult, WatchEvent
 from ..store.monitored import MonitoredStore
 from . import records
 from .decisions import DecisionLog
@@ -430,10 +430,15 @@
             self._note_cancelled(job_id)
         return "stored"
 
-    def _note_cancelled(self, job_id: str) -> None:
-        """Apply a stored cancellation to the table before the mirror delivers it."""
+    def _note_cancelled(self, job_id: str, revision: int = 0) -> None:
+        """Apply a stored cancellation to the table before the mirror delivers it.
+
+        Args:
+            job_id: The job.
+            revision: Revision of the write; needed only if the job is not accepted.
+        """
         put = _cancel_put(job_id)
-        item = KeyValue(put.key, put.value, 0, 0)
+        item = KeyValue(put.key, put.value, revision, revision)
         with self._changing_table("caller"):
             self._table.apply_changes([WatchEvent(put.key, item)])
 
@@ -448,15 +453,16 @@
         if check_exists and not await self._is_stored(job_id):
             # A write of the job may still be on its way.
             absent = Compare(records.JOB_PREFIX + job_id, "mod_revision", 0)
-            if await self._write_cancel(job_id, [absent], retry_for_s):
-                self._note_cancelled(job_id)
+            result = await self._write_cancel(job_id, [absent], retry_for_s)
+            if result.succeeded:
+                self._note_cancelled(job_id, result.revision)
                 raise BadRequest("no such job", Code.NOT_FOUND)
         await self._write_cancel(job_id, [], retry_for_s)
 
     async def _write_cancel(
         self, job_id: str, compares: list[Compare], retry_for_s: float
-    ) -> bool:
-        """Write a cancellation; return whether the conditions held.
+    ) -> TxnResult:
+        """Write a cancellation if the conditions hold.
 
         Raises:
             OutcomeUnknown: It may be stored.
@@ -467,7 +473,7 @@
         put = _cancel_put(job_id)
         while True:
             try:
-                return (await self._store.txn(compares, [put])).succeeded
+                return await self._store.txn(compares, [put])
             except StoreOutcomeUnknown as exc:
                 error: FlamingowayError = OutcomeUnknown(exc.message, exc.code)
             except StoreUnavailable as exc:
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -32,6 +32,7 @@
         progress: Encoded ``ProgressRecord``; empty before the first.
         cancelled: Whether it was cancelled, perhaps before it was accepted.
         cancelled_at: Time of the cancellation, in Unix seconds; 0 if it is not known.
+        cancel_revision: Store revision of the cancellation; 0 if it is not known.
         ended_at: Time at which the job ended, in Unix seconds; 0 while it is open.
     """
 
@@ -43,6 +44,7 @@
     state: StepJobState = StepJobState.QUEUED
     cancelled: bool = False
     cancelled_at: float = 0.0
+    cancel_revision: int = 0
     ended_at: float = 0.0
 
     @property
@@ -229,6 +231,7 @@
         job = self._get_or_create(job_id)
         job.cancelled = True
         job.cancelled_at = _cancelled_at(item)
+        job.cancel_revision = item.mod_revision
         if job.accepted and self.on_job is not None:
             self.on_job(job)
 
@@ -264,13 +267,13 @@
             self.on_leader()
 
     def _keys(self, revision: int) -> list[str]:
-        """Return the keys of all entries except jobs newer than a revision."""
+        """Return the keys of all entries but newer jobs and cancellations."""
         keys = [records.PROCESS_PREFIX + name for name in self._processes]
         keys += [records.WORKER_PREFIX + name for name in self._workers]
         keys += [
             records.JOB_PREFIX + job.job_id
             for job in self._jobs.values()
-            if job.revision <= revision
+            if (job.revision or job.cancel_revision) <= revision
         ]
         if self._leader_item is not None:
             keys.append(records.LEADER_KEY)
