Send no call after a suspension during its connection attempt

What workers could see: a start that was checked against the leadership before the VM was suspended, and is sent after it. A worker that the successor has polled rejects it by its token; one that has restarted since does not.

Cause: a call on a new connection is sent once that is open. The timeout of the attempt runs on the clock of the event loop, which does not count the time of a suspension.

Change: the client compares its own clock, which counts it, and reports the call as not sent.

Evidence: test_an_order_is_not_sent_after_a_pause_while_its_connection_is_opened failed and passes.

--- a/flamingoway/platform/client.py
+++ b/flamingoway/platform/client.py
@@ -70,10 +70,7 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        connection = self._take_idle(address)
-        if connection is None:
-            connect_timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
-            connection = await _connect(address, connect_timeout_s)
+        connection = self._take_idle(address) or await self._connect(address, timeout_s)
         request = _encode(address, method, path, body, headers)
         response = connection.send(request)
         timer = loop.call_at(deadline, self._time_out, address, connection)
@@ -89,6 +86,15 @@
             self._keep_idle(address, connection)
         return status, data
 
+    async def _connect(self, address: str, timeout_s: float) -> "_Connection":
+        """Open a connection; timers do not count the time of a suspended VM."""
+        began = self._clock()
+        connection = await _connect(address, min(timeout_s, CONNECT_TIMEOUT_S))
+        if self._clock() - began > timeout_s:
+            connection.close()
+            raise NotSent(f"the process was suspended while connecting to {address}")
+        return connection
+
     def forget(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in list(self._idle_by_address.get(address, ())):
