Close the connection of a call that is cancelled as its answer arrives

What workers could see: connections that carry no further calls and stay open; a worker takes 64 from all processes together. A leader cancels a poll whenever it wakes its loop.

Cause: between the arrival of the answer and the resumption of the task the connection was not busy any more, so the call neither closed nor kept it.

Evidence: test_a_call_that_is_cancelled_as_its_answer_arrives_closes_its_connection failed and passes.

--- a/flamingoway/platform/client.py
+++ b/flamingoway/platform/client.py
@@ -74,13 +74,15 @@
         request = _encode(address, method, path, body, headers)
         response = connection.send(request)
         timer = loop.call_at(deadline, self._time_out, address, connection)
+        answered = False
         try:
             status, data = await response
+            answered = True
         except ConnectionError as exc:
             raise ResponseLost(f"no complete response from {address}: {exc}") from None
         finally:
             timer.cancel()
-            if connection.busy:
+            if not answered:
                 connection.close()
         if connection.open:
             self._keep_idle(address, connection)
@@ -153,11 +155,6 @@
         """Whether the connection is established and not closing."""
         return self._transport is not None and not self._transport.is_closing()
 
-    @property
-    def busy(self) -> bool:
-        """Whether a call waits for its response."""
-        return self._response is not None
-
     def send(self, request: bytes) -> asyncio.Future:
         """Send a request; return a future of the status and the body."""
         self._response = asyncio.get_running_loop().create_future()
