Cancel a job whose route is not in force

What callers saw: a job whose route was removed, or is not in force yet at the process that is asked, cannot be cancelled: 404, nothing is stored and its tasks run on.

Cause: the adapter looked for the queue of the path before it looked at the method and the id, although a cancellation needs only the id.

Change: the cancellation of a job that this process knows is stored all the same.

--- a/flamingoway/platform/ingress.py
+++ b/flamingoway/platform/ingress.py
@@ -61,6 +61,7 @@
         try:
             queue = self._intake.queue_for(host, request.path)
         except BadRequest:
+            await self._cancel_without_queue(request)
             return _json(404, {"error": "no such queue"})
         job_id = request.path[len(queue.prefix) :]
         timeout_s = _timeout(request)
@@ -80,6 +81,18 @@
         await self._intake.submit(spec, timeout_s)
         return _json(200, {})
 
+    async def _cancel_without_queue(self, request: HttpRequest) -> None:
+        """Cancel a job whose route has been removed or is not in force here yet.
+
+        Its tasks run on otherwise, as no other request can end them. The caller is
+        still told that there is no such queue.
+        """
+        job_id = request.path[-JOB_ID_CHARS:]
+        if request.method != "DELETE" or not _is_job_id(job_id):
+            return
+        if self._intake.knows(job_id):
+            await self._intake.cancel(job_id, _timeout(request))
+
 
 def error_answer(
     code: Code, message: str, retry_after: int | None = None
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -201,7 +201,7 @@
         """
         if queue is None and self._desired is not None:
             queue = self._desired.queue(spec.queue)
-        if self._table.find(spec.job_id) or spec.job_id in self._recently_accepted:
+        if self.knows(spec.job_id):
             self._log.write("job already accepted", job=spec.job_id, queue=spec.queue)
             return
         if relay:
@@ -382,6 +382,10 @@
             return job.reported_state
         return reply.state
 
+    def knows(self, job_id: str) -> bool:
+        """Return whether this process knows an accepted job."""
+        return self._table.find(job_id) is not None or job_id in self._recently_accepted
+
     async def cancel(self, job_id: str, timeout_s: float, relay: bool = True) -> None:
         """Cancel a job; returns once that is stored.
 
