Resume a lost run from its newest checkpoint

What callers could see: work done again after a worker was lost, although a poll had shown a newer checkpoint. The older one is the task's too, so no rule is broken.

Cause: the checkpoint that a poll had shown was stored only if the step had none, so that it would not replace that of an end that was just processed.

Change: an end also sets the checkpoint of its run, and the run's newest one is stored.

Evidence: test_a_lost_run_continues_from_its_newest_checkpoint failed (c1 instead of c5) and passes, as do the tests of the cluster state, the term and the log.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -32,7 +32,6 @@
 from .records import StepProgress
 from .rows import MAX_CHECKPOINT_CHARS, write_rows
 from .runs import (
-    GANG_KEY,
     MAX_LEASE_FACTOR,
     MAX_ORDER_DELAY_S,
     MIN_CLOCK_RATE,
@@ -722,6 +721,8 @@
             return
         if ended.checkpoint and step.spec.checkpointing:
             step.checkpoints[key] = ended.checkpoint
+            if run is not None:
+                run.checkpoint = ended.checkpoint
             job.mark_changed(now)
         if ended.kind is EndKind.FAILED:
             self._count_failure(step, index, ended, worker, now, wall)
@@ -817,10 +818,8 @@
             step.pending.append(run.index)
         if step.job.state.final:
             step.pending.clear()
-        if step.spec.gang and run.checkpoint and step.spec.checkpointing:
-            step.checkpoints.setdefault(GANG_KEY, run.checkpoint)
-        elif run.checkpoint and step.spec.checkpointing:
-            step.checkpoints.setdefault(run.index, run.checkpoint)
+        if run.checkpoint and step.spec.checkpointing:
+            step.checkpoints[step.attempt_key(run.index)] = run.checkpoint
         self.update_waiting(step)
 
     def stop_run(self, run: Run, now: float) -> None:
