Contain errors while starts and cancellations are logged

Found by the review, by reading: an error in the line on a cancellation would have lost the cancellation, and one in the line on a start would have ended the term. No input is known that raises one.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -319,8 +319,8 @@
         now = self._clock()
         source = self._intake.source_of_change
         if job.cancelled and job.job_id in self._cluster.jobs:
-            self._log_cancellation(job, source)
             try:
+                self._log_cancellation(job, source)
                 self._cluster.cancel_job(job.job_id, now, time.time())
             except Exception as exc:
                 # The workers are told to stop runs that are no longer tracked.
@@ -573,10 +573,10 @@
         reply = StartReply.NOT_SENT
         if self.may_send_orders and self._cluster.may_start(run):
             sent_at = self._clock()
-            self._log_start(start, sent_at)
             # The order may have been sent if an error occurred.
             reply = StartReply.UNKNOWN
             with self._faults.contain("start", run.task_id):
+                self._log_start(start, sent_at)
                 reply = await self._workers.start(run.worker.entry, start.order)
             took_s = self._clock() - sent_at
             self._metrics.start_seconds.observe(took_s)
