--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -20,7 +20,7 @@
     StoreUnavailable,
 )
 from ..status import Code
-from ..store import Compare, KeyValue, Put, WatchEvent
+from ..store import Compare, KeyValue, Put, TxnResult, WatchEvent
 from ..store.monitored import MonitoredStore
 from . import records
 from .decisions import DecisionLog
@@ -201,7 +201,7 @@
         """
         if queue is None and self._desired is not None:
             queue = self._desired.queue(spec.queue)
-        if self._table.find(spec.job_id) or spec.job_id in self._recently_accepted:
+        if self.knows(spec.job_id):
             self._log.write("job already accepted", job=spec.job_id, queue=spec.queue)
             return
         if relay:
@@ -382,6 +382,10 @@
             return job.reported_state
         return reply.state
 
+    def knows(self, job_id: str) -> bool:
+        """Return whether this process knows an accepted job."""
+        return self._table.find(job_id) is not None or job_id in self._recently_accepted
+
     async def cancel(self, job_id: str, timeout_s: float, relay: bool = True) -> None:
         """Cancel a job; returns once that is stored.
 
@@ -430,10 +434,15 @@
             self._note_cancelled(job_id)
         return "stored"
 
-    def _note_cancelled(self, job_id: str) -> None:
-        """Apply a stored cancellation to the table before the mirror delivers it."""
+    def _note_cancelled(self, job_id: str, revision: int = 0) -> None:
+        """Apply a stored cancellation to the table before the mirror delivers it.
+
+        Args:
+            job_id: The job.
+            revision: Revision of the write; needed only if the job is not accepted.
+        """
         put = _cancel_put(job_id)
-        item = KeyValue(put.key, put.value, 0, 0)
+        item = KeyValue(put.key, put.value, revision, revision)
         with self._changing_table("caller"):
             self._table.apply_changes([WatchEvent(put.key, item)])
 
@@ -448,15 +457,16 @@
         if check_exists and not await self._is_stored(job_id):
             # A write of the job may still be on its way.
             absent = Compare(records.JOB_PREFIX + job_id, "mod_revision", 0)
-            if await self._write_cancel(job_id, [absent], retry_for_s):
-                self._note_cancelled(job_id)
+            result = await self._write_cancel(job_id, [absent], retry_for_s)
+            if result.succeeded:
+                self._note_cancelled(job_id, result.revision)
                 raise BadRequest("no such job", Code.NOT_FOUND)
         await self._write_cancel(job_id, [], retry_for_s)
 
     async def _write_cancel(
         self, job_id: str, compares: list[Compare], retry_for_s: float
-    ) -> bool:
-        """Write a cancellation; return whether the conditions held.
+    ) -> TxnResult:
+        """Write a cancellation if the conditions hold.
 
         Raises:
             OutcomeUnknown: It may be stored.
@@ -467,7 +477,7 @@
         put = _cancel_put(job_id)
         while True:
             try:
-                return (await self._store.txn(compares, [put])).succeeded
+                return await self._store.txn(compares, [put])
             except StoreOutcomeUnknown as exc:
                 error: FlamingowayError = OutcomeUnknown(exc.message, exc.code)
             except StoreUnavailable as exc:
