Let the store in memory drop its history without telling clients between two watches

The platform cuts only the watches that wait when it drops its history. The fake told every client whose watch had been silent, so histories could not show a client that goes on with a copy that misses changes. The former behaviour stays the default.

A write that is applied late and then fails, because its lease has ended, no longer raises an error in the event loop, and a callback reports each lost answer.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -38,6 +38,10 @@
         calls: Number of calls by method name, including failed ones.
         silent_watches: Whether :meth:`changes` reports no changes. The first regular
             call for a prefix after that fails, because its watch missed changes.
+        gaps_reported: Whether that call fails. If not, only the calls that wait when
+            the watches are broken fail, so a client between two calls learns nothing
+            of the changes that it missed.
+        on_lost_answer: Called when a write is not answered, if set.
     """
 
     def __init__(
@@ -56,6 +60,8 @@
         self._watches: set[asyncio.Queue] = set()
         self._late_delays_s: list[float] = []
         self.silent_watches = False
+        self.gaps_reported = True
+        self.on_lost_answer: Callable[[], None] | None = None
         self._gap_prefixes: set[str] = set()
 
     @property
@@ -182,6 +188,8 @@
             StoreUnavailable: If the store is down or the watch breaks.
         """
         await self._begin("changes")
+        if self.silent_watches and not self.gaps_reported:
+            return await self._wait_silently(wait_s)
         if self.silent_watches:
             # Changes made meanwhile are skipped, so the next regular call fails.
             self._gap_prefixes.add(prefix)
@@ -207,6 +215,19 @@
         events = [event for batch in batches for event in _to_batch(batch).events]
         return ChangeSet(self.engine.revision, events)
 
+    async def _wait_silently(self, wait_s: float) -> ChangeSet:
+        """Wait without reporting changes, unless the watch is broken meanwhile."""
+        queue: asyncio.Queue[kv.Changes | None] = asyncio.Queue()
+        self._watches.add(queue)
+        try:
+            async with asyncio.timeout(wait_s):
+                await queue.get()
+        except TimeoutError:
+            return ChangeSet(self.engine.revision, [])
+        finally:
+            self._watches.discard(queue)
+        raise StoreUnavailable("watch closed by the store")
+
     async def _collect(self, queue: asyncio.Queue, wait_s: float) -> list:
         """Wait up to ``wait_s`` for a change, then return all queued batches."""
         loop = asyncio.get_running_loop()
@@ -237,10 +258,11 @@
     def _write(self, apply: Callable):
         if self._requests_to_drop:
             self._requests_to_drop -= 1
-            raise StoreOutcomeUnknown("no response from the store")
+            raise self._lost_answer()
         if self._late_delays_s:
-            asyncio.get_running_loop().call_later(self._late_delays_s.pop(0), apply)
-            raise StoreOutcomeUnknown("no response from the store")
+            delay_s = self._late_delays_s.pop(0)
+            asyncio.get_running_loop().call_later(delay_s, _apply_unanswered, apply)
+            raise self._lost_answer()
         try:
             answer = apply()
         except kv.LeaseNotFound as exc:
@@ -249,9 +271,22 @@
             raise BadRequest(str(exc)) from None
         if self._responses_to_drop:
             self._responses_to_drop -= 1
-            raise StoreOutcomeUnknown("no response from the store")
+            raise self._lost_answer()
         return answer
 
+    def _lost_answer(self) -> StoreOutcomeUnknown:
+        if self.on_lost_answer is not None:
+            self.on_lost_answer()
+        return StoreOutcomeUnknown("no response from the store")
+
+
+def _apply_unanswered(apply: Callable) -> None:
+    """Apply a write on the conditions that hold now; nobody reads its outcome."""
+    try:
+        apply()
+    except (kv.LeaseNotFound, kv.InvalidRequest):
+        return
+
 
 def _drain(queue: asyncio.Queue) -> list:
     return [queue.get_nowait() for _ in range(queue.qsize())]
