Check all forms of unasked work in the random histories, faults included

The checker saw a start after a cancellation only before the first fault, and checked neither runs that go on after one, nor payloads, nor checkpoints. A start of a job that nobody submitted was not reported either: it raised a KeyError in the fake worker, which the leader contains.

Faults are now recorded with their times and what they hit. Only disruptions of the store, the node that ordered the start or has led, and the worker suspend the limits after a cancellation. The answer that there is no such job counts as an acknowledgement.

Fake workers save checkpoints, and the incarnation that has a worker's id when a late order is applied carries it out. A second set of time limits has leases of 10 s and orders that are late by up to 12 s.

--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -3,7 +3,8 @@
 The workers implement the platform's published protocol: fencing tokens, leases on
 their own clock, run numbers, gangs, and ended runs that are reported until they are
 acknowledged. Orders may also take effect seconds after the sender stopped waiting
-for the answer.
+for the answer, on the incarnation of the worker that then has the id. Tasks of steps
+with checkpoints save their progress while they work.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
     Queue,
     RunningTask,
     StartReply,
+    Step,
     StepJobState,
     WorkerEntry,
     WorkerReport,
@@ -30,6 +32,7 @@
 from flamingoway.queues.node import Platform, QueueNode
 from flamingoway.queues.ports import NoReply, PollRefused
 from flamingoway.queues.records import ProcessRecord
+from flamingoway.status import Code
 from flamingoway.store import Delete, Put
 from standins import kv
 from standins.memory import MemoryStore
@@ -40,6 +43,11 @@
 GANG_START_TIMEOUT_S = 3.0
 STOP_DURATION_S = 0.3
 CANCEL_GRACE_S = 3.0
+# Interval between the checkpoints of a task, and the time that resuming from one takes.
+CHECKPOINT_INTERVAL_S = 0.5
+RESTORE_S = 0.25
+# Interval at which the checker looks for runs of cancelled jobs.
+WATCH_INTERVAL_S = 0.1
 # Rows of ended runs in one answer of a worker.
 ENDED_ROWS = 500
 # A caller gets no answer from a process that was killed.
@@ -68,6 +76,40 @@
 DESIRED = DesiredState(1, (QUEUE, CHECKS))
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time limits of a platform, in seconds.
+
+    Attributes:
+        lease_s: Length of the leases that nodes grant.
+        gang_start_timeout_s: How long a task waits for the others of its gang.
+        stop_s: Longest duration of a stop.
+        cancel_s: Time after the acknowledgement of a cancellation in which tasks of the
+            job may still be started.
+        contact_s: Time after the end of a disruption from which a node counts as
+            undisturbed.
+        order_delay_s: Longest delay of an order that is not answered.
+    """
+
+    lease_s: float = LEASE_S
+    gang_start_timeout_s: float = GANG_START_TIMEOUT_S
+    stop_s: float = STOP_DURATION_S
+    cancel_s: float = CANCEL_GRACE_S
+    contact_s: float = 4.0
+    order_delay_s: float = 8.0
+
+
+BOUNDS = Bounds()
+# A worker accepts leases of 10 s.
+LONG_LEASE_BOUNDS = Bounds(
+    lease_s=9.5,
+    gang_start_timeout_s=4.0,
+    stop_s=0.4,
+    cancel_s=4.0,
+    order_delay_s=12.0,
+)
+
+
 class RecordingLog:
     """Collects log lines of all nodes in one list, with time and node name."""
 
@@ -83,7 +125,16 @@
 
 @dataclass(eq=False)
 class FakeRun:
-    """A run of a task on a fake worker."""
+    """A run of a task on a fake worker.
+
+    Attributes:
+        left_s: Work that is left when the run begins to work.
+        resumed_s: Work that an earlier run has saved.
+        restore_s: Time that passes before the run works.
+        started: Time at which the worker started the run.
+        sender: Name of the node that ordered the start.
+        late: Whether the order was carried out late.
+    """
 
     task_id: str
     number: int
@@ -94,6 +145,12 @@
     fails: bool = False
     began: float = 0.0
     timers: list = field(default_factory=list)
+    checkpointing: bool = False
+    resumed_s: float = 0.0
+    restore_s: float = 0.0
+    started: float = 0.0
+    sender: str = ""
+    late: bool = False
 
 
 class FakeWorker:
@@ -145,7 +202,7 @@
         self.up = False
         self._begin_incarnation()
 
-    def start(self, order, spec, gang_size):
+    def start(self, order, spec, gang_size, sender="", late=False):
         if order.token < self.token:
             return StartReply.FENCED
         self.token = order.token
@@ -157,13 +214,22 @@
             return StartReply.RUNNING
         if order.number <= self.highest.get(order.task_id, 0) or known is not None:
             return StartReply.SUPERSEDED
+        duration_s = self.world.duration(order.task_id)
+        saved_s = self.world.checkpoints.saved_s(order.task_id, order.checkpoint)
         run = FakeRun(
             order.task_id,
             order.number,
             spec.resources,
-            self.world.duration(order.task_id),
+            max(0.0, duration_s - saved_s),
             gang=gang_size,
+            checkpoint=order.checkpoint if saved_s else "",
             fails=self.world.rng.random() < self.world.failure_share,
+            checkpointing=spec.checkpointing,
+            resumed_s=saved_s,
+            restore_s=RESTORE_S if saved_s else 0.0,
+            started=self.world.now,
+            sender=sender,
+            late=late,
         )
         self.runs[order.task_id] = run
         self.world.checker.on_start(self, run, order)
@@ -176,7 +242,27 @@
     def begin_work(self, run):
         run.began = self.world.now
         kind = EndKind.FAILED if run.fails else EndKind.DONE
-        run.timers.append(self.world.loop.call_later(run.left_s, self.end, run, kind))
+        working_s = run.restore_s + run.left_s
+        run.timers.append(self.world.loop.call_later(working_s, self.end, run, kind))
+        if run.checkpointing:
+            first_s = run.restore_s + CHECKPOINT_INTERVAL_S
+            run.timers.append(
+                self.world.loop.call_later(first_s, self._save_regularly, run)
+            )
+
+    def _save_regularly(self, run):
+        self._save(run)
+        run.timers.append(
+            self.world.loop.call_later(CHECKPOINT_INTERVAL_S, self._save_regularly, run)
+        )
+
+    def _save(self, run):
+        """Store a new checkpoint of a run that works."""
+        worked_s = self.world.now - run.began - run.restore_s
+        if not run.checkpointing or not run.began or worked_s <= 0:
+            return
+        saved_s = run.resumed_s + min(worked_s, run.left_s)
+        run.checkpoint = self.world.checkpoints.add(run.task_id, saved_s)
 
     def stop(self, task_id, number, token):
         if token < self.token:
@@ -185,10 +271,9 @@
         self.highest[task_id] = max(self.highest.get(task_id, 0), number)
         run = self.runs.get(task_id)
         if run is not None and run.number <= number:
+            stop_s = self.world.bounds.stop_s
             run.timers.append(
-                self.world.loop.call_later(
-                    STOP_DURATION_S, self.end, run, EndKind.STOPPED
-                )
+                self.world.loop.call_later(stop_s, self.end, run, EndKind.STOPPED)
             )
         return True
 
@@ -196,6 +281,8 @@
         if self.runs.get(run.task_id) is not run:
             return
         self._cancel_timers(run)
+        if kind is EndKind.STOPPED:
+            self._save(run)
         del self.runs[run.task_id]
         self.highest[run.task_id] = max(self.highest.get(run.task_id, 0), run.number)
         self.sequence += 1
@@ -228,11 +315,12 @@
 
     def _percent(self, run):
         """Return the progress of a run, in whole percent."""
-        worked_s = self.world.now - run.began if run.began else 0.0
-        return float(int(100 * worked_s / run.left_s))
+        worked_s = self.world.now - run.began - run.restore_s if run.began else 0.0
+        done_s = run.resumed_s + max(0.0, worked_s)
+        return float(int(100 * done_s / max(run.resumed_s + run.left_s, 0.001)))
 
     def _extend(self, lease_ms):
-        limit = self.clock_ms + int(LEASE_S / 0.95 * 1000)
+        limit = self.clock_ms + int(self.world.bounds.lease_s / 0.95 * 1000)
         self.lease_ms = max(self.lease_ms, min(lease_ms, limit))
         if self.lease_timer is not None:
             self.lease_timer.cancel()
@@ -286,14 +374,13 @@
     async def _answer(self, worker, apply):
         """Apply an order, possibly with delay, possibly losing the answer.
 
-        An incarnation of a worker that has ended applies none of its delayed orders.
+        A delayed order is applied by the incarnation that then has the worker's id.
         """
-        incarnation = worker.incarnation
         roll = self.world.rng.random()
         if roll < self.late_share:
             self.world.loop.call_later(
-                self.world.rng.uniform(1, 8),
-                lambda: worker.incarnation == incarnation and apply(),
+                self.world.rng.uniform(1, self.world.bounds.order_delay_s),
+                lambda: worker.up and apply(late=True),
             )
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise NoReply("late")
@@ -309,9 +396,12 @@
         try:
             with self._counted(entry.worker_id):
                 worker = await self._reach(entry.worker_id)
-                return await self._answer(
-                    worker, lambda: self.world.start(worker, order)
-                )
+
+                def start(late=False):
+                    with self.world.ordering(self.node, late):
+                        return self.world.start(worker, order)
+
+                return await self._answer(worker, start)
         except NoReply:
             return StartReply.UNKNOWN
 
@@ -320,7 +410,7 @@
             with self._counted(entry.worker_id):
                 worker = await self._reach(entry.worker_id)
                 return await self._answer(
-                    worker, lambda: worker.stop(task_id, number, token)
+                    worker, lambda late=False: worker.stop(task_id, number, token)
                 )
         except NoReply:
             return False
@@ -342,7 +432,7 @@
                 pass
         if not worker.up or entry.worker_id in self.unreachable:
             raise NoReply(entry.worker_id)
-        return await self._answer(worker, worker.report)
+        return await self._answer(worker, lambda late=False: worker.report())
 
 
 class AdvicePort:
@@ -395,11 +485,76 @@
         pass
 
 
+class Checkpoints:
+    """Checkpoints that tasks have saved, and the work that each stands for."""
+
+    def __init__(self, world):
+        self.world = world
+        self._saved = {}
+
+    def owner(self, task_id):
+        """Return the id of a task, or of its step if the step is a gang."""
+        job_id, _, number, _ = task_id.split(".")
+        spec = self.world.specs.get(job_id)
+        step = spec.steps[int(number)] if spec is not None else None
+        is_gang = step is not None and step.gang
+        return task_id.rpartition(".")[0] if is_gang else task_id
+
+    def add(self, task_id, saved_s):
+        """Return a new checkpoint."""
+        value = f"{len(self._saved):08x}"
+        self._saved[value] = (self.owner(task_id), saved_s)
+        return value
+
+    def saved_s(self, task_id, value):
+        """Return the saved work in seconds; 0 if the task has no such checkpoint."""
+        owner, saved_s = self._saved.get(value, ("", 0.0))
+        return saved_s if owner == self.owner(task_id) else 0.0
+
+    def is_valid(self, task_id, value):
+        """Return whether a task may be started with a checkpoint."""
+        return not value or self._saved.get(value, ("",))[0] == self.owner(task_id)
+
+
+class Disruptions:
+    """Times at which the store, a node or a worker was disrupted."""
+
+    def __init__(self, world):
+        self.world = world
+        self._spans = {}
+
+    @contextmanager
+    def during(self, *subjects):
+        """Record a disruption of ``store`` or of a node or worker by name."""
+        span = [self.world.now, float("inf")]
+        for subject in subjects:
+            self._spans.setdefault(subject, []).append(span)
+        try:
+            yield
+        finally:
+            span[1] = self.world.now
+
+    def note(self, subject):
+        """Record a disruption that has no duration."""
+        self._spans.setdefault(subject, []).append([self.world.now, self.world.now])
+
+    def is_calm(self, subject, since):
+        """Return whether a subject has not been disrupted since a time."""
+        return all(end < since for _, end in self._spans.get(subject, ()))
+
+
 class Checker:
-    """Records violations of the rules that must hold under any faults."""
+    """Records violations of the rules that must hold under any faults.
+
+    A task of a cancelled job must not be started later than ``cancel_s`` after the
+    acknowledgement, nor run ``stop_s`` beyond that. Disruptions of the store, of the
+    node in question and of the worker suspend these two limits; others do not.
+    """
 
     def __init__(self, world):
         self.world = world
+        self.gang_checkpoints = {}
+        self.overdue = set()
         self.violations = []
         self.done_acknowledged = set()
         self.done = set()
@@ -420,9 +575,10 @@
 
     def on_start(self, worker, run, order):
         job_id, _, step, _ = run.task_id.split(".")
-        if job_id not in self.world.specs:
-            self.fail("UNASKED", run.task_id)
+        if not self.world.is_submitted(run.task_id):
+            self.fail("UNASKED", f"{run.task_id} belongs to no submitted job")
             return
+        self._check_content(run, order)
         used = sum(r.needs.cores_milli for r in worker.runs.values())
         if used > worker.capacity.cores_milli:
             self.fail("LIMIT", f"{worker.worker_id} {used}")
@@ -436,14 +592,81 @@
         failed = self.failed_acknowledged.get(self._attempt(run.task_id), set())
         if len(failed) >= QUEUE.max_attempts:
             self.fail("BUDGET", run.task_id)
-        cancelled_at = self.world.cancelled.get(job_id)
-        late = (
-            cancelled_at is not None and self.world.now > cancelled_at + CANCEL_GRACE_S
-        )
-        if late and not self.world.faults_started:
-            self.fail("UNASKED", f"{run.task_id} started after the job was cancelled")
+        since = self._cancelled_for(job_id)
+        overdue = since > self.world.bounds.cancel_s
+        if overdue and not run.late and self._is_in_touch(run.sender):
+            self.fail(
+                "UNASKED",
+                f"{run.task_id} started by {run.sender} {since:.2f} s after the job was"
+                " cancelled",
+            )
         self.started.add(job_id)
 
+    def _check_content(self, run, order):
+        """Check the payload and the checkpoint of a start."""
+        payload = self.world.specs[run.task_id.partition(".")[0]].payload
+        if order.payload != payload:
+            self.fail("UNASKED", f"{run.task_id} with payload {order.payload!r}")
+        if not self.world.checkpoints.is_valid(run.task_id, order.checkpoint):
+            self.fail("UNASKED", f"{run.task_id} with checkpoint {order.checkpoint!r}")
+        if run.gang:
+            key = (self.world.checkpoints.owner(run.task_id), run.number)
+            first = self.gang_checkpoints.setdefault(key, order.checkpoint)
+            if order.checkpoint != first:
+                self.fail(
+                    "UNASKED",
+                    f"{run.task_id} with checkpoint {order.checkpoint!r}, others of its"
+                    f" gang with {first!r}",
+                )
+
+    def _cancelled_for(self, job_id):
+        """Return the seconds since a job's cancellation was acknowledged."""
+        return self.world.now - self.world.cancelled_at(job_id)
+
+    def _is_in_touch(self, node):
+        since = self.world.now - self.world.bounds.contact_s
+        is_calm = self.world.disruptions.is_calm
+        return is_calm("store", since) and is_calm(node, since)
+
+    async def watch(self):
+        """Check the runs of cancelled jobs regularly."""
+        while True:
+            for worker in self.world.workers.values():
+                for run in worker.runs.values():
+                    self.check_overdue(worker, run)
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    def check_overdue(self, worker, run):
+        """Record a run of a cancelled job that should have been stopped.
+
+        It must be gone after each undisturbed stretch of ``cancel_s`` and ``stop_s``. A
+        run that was started late counts only from ``contact_s`` after its start.
+        """
+        since = self._cancelled_for(run.task_id.partition(".")[0])
+        if (run.task_id, run.number) in self.overdue:
+            return
+        bounds = self.world.bounds
+        stretch_s = bounds.cancel_s + bounds.stop_s
+        age_s = self.world.now - run.started
+        if since <= stretch_s or (
+            run.late and age_s <= bounds.contact_s + bounds.stop_s
+        ):
+            return
+        begin = self.world.now - stretch_s
+        is_calm = self.world.disruptions.is_calm
+        nodes = self.world.leaders_since(begin) | {run.sender}
+        # The store counts as undisturbed only some time after a disruption.
+        if is_calm("store", begin - bounds.contact_s) and all(
+            is_calm(subject, begin) for subject in (worker.worker_id, *nodes)
+        ):
+            self.overdue.add((run.task_id, run.number))
+            self.fail(
+                "UNASKED",
+                f"{run.task_id} run {run.number} goes on at {worker.worker_id}"
+                f" {since:.2f} s after the job was cancelled, {age_s:.2f} s after its"
+                f" {'late ' if run.late else ''}start by {run.sender}",
+            )
+
     def _require_done(self, job_id, step, task_id):
         count = self.world.specs[job_id].steps[step].count
         missing = [i for i in range(count) if f"{job_id}.0.{step}.{i}" not in self.done]
@@ -456,12 +679,17 @@
         return (job_id, k, step, "gang" if gang else index)
 
     def on_end(self, worker, run, kind):
+        self.check_overdue(worker, run)
+        if not self.world.is_submitted(run.task_id):
+            return
         if kind is EndKind.DONE:
             self._add(self.done, run)
         if kind is EndKind.GANG_INCOMPLETE:
             self.incomplete_gang_runs += 1
 
     def on_acknowledged(self, row):
+        if not self.world.is_submitted(row.task_id):
+            return
         if row.kind is EndKind.DONE:
             self._add(self.done_acknowledged, row)
         if row.kind is EndKind.FAILED:
@@ -487,8 +715,9 @@
 class World:
     """A store, workers and nodes whose random choices follow from one seed."""
 
-    def __init__(self, seed, workers=6, nodes=3, failure_share=0.03):
+    def __init__(self, seed, workers=6, nodes=3, failure_share=0.03, bounds=BOUNDS):
         self.seed = seed
+        self.bounds = bounds
         self.retention_s = 1e9
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
@@ -496,15 +725,22 @@
         self.failure_share = failure_share
         self.engine = kv.Engine(self.loop.time, history=100_000)
         self.checker = Checker(self)
+        self.checkpoints = Checkpoints(self)
+        self.disruptions = Disruptions(self)
+        self.watch_task = None
+        self.sender = ("", False)
+        self.elections = []
+        self.lines_read = 0
         self.specs = {}
+        self.long_jobs = set()
         self.accepted = set()
         self.refused = set()
         self.unanswered = set()
         self.cancelled = {}
+        self.cancelled_unknown = set()
         self.gangs = {}
         self.peers = {}
         self.unfrozen = {}
-        self.faults_started = False
         self.workers = {}
         self.operator = MemoryStore(self.engine)
         self.configurations = {b"1": DESIRED}
@@ -523,7 +759,38 @@
         return self.loop.time()
 
     def duration(self, task_id):
-        return random.Random(task_id).uniform(0.2, 2.5)
+        longest_s = 14.0 if task_id.partition(".")[0] in self.long_jobs else 2.5
+        return random.Random(task_id).uniform(longest_s / 12.5, longest_s)
+
+    def cancelled_at(self, job_id):
+        """Return when a job's cancellation was acknowledged; infinity if it was not."""
+        return self.cancelled.get(job_id, float("inf"))
+
+    def is_submitted(self, task_id):
+        """Return whether a caller has submitted the job of a task."""
+        job_id, occurrence, step, index = task_id.split(".")
+        spec = self.specs.get(job_id)
+        if spec is None or occurrence != "0" or int(step) >= len(spec.steps):
+            return False
+        return int(index) < spec.steps[int(step)].count
+
+    @contextmanager
+    def ordering(self, node, late):
+        """Name the node whose order a worker carries out, possibly late."""
+        self.sender = (node, late)
+        try:
+            yield
+        finally:
+            self.sender = ("", False)
+
+    def leaders_since(self, begin):
+        """Return the names of all nodes that led at a time or later."""
+        for at, name, event, _ in self.lines[self.lines_read :]:
+            if event == "leader elected":
+                self.elections.append((at, name))
+        self.lines_read = len(self.lines)
+        before = [name for at, name in self.elections if at < begin]
+        return {name for at, name in self.elections if at >= begin} | {*before[-1:]}
 
     async def begin(self):
         await self.operator.txn([], [Put("op/config", b"1")])
@@ -531,6 +798,7 @@
             await self.register_worker(worker)
         for name in self.names:
             self.start_node(name)
+        self.watch_task = asyncio.create_task(self.checker.watch())
         await asyncio.sleep(1.0)
 
     async def configure(self, desired):
@@ -552,6 +820,7 @@
         if name in self.tasks and not self.tasks[name].done():
             return
         store = self.stores[name] = MemoryStore(self.engine)
+        store.on_lost_answer = lambda: self.disruptions.note("store")
         port = self.ports[name] = WorkerPort(self, name)
         self.unfrozen[name] = asyncio.Event()
         self.unfrozen[name].set()
@@ -564,7 +833,7 @@
             decode_config=lambda value: self.configurations[value],
             worker_prefix="servers/",
             decode_worker=lambda worker_id, value: self.workers[worker_id].entry,
-            lease_s=LEASE_S,
+            lease_s=self.bounds.lease_s,
             retention_s=self.retention_s,
         )
         peers = DirectPeers(self)
@@ -583,6 +852,8 @@
         await asyncio.wait({self.tasks[name]})
 
     async def end(self):
+        if self.watch_task is not None:
+            self.watch_task.cancel()
         for name in self.names:
             await self.kill_node(name)
 
@@ -598,8 +869,10 @@
 
     def start(self, worker, order):
         job_id, _, step, _ = order.task_id.split(".")
-        spec = self.specs[job_id].steps[int(step)]
-        return worker.start(order, spec, spec.count if spec.gang else 0)
+        spec = Step(1, Resources(0, 0))
+        if self.is_submitted(order.task_id):
+            spec = self.specs[job_id].steps[int(step)]
+        return worker.start(order, spec, spec.count if spec.gang else 0, *self.sender)
 
     def join_gang(self, worker, run):
         key = (run.task_id.rpartition(".")[0], run.number)
@@ -614,7 +887,11 @@
         else:
             run.timers.append(
                 self.loop.call_later(
-                    GANG_START_TIMEOUT_S, self._end_incomplete_gang, worker, run, key
+                    self.bounds.gang_start_timeout_s,
+                    self._end_incomplete_gang,
+                    worker,
+                    run,
+                    key,
                 )
             )
 
@@ -647,13 +924,32 @@
         self.accepted.add(spec.job_id)
         return True
 
+    async def submit_without_answer(self, name, spec):
+        """Submit a job over a connection that breaks before the answer."""
+        self.specs[spec.job_id] = spec
+        self.unanswered.add(spec.job_id)
+        self.refused.discard(spec.job_id)
+        try:
+            await self.nodes[name].intake.submit(spec, CALLER_TIMEOUT_S)
+        except FlamingowayError:
+            return
+
     async def cancel(self, name, job_id):
+        """Cancel a job; return whether the node acknowledged it.
+
+        The answer that there is no such job acknowledges a cancellation too.
+        """
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
                 await self.nodes[name].intake.cancel(job_id, 2.0)
+        except BadRequest as exc:
+            if exc.code is not Code.NOT_FOUND:
+                return False
+            self.cancelled_unknown.add(job_id)
         except (FlamingowayError, TimeoutError):
-            return
-        self.cancelled[job_id] = self.now
+            return False
+        self.cancelled.setdefault(job_id, self.now)
+        return True
 
     async def show(self, name, job_id):
         try:
