--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -46,6 +46,7 @@
 # Interval between the checkpoints of a task, and the time that resuming from one takes.
 CHECKPOINT_INTERVAL_S = 0.5
 RESTORE_S = 0.25
+FLAKY_FAILURE_SHARE = 0.5
 # Interval at which the checker looks for runs of cancelled jobs.
 WATCH_INTERVAL_S = 0.1
 # Rows of ended runs in one answer of a worker.
@@ -223,7 +224,7 @@
             max(0.0, duration_s - saved_s),
             gang=gang_size,
             checkpoint=order.checkpoint if saved_s else "",
-            fails=self.world.rng.random() < self.world.failure_share,
+            fails=self.world.rng.random() < self.world.failure_share_of(order.task_id),
             checkpointing=spec.checkpointing,
             resumed_s=saved_s,
             restore_s=RESTORE_S if saved_s else 0.0,
@@ -243,6 +244,8 @@
         run.began = self.world.now
         kind = EndKind.FAILED if run.fails else EndKind.DONE
         working_s = run.restore_s + run.left_s
+        if run.fails and self.world.is_flaky(run.task_id):
+            working_s *= random.Random(f"{run.task_id} {run.number}").uniform(0.2, 1.0)
         run.timers.append(self.world.loop.call_later(working_s, self.end, run, kind))
         if run.checkpointing:
             first_s = run.restore_s + CHECKPOINT_INTERVAL_S
@@ -597,8 +600,8 @@
         if overdue and not run.late and self._is_in_touch(run.sender):
             self.fail(
                 "UNASKED",
-                f"{run.task_id} started by {run.sender} {since:.2f} s after the job was"
-                " cancelled",
+                f"{run.task_id} started by {run.sender} "
+                + self.world.describe_cancellation(job_id),
             )
         self.started.add(job_id)
 
@@ -642,7 +645,8 @@
         It must be gone after each undisturbed stretch of ``cancel_s`` and ``stop_s``. A
         run that was started late counts only from ``contact_s`` after its start.
         """
-        since = self._cancelled_for(run.task_id.partition(".")[0])
+        job_id = run.task_id.partition(".")[0]
+        since = self._cancelled_for(job_id)
         if (run.task_id, run.number) in self.overdue:
             return
         bounds = self.world.bounds
@@ -663,7 +667,7 @@
             self.fail(
                 "UNASKED",
                 f"{run.task_id} run {run.number} goes on at {worker.worker_id}"
-                f" {since:.2f} s after the job was cancelled, {age_s:.2f} s after its"
+                f" {self.world.describe_cancellation(job_id)}, {age_s:.2f} s after its"
                 f" {'late ' if run.late else ''}start by {run.sender}",
             )
 
@@ -733,6 +737,7 @@
         self.lines_read = 0
         self.specs = {}
         self.long_jobs = set()
+        self.flaky_jobs = set()
         self.accepted = set()
         self.refused = set()
         self.unanswered = set()
@@ -762,6 +767,20 @@
         longest_s = 14.0 if task_id.partition(".")[0] in self.long_jobs else 2.5
         return random.Random(task_id).uniform(longest_s / 12.5, longest_s)
 
+    def failure_share_of(self, task_id):
+        """Return the share of a task's runs that fail."""
+        return FLAKY_FAILURE_SHARE if self.is_flaky(task_id) else self.failure_share
+
+    def is_flaky(self, task_id):
+        """Return whether many runs of a task's job fail, before they have done all."""
+        return task_id.partition(".")[0] in self.flaky_jobs
+
+    def describe_cancellation(self, job_id):
+        """Return how long ago and in which way a cancellation was acknowledged."""
+        how = "as unknown" if job_id in self.cancelled_unknown else "with success"
+        age_s = self.now - self.cancelled[job_id]
+        return f"{age_s:.2f} s after its cancellation was acknowledged {how}"
+
     def cancelled_at(self, job_id):
         """Return when a job's cancellation was acknowledged; infinity if it was not."""
         return self.cancelled.get(job_id, float("inf"))
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -41,6 +41,7 @@
 
 # 60096: two overlapping faults started a node twice.
 SEEDS = [*range(40), 60096]
+PLAIN_SEEDS = [*range(10), 60096]
 UNEVEN_SEEDS = range(200, 215)
 LONG_LEASE_SEEDS = range(300, 320)
 NEWER_FAULT_SEEDS = range(400, 412)
@@ -79,12 +80,14 @@
         repeat_after_s: Time from the last submission to a repeated one, or ``None``.
         answer_lost: Whether the connection breaks before the submission is answered.
         long: Whether tasks of the job take many seconds.
+        flaky: Whether many runs of the job fail.
     """
 
     cancel_after_s: float | None = None
     repeat_after_s: float | None = None
     answer_lost: bool = False
     long: bool = False
+    flaky: bool = False
 
 
 def random_plan(rng):
@@ -98,7 +101,13 @@
     repeat_after_s = rng.uniform(1.0, 6.0) if repeated else None
     answer_lost = rng.random() < 0.1
     long = cancel_after_s is not None and rng.random() < 0.7
-    return CallerPlan(cancel_after_s, repeat_after_s, answer_lost, long)
+    flaky = rng.random() < 0.15
+    return CallerPlan(cancel_after_s, repeat_after_s, answer_lost, long, flaky)
+
+
+def no_plan(rng):
+    """Return the plan of a caller who only submits its job until it is accepted."""
+    return CallerPlan()
 
 
 async def traffic(world, rng, choose_plan):
@@ -121,6 +130,8 @@
 async def submit_job(world, rng, job, plan, plans):
     if plan.long:
         world.long_jobs.add(job.job_id)
+    if plan.flaky:
+        world.flaky_jobs.add(job.job_id)
     if plan.answer_lost:
         name = plans.choice(world.names)
         lost = asyncio.create_task(world.submit_without_answer(name, job))
@@ -441,7 +452,7 @@
     """Guards against failing polls that extend a lease without limit."""
     # Orders sent before a leader notices that a worker is silent extend its lease too.
     names = ["worker_gone", "worker_gone"]
-    world = run_history(3, names, choose_plan=lambda rng: CallerPlan())
+    world = run_history(3, names, choose_plan=no_plan)
     assert world.checker.violations == []
     lost = [line for line in world.lines if line[2] == "runs lost"]
     assert lost
@@ -499,6 +510,12 @@
     assert world.checker.violations == [], faults_of(seed)
 
 
+@pytest.mark.parametrize("seed", PLAIN_SEEDS)
+def test_the_rules_hold_with_plain_callers(seed):
+    world = run_history(seed, faults_of(seed), choose_plan=no_plan)
+    assert world.checker.violations == [], faults_of(seed)
+
+
 @pytest.mark.parametrize("seed", LONG_LEASE_SEEDS)
 def test_the_rules_hold_with_long_leases(seed):
     world = run_history(seed, faults_of(seed), bounds=LONG_LEASE_BOUNDS)
@@ -782,7 +799,7 @@
     (start_with_other_payload, "with payload"),
     (start_with_checkpoint_of_another_task, "with checkpoint"),
     (start_gang_with_different_checkpoints, "others of its gang"),
-    (start_after_cancellation, "after the job was cancelled"),
+    (start_after_cancellation, "after its cancellation was acknowledged with success"),
     (go_on_after_cancellation, "goes on at w0"),
     (go_on_after_late_start, "goes on at w0"),
 ]
@@ -870,6 +887,18 @@
     assert run_orders(act) == []
 
 
+def test_a_node_that_runs_is_not_started_twice():
+    async def main():
+        world = World(1)
+        await world.begin()
+        task = world.tasks["n0"]
+        world.start_node("n0")
+        assert world.tasks["n0"] is task
+        await world.end()
+
+    run_virtual(main)
+
+
 def test_a_late_order_is_carried_out_by_a_later_incarnation():
     async def main():
         world = World(1, nodes=1, failure_share=0.0)
