--- a/standins/memory.py
+++ b/standins/memory.py
@@ -219,7 +219,8 @@
         if self._down or None in batches:
             raise StoreUnavailable("watch closed by the store")
         events = [event for batch in batches for event in _to_batch(batch).events]
-        return ChangeSet(self.engine.revision, events)
+        last_change = max((batch.revision for batch in batches), default=0)
+        return ChangeSet(self.engine.revision, events, last_change)
 
     async def _wait_silently(self, wait_s: float) -> ChangeSet:
         """Wait without reporting changes, unless the watch is broken meanwhile."""
