--- a/standins/memory.py
+++ b/standins/memory.py
@@ -57,6 +57,7 @@
         self._responses_to_drop = 0
         self._requests_to_drop = 0
         self._down = False
+        self._hold_answers = False
         self._resumed = asyncio.Event()
         self._resumed.set()
         # Ordered, so that histories with one seed are alike.
@@ -95,9 +96,15 @@
         """Raise ``StoreOutcomeUnknown`` for one write; apply it ``delay_s`` later."""
         self._late_delays_s.append(delay_s)
 
-    def pause(self) -> None:
-        """Block all calls until :meth:`resume`; they take effect only then."""
+    def pause(self, hold_answers: bool = False) -> None:
+        """Block all calls until :meth:`resume`; they take effect only then.
+
+        Args:
+            hold_answers: Whether watches that wait already return only then too, with
+                the changes known before, as if the client did not run meanwhile.
+        """
         self._resumed.clear()
+        self._hold_answers = hold_answers
 
     def resume(self) -> None:
         """Let blocked calls continue."""
@@ -216,11 +223,14 @@
         finally:
             self._watches.pop(queue, None)
             self.engine.unwatch(watcher)
+        revision = self.engine.revision
+        if self._hold_answers:
+            await self._resumed.wait()
         if self._down or None in batches:
             raise StoreUnavailable("watch closed by the store")
         events = [event for batch in batches for event in _to_batch(batch).events]
         last_change = max((batch.revision for batch in batches), default=0)
-        return ChangeSet(self.engine.revision, events, last_change)
+        return ChangeSet(revision, events, last_change)
 
     async def _wait_silently(self, wait_s: float) -> ChangeSet:
         """Wait without reporting changes, unless the watch is broken meanwhile."""
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -384,6 +384,18 @@
             store.watch_delay_s = 0.0
 
 
+@fault
+async def freeze_leader_with_answers(world, rng):
+    """Freeze the leader, which reads old answers of its watches when it goes on."""
+    name = world.leader()
+    with world.disruptions.during(name):
+        world.unfrozen[name].clear()
+        world.stores[name].pause(hold_answers=True)
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
+        world.stores[name].resume()
+        world.unfrozen[name].set()
+
+
 @fault
 async def orders_late_across_kills(world, rng):
     """Kill all nodes, so that no leader raises the fencing tokens of late orders."""
@@ -988,6 +1000,23 @@
     assert run_virtual(main) == []
 
 
+def test_a_watch_that_is_held_returns_only_the_changes_known_before():
+    async def main():
+        store = MemoryStore(clock=asyncio.get_running_loop().time)
+        changes = asyncio.create_task(store.changes("a", 0, 2.0))
+        await asyncio.sleep(0.5)
+        store.pause(hold_answers=True)
+        other = MemoryStore(store.engine)
+        await other.txn([], [Put("a", b"1")])
+        await asyncio.sleep(1.0)
+        await other.txn([], [Put("a", b"2")])
+        assert not changes.done()
+        store.resume()
+        return [event.item.value for event in (await changes).events]
+
+    assert run_virtual(main) == [b"1"]
+
+
 def main(first, count, kind="default"):
     choose_faults, bounds = HISTORIES[kind]
     for seed in range(first, first + count):
