--- a/standins/memory.py
+++ b/standins/memory.py
@@ -38,6 +38,12 @@
         calls: Number of calls by method name, including failed ones.
         silent_watches: Whether :meth:`changes` reports no changes. The first regular
             call for a prefix after that fails, because its watch missed changes.
+        gaps_reported: Whether that call fails. If not, only the calls that wait when
+            the watches are broken fail, so a client between two calls learns nothing
+            of the changes that it missed.
+        watch_delay_s: Time in which a call of :meth:`changes` reaches the store. Until
+            then the store cannot break its watch.
+        on_lost_answer: Called when a write is not answered, if set.
     """
 
     def __init__(
@@ -51,11 +57,16 @@
         self._responses_to_drop = 0
         self._requests_to_drop = 0
         self._down = False
+        self._hold_answers = False
         self._resumed = asyncio.Event()
         self._resumed.set()
-        self._watches: set[asyncio.Queue] = set()
+        # Ordered, so that histories with one seed are alike.
+        self._watches: dict[asyncio.Queue, None] = {}
         self._late_delays_s: list[float] = []
         self.silent_watches = False
+        self.gaps_reported = True
+        self.watch_delay_s = 0.0
+        self.on_lost_answer: Callable[[], None] | None = None
         self._gap_prefixes: set[str] = set()
 
     @property
@@ -85,9 +96,15 @@
         """Raise ``StoreOutcomeUnknown`` for one write; apply it ``delay_s`` later."""
         self._late_delays_s.append(delay_s)
 
-    def pause(self) -> None:
-        """Block all calls until :meth:`resume`; they take effect only then."""
+    def pause(self, hold_answers: bool = False) -> None:
+        """Block all calls until :meth:`resume`; they take effect only then.
+
+        Args:
+            hold_answers: Whether watches that wait already return only then too, with
+                the changes known before, as if the client did not run meanwhile.
+        """
         self._resumed.clear()
+        self._hold_answers = hold_answers
 
     def resume(self) -> None:
         """Let blocked calls continue."""
@@ -165,12 +182,12 @@
             watcher = self.engine.watch(first, end, start_revision, queue.put_nowait)
         except kv.Compacted as exc:
             raise StoreUnavailable(f"cannot start the watch: {exc}") from None
-        self._watches.add(queue)
+        self._watches[queue] = None
         try:
             while (batch := await queue.get()) is not None:
                 yield _to_batch(batch)
         finally:
-            self._watches.discard(queue)
+            self._watches.pop(queue, None)
             self.engine.unwatch(watcher)
         raise StoreUnavailable("watch closed by the store")
 
@@ -182,6 +199,10 @@
             StoreUnavailable: If the store is down or the watch breaks.
         """
         await self._begin("changes")
+        if self.watch_delay_s:
+            await asyncio.sleep(self.watch_delay_s)
+        if self.silent_watches and not self.gaps_reported:
+            return await self._wait_silently(wait_s)
         if self.silent_watches:
             # Changes made meanwhile are skipped, so the next regular call fails.
             self._gap_prefixes.add(prefix)
@@ -196,17 +217,33 @@
             watcher = self.engine.watch(first, end, after + 1, queue.put_nowait)
         except kv.Compacted as exc:
             raise RevisionCompacted(str(exc)) from None
-        self._watches.add(queue)
+        self._watches[queue] = None
         try:
             batches = await self._collect(queue, wait_s)
         finally:
-            self._watches.discard(queue)
+            self._watches.pop(queue, None)
             self.engine.unwatch(watcher)
+        revision = self.engine.revision
+        if self._hold_answers:
+            await self._resumed.wait()
         if self._down or None in batches:
             raise StoreUnavailable("watch closed by the store")
         events = [event for batch in batches for event in _to_batch(batch).events]
         last_change = max((batch.revision for batch in batches), default=0)
-        return ChangeSet(self.engine.revision, events, last_change)
+        return ChangeSet(revision, events, last_change)
+
+    async def _wait_silently(self, wait_s: float) -> ChangeSet:
+        """Wait without reporting changes, unless the watch is broken meanwhile."""
+        queue: asyncio.Queue[kv.Changes | None] = asyncio.Queue()
+        self._watches[queue] = None
+        try:
+            async with asyncio.timeout(wait_s):
+                await queue.get()
+        except TimeoutError:
+            return ChangeSet(self.engine.revision, [])
+        finally:
+            self._watches.pop(queue, None)
+        raise StoreUnavailable("watch closed by the store")
 
     async def _collect(self, queue: asyncio.Queue, wait_s: float) -> list:
         """Wait up to ``wait_s`` for a change, then return all queued batches."""
@@ -238,10 +275,11 @@
     def _write(self, apply: Callable):
         if self._requests_to_drop:
             self._requests_to_drop -= 1
-            raise StoreOutcomeUnknown("no response from the store")
+            raise self._lost_answer()
         if self._late_delays_s:
-            asyncio.get_running_loop().call_later(self._late_delays_s.pop(0), apply)
-            raise StoreOutcomeUnknown("no response from the store")
+            delay_s = self._late_delays_s.pop(0)
+            asyncio.get_running_loop().call_later(delay_s, _apply_unanswered, apply)
+            raise self._lost_answer()
         try:
             answer = apply()
         except kv.LeaseNotFound as exc:
@@ -250,9 +288,22 @@
             raise BadRequest(str(exc)) from None
         if self._responses_to_drop:
             self._responses_to_drop -= 1
-            raise StoreOutcomeUnknown("no response from the store")
+            raise self._lost_answer()
         return answer
 
+    def _lost_answer(self) -> StoreOutcomeUnknown:
+        if self.on_lost_answer is not None:
+            self.on_lost_answer()
+        return StoreOutcomeUnknown("no response from the store")
+
+
+def _apply_unanswered(apply: Callable) -> None:
+    """Apply a write on the conditions that hold now; nobody reads its outcome."""
+    try:
+        apply()
+    except (kv.LeaseNotFound, kv.InvalidRequest):
+        return
+
 
 def _drain(queue: asyncio.Queue) -> list:
     return [queue.get_nowait() for _ in range(queue.qsize())]
