--- a/tests/site_scenarios.py
+++ b/tests/site_scenarios.py
@@ -61,11 +61,11 @@
     def follower(self):
         return next(e for e in self.entries if e is not self.leader())
 
-    def job(self, number, **step):
-        """Record a job of one long task and return its id, path and body."""
+    def job(self, number, then=(), **step):
+        """Record a job of one long step, and others; return its id, path and body."""
         job_id = JOB_ID.format(number)
         step = {"count": 2, "cpu": 1000, "estRuntimeMs": 12_000, "ms": 12_000} | step
-        steps = [step]
+        steps = [step, *then]
         spec = json.dumps({"id": job_id, "steps": steps})
         path = "/via/" + job_id
         self.record.write("submit", job=job_id, path=path, spec=spec)
@@ -177,7 +177,7 @@
             await stage.delete(job, [stage.follower()])
             await asyncio.sleep(1.0)
             for _ in range(4000):
-                if not any(n == leader.name for n, _ in stage.store.waiting):
+                if (leader.name, "fw%2F") not in stage.store.waiting:
                     break
                 await asyncio.sleep(0.0005)
             busy = [k for k in stage.store.waiting if k[0] == leader.name]
@@ -190,17 +190,16 @@
 
 @scenario
 async def old_answer(stage):
-    """The leader is paused with an answer of the store unread, and resumes with it."""
+    """The leader resumes with an old answer of the store, which then is silent."""
     leader = stage.leader()
     others = [e for e in stage.entries if e is not leader]
-    first = {"count": 1, "cpu": 1000, "estRuntimeMs": 900, "ms": 1500}
-    job = stage.job(1, **first)
-    last = {"count": 1, "cpu": 1000, "estRuntimeMs": 9000, "ms": 9000, "after": [0]}
-    body = {"spec": "", "steps": [first, last]}
-    body["spec"] = json.dumps({"id": job[0], "steps": body["steps"]})
-    job = (job[0], job[1], body)
-    stage.record.write("submit", job=job[0], path=job[1], spec=body["spec"])
-    await stage.post(job, others[0])
+    last = {"count": 1, "cpu": 100, "estRuntimeMs": 9000, "ms": 9000, "after": [0]}
+    jobs = [
+        stage.job(number + 1, then=[last], count=1, cpu=100, ms=2500 + 500 * number)
+        for number in range(12)
+    ]
+    for job in jobs:
+        await stage.post(job, others[0])
     await asyncio.sleep(0.4)
     paused = asyncio.Event()
 
@@ -212,16 +211,19 @@
     with stage.disturb("pause_leader", [leader.name]):
         stage.store.after = pause
         await paused.wait()
-        await stage.delete(job, others)
+        await asyncio.gather(*(stage.delete(job, others) for job in jobs))
         # No other process takes over meanwhile.
         for other in others:
             other.send(signal.SIGSTOP)
-        await asyncio.sleep(5)
+        await asyncio.sleep(3)
+        stage.store.modes = {leader.name: "silent"}
         leader.send(signal.SIGCONT)
-        await asyncio.sleep(1)
+        stage.record.write("resumed")
+        await asyncio.sleep(7)
+        stage.store.modes = {}
         for other in others:
             other.send(signal.SIGCONT)
-    await asyncio.sleep(14)
+    await asyncio.sleep(12)
 
 
 @scenario
