--- a/tests/site_scenarios.py
+++ b/tests/site_scenarios.py
@@ -171,6 +171,7 @@
         job = stage.job(number)
         await stage.post(job, stage.entries[0])
         await asyncio.sleep(1.5)
+        await stage.wait_leader()
         leader = stage.leader()
         with stage.disturb("history_dropped", ["core"]):
             stage.store.deaf = True
@@ -249,7 +250,9 @@
     async with AsyncExitStack() as stack:
         stage = Stage(folder, stack, options)
         await stage.begin(options.entries)
-        await asyncio.sleep(5)
+        # A process with more processor time takes over first.
+        await asyncio.sleep(6)
+        await stage.wait_leader()
         await SCENARIOS[name](stage)
         for task in list(stage.tasks):
             task.cancel()
