--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -17,7 +17,8 @@
 from standins.memory import MemoryStore
 from standins.platform import AdviceStandin, StoreStandin, WorkerStandin, config
 
-ROOT = Path(__file__).parent.parent
+# Folder of the build whose processes are started.
+ROOT = Path(os.environ.get("FLAMINGOWAY_BUILD", Path(__file__).parent.parent))
 SERVICE = "tile1"
 JOB = {"spec": "x", "steps": [{"count": 3, "cpu": 500}, {"count": 1, "after": [0]}]}
 WAIT_S = 20.0
