Record in the soak when the harness itself did not run

A store that does not run is disrupted, so such a gap is now recorded as a disruption of the store, and in the trace.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -40,6 +40,9 @@
 STOP_S = 0.9
 CONTACT_S = 3.0
 ACK_S = 4.0
+# Interval of the checks whether this process runs, and delay from which on it does not.
+TICK_S = 0.1
+STALL_S = 0.5
 # Subject of disruptions of the store itself.
 STORE = "store"
 QUEUES = {"plans": "/p/", "sorts": "/s/"}
@@ -455,6 +458,16 @@
 
     # Faults
 
+    async def note_stalls(self):
+        """Record when this process, and the store in it, did not run for a while."""
+        while True:
+            began = time.time()
+            await asyncio.sleep(TICK_S)
+            if time.time() - began > TICK_S + STALL_S:
+                found = Disruption(STORE, began, time.time())
+                self.ledger.disruptions.append(found)
+                self.ledger.write("stalled", since=round(began, 3))
+
     async def inject_faults(self, names, longest_pause_s=2.0):
         until = time.monotonic() + FAULT_S
         running = []
@@ -728,6 +741,8 @@
     with tempfile.TemporaryDirectory() as folder:
         async with AsyncExitStack() as stack:
             soak = Soak(Path(folder), stack, seed)
+            stalls = asyncio.create_task(soak.note_stalls())
+            stack.callback(stalls.cancel)
             await soak.begin(ENTRY_COUNT)
             calls = asyncio.create_task(soak.submit_jobs(FAULT_S + 2))
             await soak.inject_faults(names, longest_pause_s)
