Let the soak's callers give up at their deadline, and an unsent task end

Callers send a deadline of 3 s but waited 5 s, longer than any pause of a process, so a paused process never received a request whose caller had turned away. The end of a task that nobody sent raised KeyError in the timer that reports it.

--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -87,13 +87,13 @@
         return decisions, self.process.returncode
 
 
-async def call(method, path, port, body=None):
+async def call(method, path, port, body=None, timeout_s=5.0):
     request = HTTPRequest(
         f"http://127.0.0.1:{port}{path}",
         method=method,
         body=body if body is None or isinstance(body, bytes) else json.dumps(body),
         headers={"Host": "jobs.example", "Deadline-Ms": "3000"},
-        request_timeout=5.0,
+        request_timeout=timeout_s,
     )
     try:
         return await AsyncHTTPClient().fetch(request, raise_error=False)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,6 +33,8 @@
 RECOVERY_S = 30.0
 WORKER_CORES_MILLI = 16_000
 SUBMIT_ATTEMPTS = 4
+# Callers wait a little longer than the deadline that they send.
+CALL_S = 3.2
 SAVE_S = 0.15
 # Time limits of the platform: start after a cancellation, stop, time without disruption
 # after which a process is in touch, answer to a cancellation.
@@ -273,6 +275,8 @@
     def completed_with(self, task):
         """Return the tasks that are done once ``task`` is: a gang ends as a whole."""
         job_id, _, number, _ = task.split(".")
+        if job_id not in self.jobs or task not in self.tasks_of(job_id):
+            return {task}
         step = self.jobs[job_id].body["steps"][int(number)]
         gang_indexes = range(step["count"]) if step.get("gang") else ()
         return {task} | {f"{job_id}.0.{number}.{index}" for index in gang_indexes}
@@ -378,7 +382,7 @@
 
     async def ask(self, method, job, rng, body=None):
         entry = rng.choice(self.entries)
-        answer = await call(method, job.path, entry.front, body)
+        answer = await call(method, job.path, entry.front, body, CALL_S)
         self.ledger.write(
             "asked", method=method, path=job.path, entry=entry.name, code=answer.code
         )
