Execute delayed orders in the soak while no newer call fences them

The poll with a raised token reached the worker before every delayed start, so none was ever executed. If all calls are delayed, the worker is now cut off for a while.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -662,12 +662,22 @@
 
 @fault
 async def delay_orders(soak):
-    """Leave calls of a worker without a response and execute them seconds later."""
-    worker = soak.rng.choice(soak.workers)
+    """Leave calls of a worker without a response and execute them seconds later.
+
+    If all are delayed, the worker is then cut off, so that no newer call fences them.
+    """
+    index = soak.rng.randrange(WORKER_COUNT)
+    worker, proxy = soak.workers[index], soak.worker_links[index]
     with soak.ledger.disruption(worker.worker_id):
-        worker.faults.late_share = soak.rng.choice([0.1, 0.4, 1.0])
-        await asyncio.sleep(soak.rng.uniform(1, 6))
+        share = soak.rng.choice([0.1, 0.4, 1.0])
+        worker.faults.late_share = share
+        await asyncio.sleep(1.0 if share == 1.0 else soak.rng.uniform(1, 6))
         worker.faults.late_share = 0.0
+        if share == 1.0:
+            proxy.link = Link.SILENT
+            await asyncio.sleep(soak.rng.uniform(2, 8))
+            proxy.link = Link.OPEN
+            proxy.reset()
 
 
 @fault
