Submit jobs in the soak while a route with a longer prefix comes and goes

A process that does not have the route in force yet, or not any more, accepts the rest of its prefix and the id as an id under the route with the shorter prefix. The tasks then have names that nobody sent.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -48,6 +48,7 @@
 # Subject of disruptions of the store itself.
 STORE = "store"
 QUEUES = {"plans": "/p/", "sorts": "/s/"}
+EXTRA_QUEUE = {"merges": "/p/m"}
 FAULTS = {}
 
 
@@ -706,6 +707,24 @@
         await asyncio.sleep(0.2)
 
 
+@fault
+async def change_routes(soak):
+    """Add and remove a route with a longer prefix, and submit jobs to it meanwhile."""
+    for queues in (QUEUES | EXTRA_QUEUE, QUEUES):
+        soak.version += 1
+        value = config(soak.version, SERVICE, queues)
+        await soak.operator.txn([], [Put("op/config", value)])
+        for index in range(6):
+            job_id = f"e{soak.version:07x}{index:08x}"
+            rng = random.Random(f"{soak.seed}.{job_id}")
+            job = soak.ledger.jobs[job_id] = soak.random_job(job_id, rng)
+            job.path = EXTRA_QUEUE["merges"] + job_id
+            job.work_s = 0.5
+            # The route may not be in force yet or any more.
+            await soak.ask("POST", job, rng, job.body)
+            await asyncio.sleep(0.1)
+
+
 @fault
 async def write_invalid_records(soak):
     """Write invalid entries beside those of workers and processes, and over one."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,13 @@
 # Faults from which the seeds below drew when they failed.
 LATER_FAULTS = sorted(
     soak.FAULTS.keys()
-    - {"delay_orders", "delay_writes", "drop_history", "lose_order_answers"}
+    - {
+        "change_routes",
+        "delay_orders",
+        "delay_writes",
+        "drop_history",
+        "lose_order_answers",
+    }
 )
 # Seeds that failed with all of these kinds, with the cause.
 LATER_REGRESSIONS = [
