--- a/tests/platform_cell.py
+++ b/tests/platform_cell.py
@@ -17,7 +17,8 @@
 from standins.memory import MemoryStore
 from standins.platform import AdviceStandin, StoreStandin, WorkerStandin, config
 
-ROOT = Path(__file__).parent.parent
+# Folder of the build whose processes are started.
+ROOT = Path(os.environ.get("FLAMINGOWAY_BUILD", Path(__file__).parent.parent))
 SERVICE = "tile1"
 JOB = {"spec": "x", "steps": [{"count": 3, "cpu": 500}, {"count": 1, "after": [0]}]}
 WAIT_S = 20.0
@@ -86,13 +87,13 @@
         return decisions, self.process.returncode
 
 
-async def call(method, path, port, body=None):
+async def call(method, path, port, body=None, timeout_s=5.0):
     request = HTTPRequest(
         f"http://127.0.0.1:{port}{path}",
         method=method,
         body=body if body is None or isinstance(body, bytes) else json.dumps(body),
         headers={"Host": "jobs.example", "Deadline-Ms": "3000"},
-        request_timeout=5.0,
+        request_timeout=timeout_s,
     )
     try:
         return await AsyncHTTPClient().fetch(request, raise_error=False)
