Share the scripted store of the tests of unasked work, and log to the temporary folder

Two test files had the same fake store and mirror, and two scripts named a fixed folder for their logs. Nothing that a test asserts is changed; test_queue_review.py, test_queue_unasked.py and test_site_checks.py pass.

--- a/tests/site_scenarios.py
+++ b/tests/site_scenarios.py
@@ -9,6 +9,7 @@
 import json
 import signal
 import sys
+import tempfile
 import time
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -274,7 +275,9 @@
     parser.add_argument("names", nargs="*", default=list(SCENARIOS))
     parser.add_argument("--code", type=Path, default=ROOT)
     parser.add_argument("--label", default="now")
-    parser.add_argument("--logs", type=Path, default=Path("/tmp/site-soak"))
+    parser.add_argument(
+        "--logs", type=Path, default=Path(tempfile.gettempdir()) / "site-soak"
+    )
     options = parser.parse_args()
     options.seed, options.entries, options.workers = 1, 3, 12
     return sum(len(asyncio.run(play(name, options))) for name in options.names)
--- a/tests/site_soak.py
+++ b/tests/site_soak.py
@@ -14,6 +14,7 @@
 import random
 import signal
 import sys
+import tempfile
 import time
 import zlib
 from contextlib import AsyncExitStack, contextmanager
@@ -712,7 +713,9 @@
     parser.add_argument("--load", type=float, default=0.4)
     parser.add_argument("--code", type=Path, default=ROOT)
     parser.add_argument("--label", default="now")
-    parser.add_argument("--logs", type=Path, default=Path("/tmp/site-soak"))
+    parser.add_argument(
+        "--logs", type=Path, default=Path(tempfile.gettempdir()) / "site-soak"
+    )
     parser.add_argument("--faults", default="", help="names, separated by commas")
     parser.add_argument("--skip", default="", help="names of faults to leave out")
     return asyncio.run(play(parser.parse_args()))
--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -1,7 +1,6 @@
 """Ways in which work could start or run on that nobody asked for."""
 
 import asyncio
-import random
 
 import pytest
 
@@ -10,66 +9,24 @@
 from flamingoway.platform import client
 from flamingoway.platform.ingress import JobIngress
 from flamingoway.queues import records
-from flamingoway.queues.faults import FaultReporter
-from flamingoway.queues.metrics import QueueMetrics
-from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S, Mirror
+from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S
 from flamingoway.queues.model import DesiredState, EndKind
 from flamingoway.queues.runs import StartRun
-from flamingoway.queues.table import JobTable
-from flamingoway.store import ChangeSet, KeyValue, Put, RangeResult, WatchEvent
+from flamingoway.store import KeyValue, Put, WatchEvent
 from standins import kv
 from standins.memory import MemoryStore
-from tests.queue_cluster import Bench, RecordingLog, step
+from tests.queue_cluster import Bench, step
 from tests.test_queue_intake import JOB, JOB_PATH, run_with_cell
+from tests.test_queue_unasked import ScriptedStore, follow
 from tests.virtual import run_virtual
 
 
-class PausedStore:
-    """A store whose watches miss changes, read by a process that is paused.
-
-    Attributes:
-        hears_nothing: Whether watches report the newest revision and no changes.
-        paused_s: Time for which the process is paused as its next answer arrives.
-    """
-
-    def __init__(self):
-        self.engine = kv.Engine(asyncio.get_running_loop().time, history=100_000)
-        self.store = MemoryStore(self.engine)
-        self.hears_nothing = False
-        self.paused_s = 0.0
-
-    async def range(self, prefix: str) -> RangeResult:
-        return await self.store.range(prefix)
-
-    async def changes(self, prefix: str, after: int, wait_s: float) -> ChangeSet:
-        if self.hears_nothing:
-            await asyncio.sleep(wait_s)
-            changes = ChangeSet(self.engine.revision, [])
-        else:
-            changes = await self.store.changes(prefix, after, wait_s)
-        paused_s, self.paused_s = self.paused_s, 0.0
-        await asyncio.sleep(paused_s)
-        return changes
-
-
-def follow(store):
-    """Return a table and the mirror that feeds it, which has begun to run."""
-    loop = asyncio.get_running_loop()
-    log = RecordingLog()
-    faults = FaultReporter(log, QueueMetrics(), loop.time)
-    table = JobTable(faults)
-    mirror = Mirror(
-        store, records.ROOT, table, loop.time, log, faults, random.Random(1)
-    )
-    return table, mirror, asyncio.create_task(mirror.run())
-
-
 @pytest.mark.parametrize("paused_s", [0.0, 3.0, 6.0])
 def test_a_cancellation_in_a_gap_of_the_watch_is_read_after_a_pause(paused_s):
     """Guards against the time of a pause counting as time without a change."""
 
     async def main():
-        store = PausedStore()
+        store = ScriptedStore()
         operator = MemoryStore(store.engine)
         value = records.encode(records.JobRecord(JOB, 0.0))
         await operator.txn([], [Put(records.JOB_PREFIX + JOB.job_id, value)])
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -117,8 +117,9 @@
         self.on_changes()
         if self.hears_nothing:
             await asyncio.sleep(wait_s)
-            return ChangeSet(self.engine.revision, [])
-        changes = await self.store.changes(prefix, after, wait_s)
+            changes = ChangeSet(self.engine.revision, [])
+        else:
+            changes = await self.store.changes(prefix, after, wait_s)
         paused_s, self.paused_s = self.paused_s, 0.0
         await asyncio.sleep(paused_s)
         return changes
--- a/tests/test_site_checks.py
+++ b/tests/test_site_checks.py
@@ -69,6 +69,6 @@
 
 
 def test_a_run_that_outlives_the_fault_is_reported():
-    """Guards against faults that excuse a run for good."""
+    """Guards against faults that excuse a run without an end."""
     runs_on = (*CANCEL, start(19), end(40))
     assert forms(*runs_on, fault(21, 22, ["core"]))[0] == {"UNASKED runs on"}
