--- a/standins/platform.py
+++ b/standins/platform.py
@@ -329,13 +329,13 @@
         clock_rate: Speed of its clock relative to real time.
         observe: Called with an event, the task id and the worker. The event is
             ``start`` or the outcome of the run.
-        work_of: Returns what a task does, given its id and the worker; by default it
-            works for ``task_s``.
+        work_of: See the attribute; by default a task works for ``task_s``.
         stop_s: Longest duration of a stop, in seconds.
         gang_s: Time for which a task waits for the others of its gang, in seconds.
         rng: Source of the choices of faults and of the durations of stops.
 
     Attributes:
+        work_of: Returns what a task does, given its id and the worker.
         observed: The run that the last event was about.
         peers: Workers on which the tasks of a gang find each other.
     """
@@ -360,7 +360,7 @@
         self._lease_max_s = lease_max_s
         self._clock_rate = clock_rate
         self._observe = observe
-        self._work_of = work_of or (lambda task, worker: Work(task_s))
+        self.work_of = work_of or (lambda task, worker: Work(task_s))
         self._stop_s = stop_s
         self._gang_s = gang_s
         self._rng = rng or random.Random(worker_id)
@@ -465,7 +465,7 @@
             return self._answer(409, reason="old")
         self.starts.append(body)
         self._highest_runs[task] = number
-        run = WorkerRun(self, body, self._work_of(task, self), late)
+        run = WorkerRun(self, body, self.work_of(task, self), late)
         self._runs[task] = run
         self._report("start", run)
         members = self._members(run)
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -14,6 +14,7 @@
     RowLog,
     payload_digest,
 )
+from standins.platform import Work
 from tests.platform_cell import call, run_in_cell, until
 from tests.queue_cluster import Bench, step
 from tests.queue_world import World
@@ -212,7 +213,7 @@
         leader = cell.leader()
         (other,) = [entry for entry in cell.entries if entry is not leader]
         for worker in cell.workers:
-            worker._task_s = 60.0
+            worker.work_of = lambda task, worker: Work(60.0)
         path = "/p/5c0e7a21d94b36f8"
         assert (await call("POST", path, other.front, job)).code == 200
 
