--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -23,9 +23,11 @@
 from flamingoway.messages import ProcessInfo
 from flamingoway.peer import PeerClient, PeerServer
 from flamingoway.status import Code
+from standins.cluster import free_ports
 from standins.target import Target
 
-PORTS = {"p1": 18951, "p2": 18952, "p3": 18953}
+FIRST_PORT = free_ports(3)
+PORTS = {f"p{index + 1}": FIRST_PORT + index for index in range(3)}
 BOTH = ("p1", "p2")
 
 
