Name the build in each line of the decision log

Nor could a record tell processes of two builds beside each other.

The longest line of rows would pass 4096 bytes by the new field, so checkpoints are cut to 36 instead of 40 characters.

--- a/flamingoway/platform/serve.py
+++ b/flamingoway/platform/serve.py
@@ -6,6 +6,7 @@
 import random
 import signal
 
+from .. import __version__
 from ..addresses import parse_address
 from ..context import boot_time
 from ..errors import BadSettings
@@ -101,7 +102,12 @@
 
     async def run(self) -> int:
         """Serve until SIGTERM; return the exit code."""
-        self._log.write("started", zone=self._settings.zone, pid=os.getpid())
+        self._log.write(
+            "started",
+            version=__version__,
+            zone=self._settings.zone,
+            pid=os.getpid(),
+        )
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
--- a/flamingoway/queues/decisions.py
+++ b/flamingoway/queues/decisions.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..build import build_digest
+
 # A caller's request takes about three lines, and a process handles up to 100 requests
 # per second.
 MAX_LINES_PER_S = 400.0
@@ -37,6 +39,7 @@
         process: Name of the process, included in each line.
         descriptor: File descriptor; standard output by default.
         clock: Monotonic clock in seconds.
+        build: Digest of the code, included in each line; by default of this package.
     """
 
     def __init__(
@@ -44,9 +47,11 @@
         process: str,
         descriptor: int | None = None,
         clock: Callable[[], float] = time.monotonic,
+        build: str = "",
     ):
         self.dropped = 0
         self._process = process
+        self._build = build or build_digest()
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self._clock = clock
         self._tokens = BURST_LINES
@@ -64,7 +69,12 @@
         if not self._take_token(RESERVED_LINES if event in FREQUENT_EVENTS else 0.0):
             self._count_dropped()
             return
-        line = {"at": round(time.time(), 3), "process": self._process, "event": event}
+        line = {
+            "at": round(time.time(), 3),
+            "process": self._process,
+            "build": self._build,
+            "event": event,
+        }
         line.update(fields)
         if self._unreported:
             line["dropped_lines"] = self._unreported
--- a/flamingoway/queues/rows.py
+++ b/flamingoway/queues/rows.py
@@ -10,7 +10,7 @@
 # Rows in one line. A row has up to 370 bytes, and a longer line would be cut.
 MAX_ROWS = 10
 # Checkpoints are cut to this length in the log.
-MAX_CHECKPOINT_CHARS = 40
+MAX_CHECKPOINT_CHARS = 36
 # Payloads whose digests are kept, for the tasks of a job that start after each other.
 MAX_KEPT_DIGESTS = 256
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,7 +2,9 @@
 
 import json
 import os
+import shutil
 
+from flamingoway.build import PACKAGE, build_digest
 from flamingoway.queues.decisions import BURST_LINES, RESERVED_LINES, DecisionLog
 
 
@@ -23,6 +25,26 @@
     assert (line["process"], line["event"], line["job"]) == ("n1", "job accepted", "a1")
 
 
+def test_each_line_names_the_build_of_its_process():
+    """Guards against a cut record that does not show which code wrote it."""
+    read, write = os.pipe()
+    DecisionLog("n1", write).write("job accepted", job="a1")
+    line = os.read(read, 4096).decode()
+    assert f'"build":"{build_digest()}"' in line[:80]
+    assert len(build_digest()) == 8
+
+
+def test_a_changed_source_has_another_build_digest(tmp_path):
+    package = tmp_path / "package"
+    shutil.copytree(PACKAGE, package, ignore=shutil.ignore_patterns("__pycache__"))
+    assert build_digest(package) == build_digest()
+    copy = tmp_path / "copy"
+    shutil.copytree(package, copy)
+    with (copy / "queues" / "intake.py").open("a") as file:
+        file.write("\n")
+    assert build_digest(copy) != build_digest()
+
+
 def test_a_stalled_reader_does_not_block_the_writer():
     """Guards against a process that blocks on writing its log."""
     _, write = os.pipe()
