--- a/flamingoway/cli/commands.py
+++ b/flamingoway/cli/commands.py
@@ -14,6 +14,7 @@
 from .env import EnvironmentCommands
 from .job import JobCommands
 from .local import check_settings, serve
+from .logs import excerpt_logs
 from .result import Result
 from .session import Session
 
@@ -27,6 +28,7 @@
 
 examples:
   flamingoway settings check node.yaml
+  flamingoway logs excerpt /var/log/flamingoway --job 19e77f529a0006c5
   flamingoway env show kerbihan-trial
   flamingoway env try kerbihan-trial planner.yaml --seen 3
   flamingoway env promote kerbihan-production --source kerbihan-trial \\
@@ -78,6 +80,7 @@
     return {
         "serve": serve,
         "settings": {"check": check_settings},
+        "logs": {"excerpt": excerpt_logs},
         "env": {
             "validate": env.validate,
             "try": env.try_,
