Log what an answer to a DELETE stands on

A cut record could not tell whether an acknowledged cancellation was in the store: `cancellation answered` had no revision, its outcome did not say what the caller may rely on, and a 410 that another process had given was answered without any line that names this process (`relayed` was written for refusals and successes only).

- `cancellation answered` begins with job, `acknowledged`, the revision of the stored cancellation and the outcome.
A forwarded 410 has the revision that the other process sent along; a build of before sends none.
- `relayed` is written for each answer, also for 410.
- `cancelled job stored` (the process that stored it) and `cancelled job learned` (the leader) tell that a job was cancelled before it was stored, with both revisions.
`cancellation learned` has the revision as well.

Without the change the new tests of test_queue_log.py fail: no `revision`, no `cancelled job stored`, no `relayed` line for 410.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -395,17 +395,24 @@
             Refused: It is not stored.
         """
         began = asyncio.get_running_loop().time()
-        outcome = "interrupted"
+        outcome, acknowledged, revision = "interrupted", False, None
         try:
             outcome = await self._cancel(job_id, timeout_s, relay)
+            acknowledged = True
         except FlamingowayError as exc:
-            outcome = exc.message
+            outcome, acknowledged = exc.message, exc.code == Code.NOT_FOUND
+            revision = exc.details.get("revision")
             raise
         finally:
             job = self._table.find(job_id)
+            if job is not None and job.cancelled:
+                revision = job.cancel_revision or None
+            # The first fields tell whether a caller could rely on the answer.
             self._log.write(
                 "cancellation answered",
                 job=job_id,
+                acknowledged=acknowledged,
+                revision=revision,
                 outcome=outcome,
                 relayed=not relay,
                 took_s=round(asyncio.get_running_loop().time() - began, 3),
@@ -430,7 +437,8 @@
         else:
             await self._store_cancel(job_id, job is None, timeout_s)
         self._log.write("job cancelled", job=job_id)
-        if self._table.find(job_id) is not None:
+        job = self._table.find(job_id)
+        if job is not None and not job.cancelled:
             self._note_cancelled(job_id)
         return "stored"
 
@@ -439,7 +447,8 @@
 
         Args:
             job_id: The job.
-            revision: Revision of the write; needed only if the job is not accepted.
+            revision: Revision of the write; 0 if it is not known, which is allowed only
+                if the job is accepted.
         """
         put = _cancel_put(job_id)
         item = KeyValue(put.key, put.value, revision, revision)
@@ -460,8 +469,12 @@
             result = await self._write_cancel(job_id, [absent], retry_for_s)
             if result.succeeded:
                 self._note_cancelled(job_id, result.revision)
-                raise BadRequest("no such job", Code.NOT_FOUND)
-        await self._write_cancel(job_id, [], retry_for_s)
+                raise BadRequest(
+                    "no such job", Code.NOT_FOUND, revision=result.revision
+                )
+        result = await self._write_cancel(job_id, [], retry_for_s)
+        if self._table.find(job_id) is not None:
+            self._note_cancelled(job_id, result.revision)
 
     async def _write_cancel(
         self, job_id: str, compares: list[Compare], retry_for_s: float
@@ -596,12 +609,14 @@
         self._last_write_s = asyncio.get_running_loop().time() - began
         self._log.write(
             "jobs stored" if result.succeeded else "job write not applied",
+            revision=result.revision,
             jobs=[pending.job_id for pending in batch],
             found=[records.id_in_key(key) for key in keys if key in result.reads],
-            revision=result.revision,
             epoch=None if epoch is None else read_epoch(epoch)[0],
             took_s=round(self._last_write_s, 3),
         )
+        if result.succeeded:
+            self._log_cancelled(batch, result.revision)
         if result.succeeded and epoch is not None:
             self._announce(batch, read_epoch(epoch)[0], result.revision)
             self._add_to_table(batch, result.revision)
@@ -616,6 +631,18 @@
             ):
                 pending.accepted.set_result(None)
 
+    def _log_cancelled(self, batch: list[_PendingJob], revision: int) -> None:
+        """Log the stored jobs whose cancellation this process already knew."""
+        for pending in batch:
+            job = self._table.jobs.get(pending.job_id)
+            if job is not None and job.cancelled:
+                self._log.write(
+                    "cancelled job stored",
+                    job=pending.job_id,
+                    cancel_revision=job.cancel_revision or None,
+                    job_revision=revision,
+                )
+
     def _on_rejected(self, batch: list[_PendingJob], error: BadRequest) -> None:
         """Write jobs one by one after the store rejected a write as invalid."""
         self._log.write("job write rejected", jobs=len(batch), why=error.message)
--- a/flamingoway/queues/relay.py
+++ b/flamingoway/queues/relay.py
@@ -94,6 +94,9 @@
                     break
                 unanswered = True
                 continue
+            except FlamingowayError as exc:
+                self._log_outcome(request, process, exc)
+                raise
             self._log_outcome(request, process, None)
             return reply
         if unanswered:
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -337,6 +337,7 @@
         self._log.write(
             "cancellation learned",
             job=job.job_id,
+            revision=job.cancel_revision or None,
             by=source,
             epoch=self._cluster.epoch,
             copy_revision=self._mirror.revision,
@@ -351,6 +352,15 @@
         if open_job is None:
             # It has ended, or its record is not valid.
             return
+        if job.cancelled:
+            self._log.write(
+                "cancelled job learned",
+                job=job.job_id,
+                cancel_revision=job.cancel_revision or None,
+                job_revision=job.revision,
+                by=source,
+                epoch=self._cluster.epoch,
+            )
         self._jobs_learned.add(
             self._job_row(job, open_job),
             by=source,
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -5,6 +5,9 @@
 import os
 from dataclasses import replace
 
+import pytest
+
+from flamingoway.errors import BadRequest, Refused
 from flamingoway.model import Resources
 from flamingoway.queues.decisions import DecisionLog
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
@@ -14,6 +17,7 @@
     RowLog,
     payload_digest,
 )
+from flamingoway.status import Code
 from standins.platform import Work
 from tests.platform_cell import call, run_in_cell, until
 from tests.queue_cluster import Bench, step
@@ -118,7 +122,10 @@
     outcomes = [answer["outcome"] for _, answer in answers]
     assert [node for node, _ in answers] == [other] * 2
     assert outcomes == ["stored", "already cancelled"]
+    assert [answer["acknowledged"] for _, answer in answers] == [True] * 2
     ((node, learned),) = entries(lines, "cancellation learned")
+    assert [answer["revision"] for _, answer in answers] == [learned["revision"]] * 2
+    assert learned["revision"] > learned["job_revision"]
     assert (node, learned["by"], learned["job"]) == (leader, "copy", "a1")
     assert learned["runs"] == 2
     assert learned["copy_revision"] > learned["job_revision"] > 0
@@ -153,6 +160,49 @@
     assert (node, answer["job"], answer["outcome"]) == (other, "b2", "no such job")
     assert (answer["state"], answer["job_revision"]) == (None, None)
     assert answer["copy_revision"] > 0
+    assert answer["acknowledged"] and answer["revision"] > 0
+
+
+def test_a_job_that_was_cancelled_before_it_was_stored_is_logged_as_such():
+    async def body(world, leader, other):
+        await world.cancel(other, "a1")
+        await asyncio.sleep(1.0)
+        assert await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        return leader, other
+
+    lines, (leader, other) = run_world(body)
+    ((_, answer),) = entries(lines, "cancellation answered")
+    ((storing_node, stored),) = entries(lines, "cancelled job stored")
+    ((learning_node, learned),) = entries(lines, "cancelled job learned")
+    assert (storing_node, learning_node) == (other, leader)
+    for line in (stored, learned):
+        assert line["cancel_revision"] == answer["revision"] < line["job_revision"]
+    assert entries(lines, "starts sent") == []
+
+
+def test_a_process_that_forwards_a_cancellation_names_who_answered():
+    """Guards against an answer of which no line tells who gave it."""
+
+    async def body(cell):
+        cell.store.down = True
+        cell.peers.answer = BadRequest("no such job", Code.NOT_FOUND, revision=7)
+        with pytest.raises(BadRequest):
+            await cell.intake.cancel(JOB.job_id, 3.0)
+        cell.peers.answer = BadRequest("no such job", Code.NOT_FOUND)
+        with pytest.raises(BadRequest):
+            await cell.intake.cancel(JOB.job_id, 3.0)
+        cell.peers.answer = Refused("the store is unreachable")
+        with pytest.raises(Refused):
+            await cell.intake.cancel(JOB.job_id, 0.5)
+        relayed = [fields for event, fields in cell.log.lines if event == "relayed"]
+        assert {(row["by"], row["job"]) for row in relayed} == {("n2", JOB.job_id)}
+        assert [row["outcome"] for row in relayed[:2]] == ["no such job"] * 2
+        answers = [f for event, f in cell.log.lines if event == "cancellation answered"]
+        shown = [(answer["acknowledged"], answer["revision"]) for answer in answers]
+        assert shown == [(True, 7), (True, None), (False, None)]
+
+    run_with_cell(body)
 
 
 def test_a_takeover_is_logged_with_the_jobs_and_the_runs_that_it_inherits():
