Log changes of the known leader, and what a copy missed

- `leader changed`: each process tells whom it knows as leader, with epoch and revision, when that changes.
A start by a former leader shows by its epoch.
- `store unreachable` has the revision of the copy, `store reachable again` how long the store was away and the revisions before and after.
- `leadership taken` begins with the revision of the election, and the revision and age of the copy (formerly `mirror_revision` at the end).

A change of the leader is one line for each process; nothing is written for the writes of a leader that stays. Without the change the two new tests of test_queue_log.py fail: no such lines or fields.

--- a/flamingoway/cli/logs.py
+++ b/flamingoway/cli/logs.py
@@ -23,6 +23,7 @@
         "job write failed",
         "job write rejected",
         "job write unresolved",
+        "leader changed",
         "leader deposed",
         "leader elected",
         "leader query failed",
--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -90,6 +90,9 @@
         self._synced = asyncio.Event()
         self._complete = False
         self._reachable = True
+        # Time and revision at which the store was lost.
+        self._lost_at = float("-inf")
+        self._lost_revision = 0
         self._changed_at = float("-inf")
         self._heartbeat_key = heartbeat_key
         self._heartbeat_seen = False
@@ -254,9 +257,21 @@
         self._confirmed_at = max(self._confirmed_at, began)
         if not self._reachable:
             self._reachable = True
-            self._log.write("store reachable again", prefix=self._prefix)
+            self._log.write(
+                "store reachable again",
+                prefix=self._prefix,
+                away_s=round(self._clock() - self._lost_at, 3),
+                revision_before=self._lost_revision,
+                revision=self._revision,
+            )
 
     def _on_failure(self, exc: StoreUnavailable) -> None:
         if self._reachable:
             self._reachable = False
-            self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
+            self._lost_at, self._lost_revision = self._clock(), self._revision
+            self._log.write(
+                "store unreachable",
+                prefix=self._prefix,
+                revision=self._revision,
+                why=exc.message,
+            )
--- a/flamingoway/queues/session.py
+++ b/flamingoway/queues/session.py
@@ -184,7 +184,8 @@
         self._rng = rng
         self._used_epochs: set[int] = set()
         self._replaceable_epoch = 0
-        table.on_leader = self._changed.set
+        self._known_leader: tuple[str, int] | None = None
+        table.on_leader = self._on_leader
 
     async def campaign(self) -> Leadership:
         """Wait until this process is the leader."""
@@ -219,6 +220,21 @@
         self._changed.set()
         return True
 
+    def _on_leader(self) -> None:
+        leader, item = self._table.leader, self._table.leader_item
+        known = None if leader is None else (leader.name, leader.epoch)
+        if known != self._known_leader:
+            former, self._known_leader = self._known_leader, known
+            self._log.write(
+                "leader changed",
+                leader=None if known is None else known[0],
+                epoch=None if known is None else known[1],
+                former=None if former is None else former[0],
+                former_epoch=None if former is None else former[1],
+                revision=None if item is None else item.mod_revision,
+            )
+        self._changed.set()
+
     def _delay_s(self) -> float:
         """Return the delay of an attempt, shorter for processes with more cores."""
         leader = self._table.leader
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -296,13 +296,15 @@
         self._log.write(
             "leadership taken",
             epoch=self._cluster.epoch,
+            elected_revision=self._leadership.elected_revision,
+            copy_revision=self._mirror.revision,
+            copy_age_s=round(self._mirror.age_s, 3),
             jobs=len(self._cluster.jobs),
             workers=len(self._cluster.workers),
             unsettled=len(self._cluster.unsettled),
             unsettled_with_known_tasks=sum(
                 runs.tasks is not None for runs in self._cluster.unsettled.values()
             ),
-            mirror_revision=self._mirror.revision,
         )
         rows = [
             self._job_row(self._table.jobs[job_id], job)
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -18,6 +18,8 @@
     payload_digest,
 )
 from flamingoway.status import Code
+from flamingoway.store import Put
+from standins.memory import MemoryStore
 from standins.platform import Work
 from tests.platform_cell import call, run_in_cell, until
 from tests.queue_cluster import Bench, step
@@ -221,6 +223,45 @@
     assert sorted(row["task"] for _, row in adopted) == ["a1.0.0.0", "a1.0.0.1"]
 
 
+def test_each_process_logs_whom_it_knows_as_leader():
+    """Guards against starts by a former leader that no line shows to be one."""
+
+    async def body(world, leader, other):
+        await world.kill_node(leader)
+        await asyncio.sleep(10.0)
+        return leader, world.leader()
+
+    lines, (former, successor) = run_world(body)
+    changes = {name: [] for name in ("n0", "n1", "n2") if name != former}
+    for node, fields in entries(lines, "leader changed"):
+        if node != former:
+            changes[node].append(fields)
+    for node, rows in changes.items():
+        known = [(row["leader"], row["epoch"]) for row in rows if row["leader"]]
+        assert known == [(former, 1), (successor, 2)], node
+        assert rows[-1]["revision"] > rows[0]["revision"] > 0
+    ((_, taken), *_) = reversed(entries(lines, "leadership taken"))
+    assert taken["epoch"] == 2
+    assert taken["copy_revision"] >= taken["elected_revision"] > 0
+    assert 0 <= taken["copy_age_s"] < 1.0
+
+
+def test_the_end_of_an_outage_is_logged_with_its_length_and_what_was_missed():
+    async def body(cell):
+        await asyncio.sleep(1.0)
+        cell.store.down = True
+        await asyncio.sleep(2.0)
+        await MemoryStore(cell.engine).txn([], [Put("fw/member/n9", b"x")])
+        cell.store.down = False
+        await asyncio.sleep(2.0)
+        lines = dict(cell.log.lines)
+        lost, found = lines["store unreachable"], lines["store reachable again"]
+        assert 1.0 < found["away_s"] < 3.0
+        assert found["revision_before"] == lost["revision"] < found["revision"]
+
+    run_with_cell(body)
+
+
 def test_a_write_of_a_job_that_may_be_applied_later_is_logged():
     async def body(cell):
         cell.store.drop_answers(1)
