--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -296,13 +296,15 @@
         self._log.write(
             "leadership taken",
             epoch=self._cluster.epoch,
+            elected_revision=self._leadership.elected_revision,
+            copy_revision=self._mirror.revision,
+            copy_age_s=round(self._mirror.age_s, 3),
             jobs=len(self._cluster.jobs),
             workers=len(self._cluster.workers),
             unsettled=len(self._cluster.unsettled),
             unsettled_with_known_tasks=sum(
                 runs.tasks is not None for runs in self._cluster.unsettled.values()
             ),
-            mirror_revision=self._mirror.revision,
         )
         rows = [
             self._job_row(self._table.jobs[job_id], job)
@@ -337,6 +339,7 @@
         self._log.write(
             "cancellation learned",
             job=job.job_id,
+            revision=job.cancel_revision or None,
             by=source,
             epoch=self._cluster.epoch,
             copy_revision=self._mirror.revision,
@@ -351,6 +354,15 @@
         if open_job is None:
             # It has ended, or its record is not valid.
             return
+        if job.cancelled:
+            self._log.write(
+                "cancelled job learned",
+                job=job.job_id,
+                cancel_revision=job.cancel_revision or None,
+                job_revision=job.revision,
+                by=source,
+                epoch=self._cluster.epoch,
+            )
         self._jobs_learned.add(
             self._job_row(job, open_job),
             by=source,
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -5,6 +5,9 @@
 import os
 from dataclasses import replace
 
+import pytest
+
+from flamingoway.errors import BadRequest, Refused
 from flamingoway.model import Resources
 from flamingoway.queues.decisions import DecisionLog
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
@@ -14,6 +17,9 @@
     RowLog,
     payload_digest,
 )
+from flamingoway.status import Code
+from flamingoway.store import Put
+from standins.memory import MemoryStore
 from standins.platform import Work
 from tests.platform_cell import call, run_in_cell, until
 from tests.queue_cluster import Bench, step
@@ -118,7 +124,10 @@
     outcomes = [answer["outcome"] for _, answer in answers]
     assert [node for node, _ in answers] == [other] * 2
     assert outcomes == ["stored", "already cancelled"]
+    assert [answer["acknowledged"] for _, answer in answers] == [True] * 2
     ((node, learned),) = entries(lines, "cancellation learned")
+    assert [answer["revision"] for _, answer in answers] == [learned["revision"]] * 2
+    assert learned["revision"] > learned["job_revision"]
     assert (node, learned["by"], learned["job"]) == (leader, "copy", "a1")
     assert learned["runs"] == 2
     assert learned["copy_revision"] > learned["job_revision"] > 0
@@ -153,6 +162,49 @@
     assert (node, answer["job"], answer["outcome"]) == (other, "b2", "no such job")
     assert (answer["state"], answer["job_revision"]) == (None, None)
     assert answer["copy_revision"] > 0
+    assert answer["acknowledged"] and answer["revision"] > 0
+
+
+def test_a_job_that_was_cancelled_before_it_was_stored_is_logged_as_such():
+    async def body(world, leader, other):
+        await world.cancel(other, "a1")
+        await asyncio.sleep(1.0)
+        assert await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        return leader, other
+
+    lines, (leader, other) = run_world(body)
+    ((_, answer),) = entries(lines, "cancellation answered")
+    ((storing_node, stored),) = entries(lines, "cancelled job stored")
+    ((learning_node, learned),) = entries(lines, "cancelled job learned")
+    assert (storing_node, learning_node) == (other, leader)
+    for line in (stored, learned):
+        assert line["cancel_revision"] == answer["revision"] < line["job_revision"]
+    assert entries(lines, "starts sent") == []
+
+
+def test_a_process_that_forwards_a_cancellation_names_who_answered():
+    """Guards against an answer of which no line tells who gave it."""
+
+    async def body(cell):
+        cell.store.down = True
+        cell.peers.answer = BadRequest("no such job", Code.NOT_FOUND, revision=7)
+        with pytest.raises(BadRequest):
+            await cell.intake.cancel(JOB.job_id, 3.0)
+        cell.peers.answer = BadRequest("no such job", Code.NOT_FOUND)
+        with pytest.raises(BadRequest):
+            await cell.intake.cancel(JOB.job_id, 3.0)
+        cell.peers.answer = Refused("the store is unreachable")
+        with pytest.raises(Refused):
+            await cell.intake.cancel(JOB.job_id, 0.5)
+        relayed = [fields for event, fields in cell.log.lines if event == "relayed"]
+        assert {(row["by"], row["job"]) for row in relayed} == {("n2", JOB.job_id)}
+        assert [row["outcome"] for row in relayed[:2]] == ["no such job"] * 2
+        answers = [f for event, f in cell.log.lines if event == "cancellation answered"]
+        shown = [(answer["acknowledged"], answer["revision"]) for answer in answers]
+        assert shown == [(True, 7), (True, None), (False, None)]
+
+    run_with_cell(body)
 
 
 def test_a_takeover_is_logged_with_the_jobs_and_the_runs_that_it_inherits():
@@ -171,6 +223,45 @@
     assert sorted(row["task"] for _, row in adopted) == ["a1.0.0.0", "a1.0.0.1"]
 
 
+def test_each_process_logs_whom_it_knows_as_leader():
+    """Guards against starts by a former leader that no line shows to be one."""
+
+    async def body(world, leader, other):
+        await world.kill_node(leader)
+        await asyncio.sleep(10.0)
+        return leader, world.leader()
+
+    lines, (former, successor) = run_world(body)
+    changes = {name: [] for name in ("n0", "n1", "n2") if name != former}
+    for node, fields in entries(lines, "leader changed"):
+        if node != former:
+            changes[node].append(fields)
+    for node, rows in changes.items():
+        known = [(row["leader"], row["epoch"]) for row in rows if row["leader"]]
+        assert known == [(former, 1), (successor, 2)], node
+        assert rows[-1]["revision"] > rows[0]["revision"] > 0
+    ((_, taken), *_) = reversed(entries(lines, "leadership taken"))
+    assert taken["epoch"] == 2
+    assert taken["copy_revision"] >= taken["elected_revision"] > 0
+    assert 0 <= taken["copy_age_s"] < 1.0
+
+
+def test_the_end_of_an_outage_is_logged_with_its_length_and_what_was_missed():
+    async def body(cell):
+        await asyncio.sleep(1.0)
+        cell.store.down = True
+        await asyncio.sleep(2.0)
+        await MemoryStore(cell.engine).txn([], [Put("fw/member/n9", b"x")])
+        cell.store.down = False
+        await asyncio.sleep(2.0)
+        lines = dict(cell.log.lines)
+        lost, found = lines["store unreachable"], lines["store reachable again"]
+        assert 1.0 < found["away_s"] < 3.0
+        assert found["revision_before"] == lost["revision"] < found["revision"]
+
+    run_with_cell(body)
+
+
 def test_a_write_of_a_job_that_may_be_applied_later_is_logged():
     async def body(cell):
         cell.store.drop_answers(1)
