Take no older process's word that a cancellation of an unknown job holds

What callers would see: during a rolling upgrade, a DELETE at a process that the store refuses is answered 410, which counts as an acknowledgement; the job is stored afterwards and runs. Cause: a process of a build before answers a forwarded cancellation of an unknown job with NOT_FOUND after a read alone, and this build passed that on. Evidence: the new test plays a process without store access beside processes that answer like those builds. Before, both cases failed: the first answer was passed on, whoever gave it. Change: the error of a cancellation that found no job says that the cancellation is stored, and the relay counts an error without that as a refusal: it asks the next process, tries again until the caller's deadline and then refuses with Retry-After.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -390,7 +390,8 @@
         """Cancel a job; returns once that is stored.
 
         Raises:
-            BadRequest: There is no such job; its code is ``NOT_FOUND``.
+            BadRequest: There is no such job, and the cancellation is stored; its code
+                is ``NOT_FOUND``, and ``cancellation_stored`` in its details is true.
             OutcomeUnknown: The cancellation may or may not be stored.
             Refused: It is not stored.
         """
@@ -424,7 +425,9 @@
             deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
             attempts = (
                 lambda left_s: self._store_cancel(job_id, job is None, left_s),
-                lambda left_s: self._relay.call_any(CancelRequest(job_id, left_s)),
+                lambda left_s: self._relay.call_any(
+                    CancelRequest(job_id, left_s), is_answer=_is_cancellation_stored
+                ),
             )
             await self._attempt_until(deadline, attempts)
         else:
@@ -460,7 +463,9 @@
             result = await self._write_cancel(job_id, [absent], retry_for_s)
             if result.succeeded:
                 self._note_cancelled(job_id, result.revision)
-                raise BadRequest("no such job", Code.NOT_FOUND)
+                raise BadRequest(
+                    "no such job", Code.NOT_FOUND, cancellation_stored=True
+                )
         await self._write_cancel(job_id, [], retry_for_s)
 
     async def _write_cancel(
@@ -683,6 +688,14 @@
     return Put(records.CANCEL_PREFIX + job_id, records.encode(record))
 
 
+def _is_cancellation_stored(error: FlamingowayError) -> bool:
+    """Return whether another process's error says that a cancellation is stored.
+
+    A process of an older build stores nothing if it finds no job.
+    """
+    return error.details.get("cancellation_stored") is True
+
+
 def _fail(pending: _PendingJob) -> None:
     if pending.uncertain:
         error: FlamingowayError = OutcomeUnknown(
--- a/flamingoway/queues/relay.py
+++ b/flamingoway/queues/relay.py
@@ -60,7 +60,12 @@
             process.peer_address, request, RELAY_TIMEOUT_S, type(request).reply
         )
 
-    async def call_any(self, request: Request, most_power_first: bool = False) -> Any:
+    async def call_any(
+        self,
+        request: Request,
+        most_power_first: bool = False,
+        is_answer: Callable[[FlamingowayError], bool] = lambda error: True,
+    ) -> Any:
         """Return the reply of the first process that carries out the request.
 
         Gives up after ``RELAY_ATTEMPTS`` processes or two unknown outcomes.
@@ -68,6 +73,8 @@
         Args:
             request: The request.
             most_power_first: Whether to try processes with more processor time first.
+            is_answer: Whether an error that is neither a refusal nor an unknown outcome
+                answers the request; if not, it counts as a refusal.
 
         Raises:
             Refused: No process carried out the request.
@@ -94,6 +101,11 @@
                     break
                 unanswered = True
                 continue
+            except FlamingowayError as exc:
+                self._log_outcome(request, process, exc)
+                if is_answer(exc):
+                    raise
+                continue
             self._log_outcome(request, process, None)
             return reply
         if unanswered:
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
-from flamingoway.errors import BadRequest
+from flamingoway.errors import BadRequest, OutcomeUnknown, Refused
 from flamingoway.httpserver import HttpRequest
 from flamingoway.model import Resources
 from flamingoway.platform.ingress import JobIngress
@@ -14,7 +15,10 @@
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import Mirror
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
+from flamingoway.queues.records import ProcessRecord
+from flamingoway.queues.relay import Relay
 from flamingoway.queues.table import JobTable
+from flamingoway.status import Code
 from flamingoway.store import ChangeSet, Put, RangeResult
 from standins import kv
 from standins.memory import MemoryStore
@@ -94,6 +98,53 @@
     assert run_virtual(main) == (1, [], [])
 
 
+class OldPeers:
+    """Other processes, of which those named answer a cancellation after a read alone.
+
+    Attributes:
+        asked: Addresses of the processes that were asked.
+    """
+
+    def __init__(self, old):
+        self.old = old
+        self.asked = []
+
+    async def call(self, address, request, timeout_s, reply):
+        self.asked.append(address)
+        error = BadRequest("no such job", Code.NOT_FOUND)
+        if address not in self.old:
+            error.details["cancellation_stored"] = True
+        raise error
+
+
+@pytest.mark.parametrize("old", [["n2:1"], ["n2:1", "n3:1"]], ids=["one", "all"])
+def test_a_process_of_an_older_build_acknowledges_no_cancellation(old):
+    """Guards against an acknowledgement by a process that stores nothing."""
+    found = {}
+
+    async def body(cell):
+        peers = OldPeers(old)
+        others = {n: ProcessRecord(n, f"{n}:1", "z") for n in ("n2", "n3")}
+        in_order = SimpleNamespace(shuffle=lambda processes: None)
+        cell.intake._relay = Relay("n1", peers, lambda: others, in_order, cell.log)
+        cell.store.down = True
+        await asyncio.sleep(1.0)
+        try:
+            await cell.intake.cancel(JOB.job_id, 2.0)
+        except (BadRequest, OutcomeUnknown, Refused) as exc:
+            found["error"] = exc
+        found["asked"] = peers.asked
+
+    run_with_cell(body)
+    acknowledged = found["error"].code is Code.NOT_FOUND
+    if len(old) == 1:
+        assert acknowledged
+        assert found["asked"][-1] == "n3:1"
+    else:
+        assert not acknowledged
+    assert "n2:1" in found["asked"]
+
+
 class ScriptedStore:
     """A store with one key whose watches a test scripts.
 
