Delete expired jobs only if they are as they were read

What callers would see: a job is submitted while the leader deletes an old cancellation of its id. The acceptance is deleted with it, or, if the id was cancelled again just before, the newer cancellation is, and the job runs although its cancelling was acknowledged. Cause: the leader collects the ids of closed jobs, and deletes all keys of each without looking again, perhaps seconds later, as the write is repeated until the store answers. Evidence: two new tests delay the write until a submission, or a second cancellation, is stored. Change: whether a job is still closed is checked when the write is put together, and the write requires the revisions of acceptance and cancellation that were read. If a condition fails, the jobs are tried one by one, so that one that has changed doesn't keep the others. A write deletes five jobs instead of nine, for the 32 entries of a transaction; there are no added calls otherwise. A cancellation known first from the mirror and then from its own answer keeps its revision, without which the job could not be deleted (a test shows it).

--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -137,9 +137,9 @@
         job = self._jobs.get(job_id)
         return job if job is not None and job.accepted else None
 
-    def closed_before(self, before: float) -> list[str]:
-        """Return the ids of the jobs closed before a time in Unix seconds."""
-        return [job.job_id for job in self._jobs.values() if 0 < job.closed_at < before]
+    def closed_before(self, before: float) -> list[TableJob]:
+        """Return the jobs closed before a time in Unix seconds."""
+        return [job for job in self._jobs.values() if 0 < job.closed_at < before]
 
     def apply_end(self, job_id: str, state: StepJobState, ended_at: float) -> None:
         """Apply a stored end before the mirror delivers it.
@@ -231,7 +231,8 @@
         job = self._get_or_create(job_id)
         job.cancelled = True
         job.cancelled_at = _cancelled_at(item)
-        job.cancel_revision = item.mod_revision
+        # The process that stored a cancellation may learn of it from its mirror first.
+        job.cancel_revision = max(job.cancel_revision, item.mod_revision)
         if job.accepted and self.on_job is not None:
             self.on_job(job)
 
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from ..errors import (
     BadRequest,
@@ -92,9 +93,9 @@
 PROMOTION_INTERVAL_S = 3.0
 RESIGN_ATTEMPTS = 3
 # Interval of the search for ended jobs past their retention time, and the number of
-# them that one write deletes.
+# them that one write deletes: three keys each, on two conditions.
 EXPIRY_INTERVAL_S = 5.0
-EXPIRED_JOBS_PER_WRITE = 9
+EXPIRED_JOBS_PER_WRITE = 5
 # Replies to orders that arrive within this time share a line of the log.
 REPLY_LOG_DELAY_S = 0.05
 
@@ -103,6 +104,40 @@
     """Another process leads."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Deletions:
+    """What one write deletes.
+
+    Attributes:
+        workers: Ids of forgotten workers.
+        jobs: Closed jobs past their retention time. They are deleted on the condition
+            that neither their acceptance nor their cancellation has changed.
+    """
+
+    workers: tuple[str, ...] = ()
+    jobs: tuple[TableJob, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.workers or self.jobs)
+
+    @property
+    def operations(self) -> list[Delete]:
+        """The deletions, for a transaction."""
+        keys = [records.WORKER_PREFIX + worker_id for worker_id in self.workers]
+        for job in self.jobs:
+            keys += records.job_keys(job.job_id)
+        return [Delete(key) for key in keys]
+
+    @property
+    def conditions(self) -> list[Compare]:
+        """The conditions of the transaction."""
+        revisions = {}
+        for job in self.jobs:
+            revisions[records.JOB_PREFIX + job.job_id] = job.revision
+            revisions[records.CANCEL_PREFIX + job.job_id] = job.cancel_revision
+        return [Compare(key, "mod_revision", r) for key, r in revisions.items()]
+
+
 class Term:
     """Runs the queues for as long as this process is the leader.
 
@@ -187,7 +222,9 @@
         self._poll_tasks: dict[str, asyncio.Task] = {}
         self._failed: asyncio.Future = asyncio.get_running_loop().create_future()
         self._removed_workers: list[str] = []
-        self._expired_jobs: list[str] = []
+        self._expired_jobs: list[TableJob] = []
+        # Jobs to delete in a write each, after a write of several was not applied.
+        self._single_deletions_left = 0
         self._handing_over = False
 
     @property
@@ -817,22 +854,38 @@
         )
         return WorkerRecord(worker.entry, self._leadership.epoch, tuple(sorted(tasks)))
 
-    def _take_deletions(self) -> list[str]:
-        """Return keys to delete, of forgotten workers and expired jobs."""
+    def _take_deletions(self) -> _Deletions:
+        """Return what to delete next, of forgotten workers and expired jobs."""
         # The registry may have listed a forgotten worker again in the meantime.
         self._removed_workers = [
             worker_id
             for worker_id in self._removed_workers
             if worker_id not in self._cluster.workers
         ]
-        keys = [
-            records.WORKER_PREFIX + worker_id for worker_id in self._removed_workers[:1]
-        ]
+        workers = self._removed_workers[:1]
         del self._removed_workers[:1]
-        for job_id in self._expired_jobs[:EXPIRED_JOBS_PER_WRITE]:
-            keys += records.job_keys(job_id)
-        del self._expired_jobs[:EXPIRED_JOBS_PER_WRITE]
-        return keys
+        limit = 1 if self._single_deletions_left else EXPIRED_JOBS_PER_WRITE
+        taken = self._expired_jobs[:limit]
+        del self._expired_jobs[:limit]
+        self._single_deletions_left = max(0, self._single_deletions_left - 1)
+        # A job may have been accepted or stored again in the meantime.
+        jobs = [job for job in taken if self._is_expired(job)]
+        return _Deletions(tuple(workers), tuple(jobs))
+
+    def _is_expired(self, job: TableJob) -> bool:
+        before = time.time() - self._retention_s
+        return self._table.jobs.get(job.job_id) is job and 0 < job.closed_at < before
+
+    def _on_deletions_outdated(self, deletions: _Deletions) -> None:
+        """Try again without the jobs that have changed since they were read."""
+        self._log.write(
+            "expired jobs changed", jobs=[job.job_id for job in deletions.jobs]
+        )
+        self._removed_workers += deletions.workers
+        if len(deletions.jobs) > 1:
+            self._single_deletions_left = len(deletions.jobs)
+            self._expired_jobs[:0] = deletions.jobs
+        self._flush_needed.set()
 
     async def _expiry_loop(self) -> None:
         while True:
@@ -843,12 +896,14 @@
                 self._flush_needed.set()
 
     async def _flush(
-        self, jobs: list[OpenJob], workers: list[WorkerState], removed: list[str]
+        self, jobs: list[OpenJob], workers: list[WorkerState], removed: _Deletions
     ) -> None:
         """Store changes in one transaction, which fails if another process leads."""
+        conditions, deletions = removed.conditions, removed.operations
         limit = 1 if self._single_writes_left else MAX_FLUSH_OPERATIONS
-        workers = workers[: max(0, limit - len(removed))]
-        jobs = jobs[: max(0, limit - len(workers) - len(removed))]
+        limit = max(0, limit - len(conditions) - len(deletions))
+        workers = workers[:limit]
+        jobs = jobs[: limit - len(workers)]
         jobs, progress = self._encode_progress(jobs)
         versions = [job.version for job in jobs]
         worker_records = [self._record(worker) for worker in workers]
@@ -857,13 +912,16 @@
             Put(records.WORKER_PREFIX + record.entry.worker_id, records.encode(record))
             for record in worker_records
         ]
-        puts += [Delete(key) for key in removed]
+        puts += deletions
         began = self._clock()
         try:
-            await self._write(puts)
+            applied = await self._write(puts, conditions)
         except BadRequest as exc:
             self._on_write_rejected(jobs, workers, len(puts), exc)
             return
+        if not applied:
+            self._on_deletions_outdated(removed)
+            return
         self._single_writes_left = max(0, self._single_writes_left - 1)
         self._apply_progress(puts)
         self._metrics.flush_seconds.observe(self._clock() - began)
@@ -953,12 +1011,17 @@
         ]
         self._table.apply_changes(events)
 
-    async def _write(self, operations: list[Put | Delete]) -> None:
+    async def _write(
+        self, operations: list[Put | Delete], conditions: list[Compare]
+    ) -> bool:
         """Write on the condition that the leader key is unchanged, and change it.
 
         A write whose answer was lost may be applied later; since it requires the
         revision of the leader key that it names, it cannot overwrite a newer one.
 
+        Returns:
+            Whether the other conditions held; if not, nothing was written.
+
         Raises:
             LeadershipLost: The leader key is gone or another process holds it.
         """
@@ -970,11 +1033,12 @@
             settled=not self._cluster.unsettled,
         )
         value = records.encode(record)
-        compare = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
+        leads = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
+        compares = [leads, *conditions]
         puts = [Put(records.LEADER_KEY, value, leadership.lease), *operations]
         while True:
             try:
-                result = await self._store.txn([compare], puts, [records.LEADER_KEY])
+                result = await self._store.txn(compares, puts, [records.LEADER_KEY])
             except LeaseExpired:
                 raise LeadershipLost("the session lease has expired") from None
             except (StoreUnavailable, StoreOutcomeUnknown):
@@ -984,11 +1048,14 @@
         revision = result.revision
         if not result.succeeded:
             found = result.reads.get(records.LEADER_KEY)
+            if found is not None and found.mod_revision == leadership.revision:
+                return False
             if found is None or found.value != value:
                 raise LeadershipLost("the leader key was changed or deleted")
             revision = found.mod_revision
         leadership.revision = revision
         leadership.writes += 1
+        return True
 
     def _advance_acknowledged(self) -> None:
         for worker in self._cluster.workers.values():
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -19,7 +19,7 @@
 from flamingoway.queues.relay import Relay
 from flamingoway.queues.table import JobTable
 from flamingoway.status import Code
-from flamingoway.store import ChangeSet, Put, RangeResult
+from flamingoway.store import ChangeSet, Delete, Put, RangeResult
 from standins import kv
 from standins.memory import MemoryStore
 from tests.queue_cluster import RecordingLog
@@ -98,6 +98,116 @@
     assert run_virtual(main) == (1, [], [])
 
 
+@pytest.mark.parametrize("event", ["submitted", "cancelled again"])
+def test_a_cancellation_that_is_used_again_is_not_deleted(event):
+    """Guards against a deletion on the ground of what was read before."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        term, store = world.nodes[leader]._term, world.stores[leader]
+        other = next(name for name in world.names if name != leader)
+        world.specs[JOB.job_id] = JOB
+        await cancel_unknown(world, other, JOB.job_id)
+        await asyncio.sleep(1.0)
+        write, delayed = store.txn, []
+
+        async def delay_deletion(compares, operations, reads=None):
+            if not delayed and any(isinstance(o, Delete) for o in operations):
+                delayed.append(operations)
+                # The store doesn't answer the leader for a while.
+                term._retention_s = 1e9
+                if event == "submitted":
+                    await world.nodes[other].intake.submit(JOB, 2.0)
+                else:
+                    await cancel_unknown(world, other, JOB.job_id)
+                await asyncio.sleep(1.0)
+            return await write(compares, operations, reads)
+
+        store.txn = delay_deletion
+        # The time of day does not follow virtual time.
+        term._retention_s = -1000.0
+        await asyncio.sleep(12.0)
+        if event == "cancelled again":
+            await world.nodes[other].intake.submit(JOB, 2.0)
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(CANCEL_GRACE_S)
+        state = await world.nodes[other].intake.state(JOB.job_id)
+        leads = world.nodes[leader]._term is term
+        await world.end()
+        return len(delayed), started, state, leads
+
+    assert run_virtual(main) == (1, [], StepJobState.CANCELLED, True)
+
+
+def stored_keys(world, job_id):
+    return [key for key in world.engine._keys if job_id.encode() in key]
+
+
+def test_expired_jobs_are_deleted_beside_one_that_has_changed():
+    """Guards against a job that keeps others from being deleted."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        term, store = world.nodes[leader]._term, world.stores[leader]
+        other = next(name for name in world.names if name != leader)
+        world.specs[JOB.job_id] = JOB
+        ids = [JOB.job_id, "00000000000000ab", "00000000000000ac"]
+        for job_id in ids:
+            await cancel_unknown(world, other, job_id)
+        write, term._retention_s = store.txn, -1000.0
+
+        async def delay_deletion(compares, operations, reads=None):
+            if any(isinstance(o, Delete) for o in operations):
+                store.txn = write
+                await world.nodes[other].intake.submit(JOB, 2.0)
+                # The first deletion reaches the store after the submission.
+                term._is_expired, is_expired = (
+                    lambda job: job.job_id != JOB.job_id and is_expired(job),
+                    term._is_expired,
+                )
+            return await write(compares, operations, reads)
+
+        store.txn = delay_deletion
+        await asyncio.sleep(12.0)
+        left = [job_id for job_id in ids if stored_keys(world, job_id)]
+        await world.end()
+        return left
+
+    assert run_virtual(main) == [JOB.job_id]
+
+
+def test_a_cancelled_job_is_deleted_whose_cancellation_was_watched_before_its_answer():
+    """Guards against a job that is never deleted, for want of a revision."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        node, store = world.nodes[leader], world.stores[leader]
+        assert await world.submit(leader, JOB)
+        write = store.txn
+
+        async def answer_late(compares, operations, reads=None):
+            result = await write(compares, operations, reads)
+            if any(o.key.startswith(records.CANCEL_PREFIX) for o in operations):
+                await asyncio.sleep(0.3)
+            return result
+
+        store.txn = answer_late
+        await node.intake.cancel(JOB.job_id, 2.0)
+        store.txn = write
+        await asyncio.sleep(1.0)
+        node._term._retention_s = -1000.0
+        await asyncio.sleep(12.0)
+        left = stored_keys(world, JOB.job_id)
+        await world.end()
+        return left
+
+    assert run_virtual(main) == []
+
+
 class OldPeers:
     """Other processes, of which those named answer a cancellation after a read alone.
 
