Start nothing on workers whose registry entries were read long ago

What callers would see: tasks start on a worker that reported seconds ago that it is draining, or that has left; they are stopped with it. Cause: whether orders may be sent depends on the age of the copy of jobs only. The registry of the workers has a mirror of its own, whose age nobody looked at. Evidence: the new test holds the answers to the watches of the registry while all workers but one begin to drain. Change: starts, and the planning of starts, also need a copy of the registry of the last 2.5 s, or of the last 5 s while the store does not answer. Polls and stops go on as before. The log says when starts are suspended. No store calls are added.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -58,6 +58,9 @@
 # the platform's store. A new leader waits this long plus a worker's lease before it
 # gives up the tasks of a worker that it cannot reach.
 MAX_STORE_AGE_S = 5.0
+# Nothing starts on the ground of a copy that is older than this, unless the store does
+# not answer. A copy that is well reaches 2.2 s while the store is slow: two watches.
+MAX_START_AGE_S = 2.5
 # A worker holds a poll open for at most this long, until a run ends. Each poll also
 # renews the worker's lease.
 POLL_WAIT_S = 1.0
@@ -240,6 +243,16 @@
         suspended = replaced or self._handing_over
         return not suspended and self._store_age_s() < MAX_STORE_AGE_S
 
+    @property
+    def may_start(self) -> bool:
+        """Whether runs may start: orders may be sent, and the registry is recent.
+
+        During an outage of the store work goes on with the copies as they are.
+        """
+        limit_s = MAX_STORE_AGE_S if self._store.outage_s else MAX_START_AGE_S
+        age_s = self._registry_mirror.age_s
+        return self.may_send_orders and age_s < limit_s
+
     async def run(self) -> None:
         """Lead until another process takes over or the task is cancelled."""
         async with self._running():
@@ -608,7 +621,7 @@
     async def _start(self, start: StartRun) -> None:
         run = start.run
         reply = StartReply.NOT_SENT
-        if self.may_send_orders and self._cluster.may_start(run):
+        if self.may_start and self._cluster.may_start(run):
             sent_at = self._clock()
             # The order may have been sent if an error occurred.
             reply = StartReply.UNKNOWN
@@ -706,7 +719,7 @@
             await self._plan_needed.wait()
             await asyncio.sleep(PLAN_DELAY_S)
             self._plan_needed.clear()
-            if not self.may_send_orders:
+            if not self.may_start:
                 continue
             began = self._clock()
             with self._metrics.plan_seconds.time():
@@ -720,7 +733,7 @@
             await asyncio.sleep(PLAN_PAUSE_FACTOR * (self._clock() - began))
 
     async def _tick_loop(self) -> None:
-        acting = True
+        acting = starting = True
         while True:
             await asyncio.sleep(TICK_S)
             if self.may_send_orders != acting:
@@ -730,6 +743,14 @@
                     epoch=self._cluster.epoch,
                     store_age_s=round(self._store_age_s(), 2),
                 )
+            if self.may_start != starting:
+                starting = self.may_start
+                self._log.write(
+                    "starts allowed" if starting else "starts suspended",
+                    epoch=self._cluster.epoch,
+                    store_age_s=round(self._store_age_s(), 2),
+                    workers_age_s=round(self._registry_mirror.age_s, 2),
+                )
             leader = self._table.leader
             if leader is not None and leader.epoch != self._leadership.epoch:
                 self._fail(f"{leader.name} leads with epoch {leader.epoch}")
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -82,6 +82,45 @@
     assert second_life[0] == 0
 
 
+def hold_watches(store, prefix):
+    """Hold the answers of a store to the watches of a prefix; return what ends that."""
+    watch, released = store.changes, asyncio.Event()
+
+    async def changes(watched, after, wait_s):
+        if watched == prefix:
+            await released.wait()
+        return await watch(watched, after, wait_s)
+
+    store.changes = changes
+    return released
+
+
+def test_nothing_starts_on_a_worker_whose_entry_may_have_changed():
+    """Guards against a leader that uses an old copy of the registry."""
+
+    async def main():
+        world, term = await leading_world([])
+        released = hold_watches(world.stores[world.leader()], "servers/")
+        await asyncio.sleep(1.0)
+        first, *others = world.workers.values()
+        for worker in others:
+            worker.draining = True
+            await world.register_worker(worker)
+        await asyncio.sleep(3.0)
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(worker)
+        step = Step(1, Resources(10, 10), 1.0)
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,) * 6))
+        await asyncio.sleep(1.0)
+        before = [*started]
+        released.set()
+        await asyncio.sleep(2.0)
+        await world.end()
+        return before, {worker is first for worker in started}
+
+    assert run_virtual(main) == ([], {True})
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
