Start nothing on a copy as old as a cancellation may take

What callers would see: a step starts over 3 s after its job's cancelling was acknowledged, ordered by a leader whose watch of the jobs is stuck while its other store calls are answered. Cause: a leader may order starts on a copy up to 5 s old, for the sake of outages of the store; cancellations must be in force after 3 s on two sites and 4 s on grown Andes. Evidence: the new test holds the answers to the leader's watch, cancels at another process, and ends the first step 3.5 s later. Before, it failed: the second step started. Change: starts need a copy of the jobs of the last 2.5 s. The 5 s remain for polls, stops and leases, and for starts while the store does not answer this process, since it then is not undisturbed. A healthy copy reaches 1.7 s (two idle watches), 2.2 s while the store is slow. Result: all tests of the queues pass.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -245,12 +245,12 @@
 
     @property
     def may_start(self) -> bool:
-        """Whether runs may start: orders may be sent, and the registry is recent.
+        """Whether runs may be started: orders may be sent, and all copies are recent.
 
         During an outage of the store work goes on with the copies as they are.
         """
+        age_s = max(self._store_age_s(), self._registry_mirror.age_s)
         limit_s = MAX_STORE_AGE_S if self._store.outage_s else MAX_START_AGE_S
-        age_s = self._registry_mirror.age_s
         return self.may_send_orders and age_s < limit_s
 
     async def run(self) -> None:
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -121,6 +121,36 @@
     assert run_virtual(main) == ([], {True})
 
 
+def test_nothing_starts_on_a_copy_of_the_jobs_that_is_as_old_as_a_cancellation_may_be():
+    """Guards against a step that starts 3 s after its job was cancelled elsewhere."""
+
+    async def main():
+        world, term = await leading_world([])
+        leader = world.leader()
+        world.duration = lambda task_id: 4.6
+        steps = (
+            Step(1, Resources(10, 10), 1.0),
+            Step(1, Resources(10, 10), 1.0, after=(0,)),
+        )
+        assert await world.submit(leader, StepJobSpec("a1", "checks", "x", steps))
+        await asyncio.sleep(0.5)
+        released = hold_watches(world.stores[leader], "fw/")
+        await asyncio.sleep(1.0)
+        other = next(name for name in world.names if name != leader)
+        assert await world.cancel(other, "a1")
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(3.6)
+        running = term.cluster.jobs["a1"].steps[0, 1].ready
+        released.set()
+        await asyncio.sleep(1.0)
+        leads = world.nodes[leader]._term is term
+        await world.end()
+        return running, started, leads
+
+    assert run_virtual(main) == (True, [], True)
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
