--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -390,7 +390,9 @@
         """Cancel a job; returns once that is stored.
 
         Raises:
-            BadRequest: There is no such job; its code is ``NOT_FOUND``.
+            BadRequest: There is no such job, and the cancellation is stored; its code
+                is ``NOT_FOUND``, and ``cancel_revision`` in its details is the revision
+                of the cancellation.
             OutcomeUnknown: The cancellation may or may not be stored.
             Refused: It is not stored.
         """
@@ -401,7 +403,7 @@
             acknowledged = True
         except FlamingowayError as exc:
             outcome, acknowledged = exc.message, exc.code == Code.NOT_FOUND
-            revision = exc.details.get("revision")
+            revision = exc.details.get("cancel_revision")
             raise
         finally:
             job = self._table.find(job_id)
@@ -431,7 +433,9 @@
             deadline = asyncio.get_running_loop().time() + timeout_s - ANSWER_MARGIN_S
             attempts = (
                 lambda left_s: self._store_cancel(job_id, job is None, left_s),
-                lambda left_s: self._relay.call_any(CancelRequest(job_id, left_s)),
+                lambda left_s: self._relay.call_any(
+                    CancelRequest(job_id, left_s), is_answer=_is_cancellation_stored
+                ),
             )
             await self._attempt_until(deadline, attempts)
         else:
@@ -470,7 +474,7 @@
             if result.succeeded:
                 self._note_cancelled(job_id, result.revision)
                 raise BadRequest(
-                    "no such job", Code.NOT_FOUND, revision=result.revision
+                    "no such job", Code.NOT_FOUND, cancel_revision=result.revision
                 )
         result = await self._write_cancel(job_id, [], retry_for_s)
         if self._table.find(job_id) is not None:
@@ -710,6 +714,14 @@
     return Put(records.CANCEL_PREFIX + job_id, records.encode(record))
 
 
+def _is_cancellation_stored(error: FlamingowayError) -> bool:
+    """Return whether another process's error says that a cancellation is stored.
+
+    A process of an older build stores nothing if it finds no job.
+    """
+    return "cancel_revision" in error.details
+
+
 def _fail(pending: _PendingJob) -> None:
     if pending.uncertain:
         error: FlamingowayError = OutcomeUnknown(
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from ..errors import (
     BadRequest,
@@ -57,6 +58,9 @@
 # the platform's store. A new leader waits this long plus a worker's lease before it
 # gives up the tasks of a worker that it cannot reach.
 MAX_STORE_AGE_S = 5.0
+# Nothing starts on the ground of a copy that is older than this, unless the store does
+# not answer. A copy that is well reaches 2.2 s while the store is slow: two watches.
+MAX_START_AGE_S = 2.5
 # A worker holds a poll open for at most this long, until a run ends. Each poll also
 # renews the worker's lease.
 POLL_WAIT_S = 1.0
@@ -92,9 +96,9 @@
 PROMOTION_INTERVAL_S = 3.0
 RESIGN_ATTEMPTS = 3
 # Interval of the search for ended jobs past their retention time, and the number of
-# them that one write deletes.
+# them that one write deletes: three keys each, on two conditions.
 EXPIRY_INTERVAL_S = 5.0
-EXPIRED_JOBS_PER_WRITE = 9
+EXPIRED_JOBS_PER_WRITE = 5
 # Replies to orders that arrive within this time share a line of the log.
 REPLY_LOG_DELAY_S = 0.05
 
@@ -103,6 +107,40 @@
     """Another process leads."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Deletions:
+    """What one write deletes.
+
+    Attributes:
+        workers: Ids of forgotten workers.
+        jobs: Closed jobs past their retention time. They are deleted on the condition
+            that neither their acceptance nor their cancellation has changed.
+    """
+
+    workers: tuple[str, ...] = ()
+    jobs: tuple[TableJob, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.workers or self.jobs)
+
+    @property
+    def operations(self) -> list[Delete]:
+        """The deletions, for a transaction."""
+        keys = [records.WORKER_PREFIX + worker_id for worker_id in self.workers]
+        for job in self.jobs:
+            keys += records.job_keys(job.job_id)
+        return [Delete(key) for key in keys]
+
+    @property
+    def conditions(self) -> list[Compare]:
+        """The conditions of the transaction."""
+        revisions = {}
+        for job in self.jobs:
+            revisions[records.JOB_PREFIX + job.job_id] = job.revision
+            revisions[records.CANCEL_PREFIX + job.job_id] = job.cancel_revision
+        return [Compare(key, "mod_revision", r) for key, r in revisions.items()]
+
+
 class Term:
     """Runs the queues for as long as this process is the leader.
 
@@ -187,7 +225,9 @@
         self._poll_tasks: dict[str, asyncio.Task] = {}
         self._failed: asyncio.Future = asyncio.get_running_loop().create_future()
         self._removed_workers: list[str] = []
-        self._expired_jobs: list[str] = []
+        self._expired_jobs: list[TableJob] = []
+        # Jobs to delete in a write each, after a write of several was not applied.
+        self._single_deletions_left = 0
         self._handing_over = False
 
     @property
@@ -203,6 +243,16 @@
         suspended = replaced or self._handing_over
         return not suspended and self._store_age_s() < MAX_STORE_AGE_S
 
+    @property
+    def may_start(self) -> bool:
+        """Whether runs may be started: orders may be sent, and all copies are recent.
+
+        During an outage of the store work goes on with the copies as they are.
+        """
+        age_s = max(self._store_age_s(), self._registry_mirror.age_s)
+        limit_s = MAX_STORE_AGE_S if self._store.outage_s else MAX_START_AGE_S
+        return self.may_send_orders and age_s < limit_s
+
     async def run(self) -> None:
         """Lead until another process takes over or the task is cancelled."""
         async with self._running():
@@ -583,7 +633,7 @@
     async def _start(self, start: StartRun) -> None:
         run = start.run
         reply = StartReply.NOT_SENT
-        if self.may_send_orders and self._cluster.may_start(run):
+        if self.may_start and self._cluster.may_start(run):
             sent_at = self._clock()
             # The order may have been sent if an error occurred.
             reply = StartReply.UNKNOWN
@@ -681,7 +731,7 @@
             await self._plan_needed.wait()
             await asyncio.sleep(PLAN_DELAY_S)
             self._plan_needed.clear()
-            if not self.may_send_orders:
+            if not self.may_start:
                 continue
             began = self._clock()
             with self._metrics.plan_seconds.time():
@@ -695,7 +745,7 @@
             await asyncio.sleep(PLAN_PAUSE_FACTOR * (self._clock() - began))
 
     async def _tick_loop(self) -> None:
-        acting = True
+        acting = starting = True
         while True:
             await asyncio.sleep(TICK_S)
             if self.may_send_orders != acting:
@@ -705,6 +755,14 @@
                     epoch=self._cluster.epoch,
                     store_age_s=round(self._store_age_s(), 2),
                 )
+            if self.may_start != starting:
+                starting = self.may_start
+                self._log.write(
+                    "starts allowed" if starting else "starts suspended",
+                    epoch=self._cluster.epoch,
+                    store_age_s=round(self._store_age_s(), 2),
+                    workers_age_s=round(self._registry_mirror.age_s, 2),
+                )
             leader = self._table.leader
             if leader is not None and leader.epoch != self._leadership.epoch:
                 self._fail(f"{leader.name} leads with epoch {leader.epoch}")
@@ -829,22 +887,38 @@
         )
         return WorkerRecord(worker.entry, self._leadership.epoch, tuple(sorted(tasks)))
 
-    def _take_deletions(self) -> list[str]:
-        """Return keys to delete, of forgotten workers and expired jobs."""
+    def _take_deletions(self) -> _Deletions:
+        """Return what to delete next, of forgotten workers and expired jobs."""
         # The registry may have listed a forgotten worker again in the meantime.
         self._removed_workers = [
             worker_id
             for worker_id in self._removed_workers
             if worker_id not in self._cluster.workers
         ]
-        keys = [
-            records.WORKER_PREFIX + worker_id for worker_id in self._removed_workers[:1]
-        ]
+        workers = self._removed_workers[:1]
         del self._removed_workers[:1]
-        for job_id in self._expired_jobs[:EXPIRED_JOBS_PER_WRITE]:
-            keys += records.job_keys(job_id)
-        del self._expired_jobs[:EXPIRED_JOBS_PER_WRITE]
-        return keys
+        limit = 1 if self._single_deletions_left else EXPIRED_JOBS_PER_WRITE
+        taken = self._expired_jobs[:limit]
+        del self._expired_jobs[:limit]
+        self._single_deletions_left = max(0, self._single_deletions_left - 1)
+        # A job may have been accepted or stored again in the meantime.
+        jobs = [job for job in taken if self._is_expired(job)]
+        return _Deletions(tuple(workers), tuple(jobs))
+
+    def _is_expired(self, job: TableJob) -> bool:
+        before = time.time() - self._retention_s
+        return self._table.jobs.get(job.job_id) is job and 0 < job.closed_at < before
+
+    def _on_deletions_outdated(self, deletions: _Deletions) -> None:
+        """Try again without the jobs that have changed since they were read."""
+        self._log.write(
+            "expired jobs changed", jobs=[job.job_id for job in deletions.jobs]
+        )
+        self._removed_workers += deletions.workers
+        if len(deletions.jobs) > 1:
+            self._single_deletions_left = len(deletions.jobs)
+            self._expired_jobs[:0] = deletions.jobs
+        self._flush_needed.set()
 
     async def _expiry_loop(self) -> None:
         while True:
@@ -855,12 +929,14 @@
                 self._flush_needed.set()
 
     async def _flush(
-        self, jobs: list[OpenJob], workers: list[WorkerState], removed: list[str]
+        self, jobs: list[OpenJob], workers: list[WorkerState], removed: _Deletions
     ) -> None:
         """Store changes in one transaction, which fails if another process leads."""
+        conditions, deletions = removed.conditions, removed.operations
         limit = 1 if self._single_writes_left else MAX_FLUSH_OPERATIONS
-        workers = workers[: max(0, limit - len(removed))]
-        jobs = jobs[: max(0, limit - len(workers) - len(removed))]
+        limit = max(0, limit - len(conditions) - len(deletions))
+        workers = workers[:limit]
+        jobs = jobs[: limit - len(workers)]
         jobs, progress = self._encode_progress(jobs)
         versions = [job.version for job in jobs]
         worker_records = [self._record(worker) for worker in workers]
@@ -869,13 +945,16 @@
             Put(records.WORKER_PREFIX + record.entry.worker_id, records.encode(record))
             for record in worker_records
         ]
-        puts += [Delete(key) for key in removed]
+        puts += deletions
         began = self._clock()
         try:
-            await self._write(puts)
+            applied = await self._write(puts, conditions)
         except BadRequest as exc:
             self._on_write_rejected(jobs, workers, len(puts), exc)
             return
+        if not applied:
+            self._on_deletions_outdated(removed)
+            return
         self._single_writes_left = max(0, self._single_writes_left - 1)
         self._apply_progress(puts)
         self._metrics.flush_seconds.observe(self._clock() - began)
@@ -965,12 +1044,17 @@
         ]
         self._table.apply_changes(events)
 
-    async def _write(self, operations: list[Put | Delete]) -> None:
+    async def _write(
+        self, operations: list[Put | Delete], conditions: list[Compare]
+    ) -> bool:
         """Write on the condition that the leader key is unchanged, and change it.
 
         A write whose answer was lost may be applied later; since it requires the
         revision of the leader key that it names, it cannot overwrite a newer one.
 
+        Returns:
+            Whether the other conditions held; if not, nothing was written.
+
         Raises:
             LeadershipLost: The leader key is gone or another process holds it.
         """
@@ -982,11 +1066,12 @@
             settled=not self._cluster.unsettled,
         )
         value = records.encode(record)
-        compare = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
+        leads = Compare(records.LEADER_KEY, "mod_revision", leadership.revision)
+        compares = [leads, *conditions]
         puts = [Put(records.LEADER_KEY, value, leadership.lease), *operations]
         while True:
             try:
-                result = await self._store.txn([compare], puts, [records.LEADER_KEY])
+                result = await self._store.txn(compares, puts, [records.LEADER_KEY])
             except LeaseExpired:
                 raise LeadershipLost("the session lease has expired") from None
             except (StoreUnavailable, StoreOutcomeUnknown):
@@ -996,11 +1081,14 @@
         revision = result.revision
         if not result.succeeded:
             found = result.reads.get(records.LEADER_KEY)
+            if found is not None and found.mod_revision == leadership.revision:
+                return False
             if found is None or found.value != value:
                 raise LeadershipLost("the leader key was changed or deleted")
             revision = found.mod_revision
         leadership.revision = revision
         leadership.writes += 1
+        return True
 
     def _advance_acknowledged(self) -> None:
         for worker in self._cluster.workers.values():
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
-from flamingoway.errors import BadRequest
+from flamingoway.errors import BadRequest, OutcomeUnknown, Refused
 from flamingoway.httpserver import HttpRequest
 from flamingoway.model import Resources
 from flamingoway.platform.ingress import JobIngress
@@ -14,8 +15,11 @@
 from flamingoway.queues.metrics import QueueMetrics
 from flamingoway.queues.mirror import Mirror
 from flamingoway.queues.model import Step, StepJobSpec, StepJobState
+from flamingoway.queues.records import ProcessRecord
+from flamingoway.queues.relay import Relay
 from flamingoway.queues.table import JobTable
-from flamingoway.store import ChangeSet, Put, RangeResult
+from flamingoway.status import Code
+from flamingoway.store import ChangeSet, Delete, Put, RangeResult
 from standins import kv
 from standins.memory import MemoryStore
 from tests.queue_cluster import RecordingLog
@@ -94,6 +98,163 @@
     assert run_virtual(main) == (1, [], [])
 
 
+@pytest.mark.parametrize("event", ["submitted", "cancelled again"])
+def test_a_cancellation_that_is_used_again_is_not_deleted(event):
+    """Guards against a deletion on the ground of what was read before."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        term, store = world.nodes[leader]._term, world.stores[leader]
+        other = next(name for name in world.names if name != leader)
+        world.specs[JOB.job_id] = JOB
+        await cancel_unknown(world, other, JOB.job_id)
+        await asyncio.sleep(1.0)
+        write, delayed = store.txn, []
+
+        async def delay_deletion(compares, operations, reads=None):
+            if not delayed and any(isinstance(o, Delete) for o in operations):
+                delayed.append(operations)
+                # The store doesn't answer the leader for a while.
+                term._retention_s = 1e9
+                if event == "submitted":
+                    await world.nodes[other].intake.submit(JOB, 2.0)
+                else:
+                    await cancel_unknown(world, other, JOB.job_id)
+                await asyncio.sleep(1.0)
+            return await write(compares, operations, reads)
+
+        store.txn = delay_deletion
+        # The time of day does not follow virtual time.
+        term._retention_s = -1000.0
+        await asyncio.sleep(12.0)
+        if event == "cancelled again":
+            await world.nodes[other].intake.submit(JOB, 2.0)
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(CANCEL_GRACE_S)
+        state = await world.nodes[other].intake.state(JOB.job_id)
+        leads = world.nodes[leader]._term is term
+        await world.end()
+        return len(delayed), started, state, leads
+
+    assert run_virtual(main) == (1, [], StepJobState.CANCELLED, True)
+
+
+def stored_keys(world, job_id):
+    return [key for key in world.engine._keys if job_id.encode() in key]
+
+
+def test_expired_jobs_are_deleted_beside_one_that_has_changed():
+    """Guards against a job that keeps others from being deleted."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        term, store = world.nodes[leader]._term, world.stores[leader]
+        other = next(name for name in world.names if name != leader)
+        world.specs[JOB.job_id] = JOB
+        ids = [JOB.job_id, "00000000000000ab", "00000000000000ac"]
+        for job_id in ids:
+            await cancel_unknown(world, other, job_id)
+        write, term._retention_s = store.txn, -1000.0
+
+        async def delay_deletion(compares, operations, reads=None):
+            if any(isinstance(o, Delete) for o in operations):
+                store.txn = write
+                await world.nodes[other].intake.submit(JOB, 2.0)
+                # The first deletion reaches the store after the submission.
+                term._is_expired, is_expired = (
+                    lambda job: job.job_id != JOB.job_id and is_expired(job),
+                    term._is_expired,
+                )
+            return await write(compares, operations, reads)
+
+        store.txn = delay_deletion
+        await asyncio.sleep(12.0)
+        left = [job_id for job_id in ids if stored_keys(world, job_id)]
+        await world.end()
+        return left
+
+    assert run_virtual(main) == [JOB.job_id]
+
+
+def test_a_cancelled_job_is_deleted_whose_cancellation_was_watched_before_its_answer():
+    """Guards against a job that is never deleted, for want of a revision."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        node, store = world.nodes[leader], world.stores[leader]
+        assert await world.submit(leader, JOB)
+        write = store.txn
+
+        async def answer_late(compares, operations, reads=None):
+            result = await write(compares, operations, reads)
+            if any(o.key.startswith(records.CANCEL_PREFIX) for o in operations):
+                await asyncio.sleep(0.3)
+            return result
+
+        store.txn = answer_late
+        await node.intake.cancel(JOB.job_id, 2.0)
+        store.txn = write
+        await asyncio.sleep(1.0)
+        node._term._retention_s = -1000.0
+        await asyncio.sleep(12.0)
+        left = stored_keys(world, JOB.job_id)
+        await world.end()
+        return left
+
+    assert run_virtual(main) == []
+
+
+class OldPeers:
+    """Other processes, of which those named answer a cancellation after a read alone.
+
+    Attributes:
+        asked: Addresses of the processes that were asked.
+    """
+
+    def __init__(self, old):
+        self.old = old
+        self.asked = []
+
+    async def call(self, address, request, timeout_s, reply):
+        self.asked.append(address)
+        error = BadRequest("no such job", Code.NOT_FOUND)
+        if address not in self.old:
+            error.details["cancel_revision"] = 7
+        raise error
+
+
+@pytest.mark.parametrize("old", [["n2:1"], ["n2:1", "n3:1"]], ids=["one", "all"])
+def test_a_process_of_an_older_build_acknowledges_no_cancellation(old):
+    """Guards against an acknowledgement by a process that stores nothing."""
+    found = {}
+
+    async def body(cell):
+        peers = OldPeers(old)
+        others = {n: ProcessRecord(n, f"{n}:1", "z") for n in ("n2", "n3")}
+        in_order = SimpleNamespace(shuffle=lambda processes: None)
+        cell.intake._relay = Relay("n1", peers, lambda: others, in_order, cell.log)
+        cell.store.down = True
+        await asyncio.sleep(1.0)
+        try:
+            await cell.intake.cancel(JOB.job_id, 2.0)
+        except (BadRequest, OutcomeUnknown, Refused) as exc:
+            found["error"] = exc
+        found["asked"] = peers.asked
+
+    run_with_cell(body)
+    acknowledged = found["error"].code is Code.NOT_FOUND
+    if len(old) == 1:
+        assert acknowledged
+        assert found["asked"][-1] == "n3:1"
+    else:
+        assert not acknowledged
+    assert "n2:1" in found["asked"]
+
+
 class ScriptedStore:
     """A store with one key whose watches a test scripts.
 
