Keep a repeated cancellation for the whole retention time

What callers saw: a cancellation of an unknown job id was answered NOT_FOUND, which promises that a submission that arrives within 2 hours is refused. If the id had been cancelled before, the submission could be accepted and started seconds later.

Cause: a cancellation of an id that was kept already was answered from the kept entry, whose time was that of the first cancellation. The entry was true when it was read, and expired before the answer's promise did.

Change: each cancellation is recorded, and moves its entry to the end of the member's entries, which stay ordered by time.

test_cancellations_without_a_job_are_limited_and_expire counted two kept entries at its end, because the repeated cancellation of j0 was not kept. It now compares members, ids and times of all entries, which is stricter than the count.

--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -273,12 +273,13 @@
             request.job_id,
         )
         withdrawals = state.ledger.withdrawals
-        if not withdrawals.contains(environment, member, job_id):
-            if not withdrawals.accepts(environment, member, request.at):
-                message = "too many cancellations of unknown jobs"
-                state.effect(Reply(waiter, Code.MEMBER_LIMIT, job_id, message))
-                return
-            state.record(request)
+        known = withdrawals.contains(environment, member, job_id)
+        if not known and not withdrawals.accepts(environment, member, request.at):
+            message = "too many cancellations of unknown jobs"
+            state.effect(Reply(waiter, Code.MEMBER_LIMIT, job_id, message))
+            return
+        # Also if it is known, since each answer promises the whole retention time.
+        state.record(request)
         state.effect(Reply(waiter, Code.NOT_FOUND, job_id, "no such job"))
 
     def _enqueue_restored(self) -> None:
--- a/flamingoway/core/withdrawals.py
+++ b/flamingoway/core/withdrawals.py
@@ -55,14 +55,17 @@
         return len(withdrawals) < MAX_PER_MEMBER or _oldest_expired(withdrawals, now)
 
     def add(self, withdrawal: Withdrawal) -> None:
-        """Keep a cancellation; drop the expired ones."""
+        """Keep a cancellation, anew if it is repeated; drop the expired ones."""
         # Times come from the records, so that every replay of a log drops the same.
         self._drop_expired(withdrawal.at)
         self._insert(withdrawal)
 
     def _insert(self, withdrawal: Withdrawal) -> None:
         key = (withdrawal.environment, withdrawal.member)
-        self._by_member.setdefault(key, {})[withdrawal.job_id] = withdrawal
+        withdrawals = self._by_member.setdefault(key, {})
+        # A repeated cancellation moves to the end, so that the oldest one stays first.
+        withdrawals.pop(withdrawal.job_id, None)
+        withdrawals[withdrawal.job_id] = withdrawal
 
     def _drop_expired(self, now: float) -> None:
         for key, withdrawals in list(self._by_member.items()):
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -266,11 +266,32 @@
     scheduler.cancel("late", "e", "other", None, 1.0, 1.0)
     assert reply() == Code.NOT_FOUND
     assert cancel_at("late", RETENTION_S) == Code.NOT_FOUND
-    assert len(list(scheduler.ledger.withdrawals)) == 2
+    kept = [(w.member, w.job_id, w.at) for w in scheduler.ledger.withdrawals]
+    assert kept == [("m", "j0", 1.0), ("m", "late", RETENTION_S), ("other", "late", 1)]
     scheduler.submit(spec, None, RETENTION_S, RETENTION_S)
     assert reply() == Code.CANCELLED_BEFORE
 
 
+def test_a_repeated_cancellation_does_not_expire_with_the_first_one():
+    """Guards against a start soon after a cancellation that had been kept before."""
+    spec = JobSpec("j", "e", "m", "k", Policy.BATCH)
+    scheduler = Scheduler("s", random.Random(1))
+    for job_id, at in (("j", 0.0), ("j", RETENTION_S - 1), ("other", RETENTION_S)):
+        scheduler.cancel(job_id, "e", "m", None, at, at)
+    parts = scheduler.ledger.snapshot()
+    for ledger in (scheduler.ledger, Ledger.restore(parts)):
+        scheduler = Scheduler("s", random.Random(1), ledger)
+        scheduler.submit(spec, None, RETENTION_S + 1, RETENTION_S + 1)
+        assert scheduler.take_batch().effects[-1].code == Code.CANCELLED_BEFORE
+
+
+def test_repeated_cancellations_keep_the_order_of_expiry():
+    entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
+    withdrawals = Withdrawals([*entries, Withdrawal("e", "m", "j0", 3.0)])
+    withdrawals.add(Withdrawal("e", "m", "j3", RETENTION_S + 2))
+    assert [w.job_id for w in withdrawals] == ["j0", "j3"]
+
+
 def test_a_snapshot_keeps_the_order_of_expiry():
     entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
     restored = Withdrawals(entries)
