Drop cancelled timers before the virtual clock advances

Cause: the loop advanced its clock to the first timer of the heap. If that one had been cancelled, asyncio dropped it and waited for the next one in real time.

Change: cancelled timers in front are dropped first.

--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -1,6 +1,7 @@
 """An event loop in virtual time; simulated hours take seconds."""
 
 import asyncio
+import heapq
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -14,6 +15,11 @@
         return self._now
 
     def _run_once(self):
+        # A cancelled timer in front would make the loop wait for the next one in real
+        # time.
+        while self._scheduled and self._scheduled[0]._cancelled:
+            self._timer_cancelled_count -= 1
+            heapq.heappop(self._scheduled)._scheduled = False
         if not self._ready and self._scheduled:
             self._now = max(self._now, self._scheduled[0]._when)
         super()._run_once()
