Keep the cancellation of a job that is forgotten

What callers saw: after a cancellation that was answered OK, a repeated or late submission with the same key started the job again, as soon as the shard had forgotten it. A shard forgets finished jobs after 24 hours, and earlier beyond 20,000 finished jobs. The cancellation may be younger than that: of a job that ended long ago it is answered OK, too.

Cause: 'this id is cancelled' rested on the finished job alone, whose retention does not depend on the time of the cancellation.

Evidence: with the change of the package stashed, the four cases of test_a_cancelled_job_that_is_forgotten_does_not_run_again fail (ACCEPTED instead of CANCELLED_BEFORE), and the exploration of 'cancellation of a forgotten job' breaks a rule at both gaps, for example in the order submit, arrive, cancel, cancel again, forget, retry: 'started after its cancellation'.

Change: the ledger keeps the time of a job's last cancellation, also of one after its end, and a job that is forgotten within the retention time of its cancellation leaves the cancelled id behind, as that of a job that never arrived.

Two tests of test_scheduler submit a cancelled and forgotten job again at once, to see that neither an old delay nor an old orphan holds it up. They now let the cancellation expire at once; what they assert is unchanged.

Measured: test_own_exploration, test_cancellation, test_ledger, test_scheduler, test_interleavings, test_owner and test_fairness pass.

--- a/flamingoway/core/ledger.py
+++ b/flamingoway/core/ledger.py
@@ -305,7 +305,9 @@
                 task.state = TaskState.FAILED if failed else TaskState.CANCELLED
 
     def _apply_cancel(self, record: CancelRequested) -> None:
-        if record.job_id in self._jobs:
+        job = self._jobs.get(record.job_id)
+        if job is not None:
+            job.cancelled_at = record.at
             return
         if not record.member:
             raise LedgerError(f"unknown job {record.job_id}")
--- a/flamingoway/core/retention.py
+++ b/flamingoway/core/retention.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 
-from ..records import JobRemoved
+from ..model import Job
+from ..records import CancelRequested, JobRemoved
+from . import withdrawals
 from .state import ShardState
 
 RETENTION_S = 24 * 3600.0
@@ -41,4 +43,13 @@
             if any(task.state.placed for task in job.tasks):
                 self._finished.append(job_id)
             else:
-                state.record(JobRemoved(job_id))
+                self._remove(job)
+
+    def _remove(self, job: Job) -> None:
+        """Remove a job; a recent cancellation is kept without it."""
+        state, spec = self._state, job.spec
+        state.record(JobRemoved(spec.job_id))
+        if state.wall - job.cancelled_at < withdrawals.RETENTION_S:
+            state.record(
+                CancelRequested(spec.job_id, state.wall, spec.environment, spec.member)
+            )
--- a/flamingoway/core/scheduler.py
+++ b/flamingoway/core/scheduler.py
@@ -162,8 +162,8 @@
         if (job.spec.environment, job.spec.member) != (environment, member):
             state.effect(Reply(waiter, Code.NOT_FOUND, job_id, "no such job"))
             return
+        state.record(CancelRequested(job_id, wall, environment, member))
         if not job.state.final:
-            state.record(CancelRequested(job_id, wall, environment, member))
             state.end_job(
                 job, JobState.CANCELLED, Code.JOB_CANCELLED, "cancelled by the member"
             )
--- a/flamingoway/core/snapshot.py
+++ b/flamingoway/core/snapshot.py
@@ -39,6 +39,7 @@
     reason: str
     ended_at: float
     tasks: list[_TaskRow]
+    cancelled_at: float = 0.0
 
 
 class _WithdrawalRow(msgspec.Struct, array_like=True):
@@ -130,6 +131,7 @@
         job.reason,
         job.ended_at,
         tasks,
+        job.cancelled_at,
     )
 
 
@@ -140,6 +142,7 @@
     job.code = row.code
     job.reason = row.reason
     job.ended_at = row.ended_at
+    job.cancelled_at = row.cancelled_at
     job.tasks = [
         Task(
             task_id_of(job_id, index),
--- a/flamingoway/core/withdrawals.py
+++ b/flamingoway/core/withdrawals.py
@@ -1,4 +1,4 @@
-"""Job ids that members cancelled before their submission arrived.
+"""Cancelled job ids without a job: not submitted yet, or forgotten since.
 
 A submission may be delayed in the network or in a paused process and arrive after the
 cancellation of its id. It is refused as long as the cancellation is kept.
@@ -10,8 +10,8 @@
 # Longer than the lease horizon, the longest time for which a process may act cut off
 # from the others.
 RETENTION_S = 2 * 3600.0
-# Beyond this number a cancellation is refused, because dropping an older one would
-# break the promise made by its answer.
+# Beyond this number the cancellation of an unknown id is refused, because dropping an
+# older one would break the promise made by its answer.
 MAX_PER_MEMBER = 2000
 
 
--- a/flamingoway/model.py
+++ b/flamingoway/model.py
@@ -178,6 +178,8 @@
     Attributes:
         accepted_at: Wall-clock time of acceptance, in seconds since the epoch.
         code: Result code of a job that ended without success, else 0.
+        cancelled_at: Wall-clock time of the last cancellation, also of one that came
+            after the end, in seconds since the epoch; 0 if there was none.
     """
 
     spec: JobSpec
@@ -187,3 +189,4 @@
     code: int = 0
     reason: str = ""
     ended_at: float = 0.0
+    cancelled_at: float = 0.0
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -7,6 +7,7 @@
 
 from flamingoway import epochguard, feeds, predecessor
 from flamingoway import owner as owner_module
+from flamingoway.core import retention
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.scheduler import Scheduler
 from flamingoway.core.withdrawals import (
@@ -20,7 +21,7 @@
 from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
 from flamingoway.messages import CancelJob, SubmitJob
-from flamingoway.model import JobSpec, Policy, TaskState
+from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
 from flamingoway.proto import etcd_pb2 as pb
 from flamingoway.status import Code
 from flamingoway.store.etcd import _to_batches
@@ -285,6 +286,34 @@
         assert scheduler.take_batch().effects[-1].code == Code.CANCELLED_BEFORE
 
 
+@pytest.mark.parametrize("restored", [False, True])
+@pytest.mark.parametrize("cancelled_after_end", [False, True])
+def test_a_cancelled_job_that_is_forgotten_does_not_run_again(
+    monkeypatch, cancelled_after_end, restored
+):
+    """Guards against a late repetition of a submission whose job was cancelled."""
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    spec = JobSpec("j", "e", "m", "k", Policy.BATCH)
+    worker = WorkerInfo("w1", "", "r", "z1", "", Resources(4000, 65536))
+    scheduler = Scheduler("s", random.Random(1))
+    scheduler.set_worker(worker, True)
+    scheduler.submit(spec, None, 0.0, 0.0)
+    scheduler.cancel("j", "e", "m", None, 1.0, 1.0)
+    at = 1.0
+    if cancelled_after_end:
+        at += RETENTION_S
+        scheduler.cancel("j", "e", "m", None, at, at)
+    if restored:
+        ledger = Ledger.restore(scheduler.ledger.snapshot())
+        scheduler = Scheduler("s", random.Random(1), ledger)
+        scheduler.set_worker(worker, True)
+    scheduler.schedule(at + 10, at + 10)
+    assert scheduler.view("j") is None
+    scheduler.cancel("other", "e", "m", None, at + RETENTION_S, at + RETENTION_S)
+    scheduler.submit(spec, None, at + RETENTION_S, at + RETENTION_S)
+    assert scheduler.take_batch().effects[-1].code == Code.CANCELLED_BEFORE
+
+
 def test_repeated_cancellations_keep_the_order_of_expiry():
     entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
     withdrawals = Withdrawals([*entries, Withdrawal("e", "m", "j0", 3.0)])
--- a/tests/test_own_exploration.py
+++ b/tests/test_own_exploration.py
@@ -15,7 +15,7 @@
 from flamingoway.fleet import Fleet
 from flamingoway.status import Code
 from flamingoway.store import Put
-from tests.own_exploration import explore
+from tests.own_exploration import explore, linear_orders
 from tests.test_jobs import ACTIVE
 from tests.virtual import run_virtual
 
@@ -38,6 +38,23 @@
         "write_late",
         "take_over",
     ),
+    "repeated cancellation that expires": (
+        "submit",
+        "arrive",
+        "cancel",
+        "cancel_again",
+        "half_expire",
+        "half_expire_again",
+    ),
+    "cancellation of a forgotten job": (
+        "submit",
+        "arrive",
+        "retry",
+        "cancel",
+        "cancel_again",
+        "expire",
+        "forget",
+    ),
 }
 LONG_SCENARIOS = {
     "takeover and expiry": (
@@ -50,12 +67,24 @@
         "take_over",
         "expire",
     ),
+    "cancellation of a forgotten job, in steps": (
+        "submit",
+        "arrive",
+        "retry",
+        "cancel",
+        "cancel_again",
+        "half_expire",
+        "half_expire_again",
+        "forget",
+    ),
 }
 AFTER = {
     "arrive": ("submit",),
     "retry": ("submit",),
     "cancel": ("submit",),
     "cancel_at_first": ("submit",),
+    "cancel_again": ("cancel",),
+    "half_expire_again": ("half_expire",),
     "write_late": ("cut",),
 }
 # Within one round trip to the store, and longer than one.
@@ -80,7 +109,7 @@
 def test_no_order_of_messages_breaks_a_rule(scenario, gap_s):
     result = run(SCENARIOS[scenario], gap_s)
     assert result.broken == []
-    assert result.orders == 630
+    assert result.orders == len(list(linear_orders(SCENARIOS[scenario], AFTER))) > 0
     seen = set(result.codes)
     assert seen >= {("submit", "ACCEPTED"), ("submit", "CANCELLED_BEFORE")}
     assert seen >= {("cancel", "OK"), ("cancel", "NOT_FOUND")}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,7 +5,7 @@
 import pytest
 from scheduling import CAPACITY, Rig, document, spec, worker
 
-from flamingoway.core import retention
+from flamingoway.core import retention, withdrawals
 from flamingoway.core.effects import AckResult, Reply, StartTask, StopTask
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.reports import (
@@ -239,6 +239,7 @@
     monkeypatch,
 ):
     monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    monkeypatch.setattr(withdrawals, "RETENTION_S", 0.0)
     rig = Rig([f"w{n}" for n in range(8)])
     job = spec("g", policy=Policy.GANG, max_attempts=9)
     rig.submit(job)
@@ -258,6 +259,7 @@
     monkeypatch,
 ):
     monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    monkeypatch.setattr(withdrawals, "RETENTION_S", 0.0)
     rig = Rig()
     rig.submit(spec("j"))
     rig.schedule()
