Confirm the ownership of a shard before a job is answered as unknown

What callers saw: a job that had been accepted was answered NOT_FOUND when it was read or explained, if the request reached a former owner that had not heard of its successor, for example after a pause or a cut from the store.

Cause: cancellations are answered after a commit, which a newer owner prevents. Reads took the memory of the process for the state of the shard.

Evidence: with the change of the package stashed, the two cases of test_a_former_owner_does_not_answer_that_a_job_of_its_successor_is_unknown fail with NOT_FOUND, and the new exploration 'reading at a former owner' breaks its rule, for example in the order submit, cut, take over, retry, read at the first owner.

Change: before an owner answers that a job is unknown, it reads the epoch from the store. If that has changed, it gives up the shard at once, so that the router's next attempt reaches the successor. If the store does not answer, the request is refused. A job that is known costs no read.

--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -215,6 +215,24 @@
         future = self._require_controller().cancel(job_id, environment, member)
         return await self._wait_for_reply(future, job_id)
 
+    async def confirm_ownership(self) -> None:
+        """Check that no other process has taken the shard; give it up otherwise.
+
+        Raises:
+            Refused: If the shard has another owner, or if the store does not confirm
+                within ``WRITE_DEADLINE_S`` that it has none.
+        """
+        try:
+            async with asyncio.timeout(WRITE_DEADLINE_S):
+                await self._guard.confirm()
+        except Fenced:
+            await self.depose()
+        except (StoreUnavailable, StoreOutcomeUnknown, TimeoutError):
+            raise Refused(
+                "the store cannot be reached", Code.STORE_UNAVAILABLE, retry_after=1
+            ) from None
+        self._require_controller()
+
     async def wait_until_durable(self, job_id: str) -> None:
         """Wait until all decisions about a job are durable.
 
--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -157,9 +157,10 @@
         return SubmitReply(int(reply.code), request.job_id, reply.message)
 
     async def _get(self, owner: ShardOwner, request: GetJob) -> JobView:
-        _find_job(owner, request)
+        await self._find_job(owner, request.job_id, _is_visible_to(request))
         await owner.wait_until_durable(request.job_id)
-        return view_of(_find_job(owner, request))
+        job = await self._find_job(owner, request.job_id, _is_visible_to(request))
+        return view_of(job)
 
     async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
         jobs = [
@@ -180,12 +181,32 @@
         return SubmitReply(int(reply.code), request.job_id, reply.message)
 
     async def _explain(self, owner: ShardOwner, request: ExplainJob) -> Explanation:
-        job = owner.scheduler.view(request.job_id)
-        if job is None or job.spec.environment != request.environment:
-            raise _not_found(request.job_id)
+        await self._find_job(
+            owner,
+            request.job_id,
+            lambda job: job.spec.environment == request.environment,
+        )
         now = self._context.clock()
         return Explanation(owner.scheduler.explain(request.job_id, now))
 
+    async def _find_job(
+        self, owner: ShardOwner, job_id: str, is_visible: Callable[[Job], bool]
+    ) -> Job:
+        """Return a job that the caller may see.
+
+        Raises:
+            FlamingowayError: With ``NOT_FOUND`` if there is none.
+            Refused: If there is none here, and the shard may have another owner.
+        """
+        job = owner.scheduler.view(job_id)
+        if job is None:
+            # A former owner does not know the jobs of its successor.
+            await owner.confirm_ownership()
+            job = owner.scheduler.view(job_id)
+        if job is None or not is_visible(job):
+            raise _not_found(job_id)
+        return job
+
     def _make_spec(self, request: SubmitJob) -> JobSpec:
         active = self._follower.current(request.environment)
         if active is None:
@@ -236,14 +257,9 @@
     return msgspec.structs.replace(view_of(job), tasks={}, results={})
 
 
-def _find_job(owner: ShardOwner, request: GetJob) -> Job:
-    job = owner.scheduler.view(request.job_id)
-    if job is None or (job.spec.environment, job.spec.member) != (
-        request.environment,
-        request.member,
-    ):
-        raise _not_found(request.job_id)
-    return job
+def _is_visible_to(request: GetJob) -> Callable[[Job], bool]:
+    caller = (request.environment, request.member)
+    return lambda job: (job.spec.environment, job.spec.member) == caller
 
 
 def _not_found(job_id: str) -> FlamingowayError:
--- a/tests/own_exploration.py
+++ b/tests/own_exploration.py
@@ -25,7 +25,14 @@
     StoreOutcomeUnknown,
 )
 from flamingoway.jobs import JobRouter, job_id_of
-from flamingoway.messages import CancelJob, Depose, FormerOwner, OwnerInfo, SubmitJob
+from flamingoway.messages import (
+    CancelJob,
+    Depose,
+    FormerOwner,
+    GetJob,
+    OwnerInfo,
+    SubmitJob,
+)
 from flamingoway.model import Resources
 from flamingoway.ownerservice import OwnerService
 from flamingoway.ownership import Acquisition, encode_owner
@@ -49,6 +56,7 @@
 
 JOB_ID = job_id_of("e", "m", "key")
 PARAMS = b'{"run_ms": -1}'
+ACCEPTED = frozenset({Code.ACCEPTED, Code.ALREADY_ACCEPTED})
 # Longer than the deadlines of a call and of a commit together.
 SETTLE_S = 10.0
 POLL_INTERVAL_S = 0.5
@@ -266,12 +274,14 @@
     Attributes:
         submissions: Code for each submission, by its trace id.
         cancellations: Codes of the cancellations.
+        reads: Codes of the requests for the state of the job.
         cancelled_at: Wall-clock time at which the newest acknowledged cancellation
             was sent.
     """
 
     submissions: dict[str, Code] = field(default_factory=dict)
     cancellations: list[Code] = field(default_factory=list)
+    reads: list[Code] = field(default_factory=list)
     cancelled_at: float | None = None
 
 
@@ -298,6 +308,7 @@
         self.answers = Answers()
         self.late_starts: list[str] = []
         self.refused: dict[str, Code] = {}
+        self.denied = False
         self._gap_s = gap_s
         self._arrived = asyncio.Event()
         self._requests: list[asyncio.Task] = []
@@ -384,6 +395,10 @@
         process = self.processes["p1"]
         self._request(self._cancel(process.router, process))
 
+    async def read_at_first(self) -> None:
+        """Ask the first owner for the job, also if it has been replaced."""
+        self._request(self._read(self.processes["p1"]))
+
     async def cut(self) -> None:
         """Cut the first owner off from the store, with a write under way."""
         self.processes["p1"].cut = True
@@ -449,6 +464,17 @@
         if code in (Code.OK, Code.NOT_FOUND):
             self.answers.cancelled_at = max(self.answers.cancelled_at or 0.0, sent_at)
 
+    async def _read(self, process: Process) -> None:
+        was_accepted = bool(ACCEPTED & set(self.answers.submissions.values()))
+        try:
+            await process.handle(GetJob("s", "e", "m", JOB_ID))
+            code = Code.OK
+        except FlamingowayError as exc:
+            code = exc.code
+        self.answers.reads.append(code)
+        if was_accepted and code == Code.NOT_FOUND:
+            self.denied = True
+
     def _poll(self, always: bool = False) -> None:
         for process in self.processes.values():
             for link in list(process.links):
@@ -504,8 +530,9 @@
                 raise Violation(f"{trace} is accepted, answered {code.name}")
         if len(accepted) > len(removed) + 1:
             raise Violation("the job was accepted twice")
-        confirmed = {Code.ACCEPTED, Code.ALREADY_ACCEPTED}
-        if confirmed & set(answers.submissions.values()) and not accepted:
+        if self.denied:
+            raise Violation("an accepted job was denied")
+        if ACCEPTED & set(answers.submissions.values()) and not accepted:
             raise Violation("an accepted job was lost")
         if len(accepted) > len(removed) and job is None:
             raise Violation("a stored job was lost")
@@ -572,6 +599,8 @@
                 result.codes["submit", code.name] += 1
             for code in world.answers.cancellations:
                 result.codes["cancel", code.name] += 1
+            for code in world.answers.reads:
+                result.codes["read", code.name] += 1
             if len(result.broken) >= max_broken:
                 break
     return result
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -20,7 +20,7 @@
 from flamingoway.errors import Fenced, FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
-from flamingoway.messages import CancelJob, SubmitJob
+from flamingoway.messages import CancelJob, ExplainJob, GetJob, SubmitJob
 from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
 from flamingoway.proto import etcd_pb2 as pb
 from flamingoway.status import Code
@@ -249,6 +249,36 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "request_", [GetJob("s", "e", "m", "j"), ExplainJob("s", "e", "j")]
+)
+def test_a_former_owner_does_not_answer_that_a_job_of_its_successor_is_unknown(
+    request_,
+):
+    """Guards against "no such job" for an accepted job."""
+
+    async def scenario():
+        cell = Cell(("w1", "w2"), documents={"e": ACTIVE})
+        cell.network.disconnected.add(("p1", "w2"))
+        old = await (await cell.own("p1")).ready()
+        cell.network.disconnected.add(("p2", "w1"))
+        new = await (await cell.own("p2")).ready()
+        assert await submit(new) == Code.ACCEPTED
+        old.store.down = True
+        with pytest.raises(Refused) as refused:
+            await old.service.handle(request_)
+        assert refused.value.code == Code.STORE_UNAVAILABLE
+        old.store.down = False
+        with pytest.raises(Refused) as refused:
+            await old.service.handle(request_)
+        assert refused.value.code == Code.OWNER_CHANGED
+        assert not old.service.owns("s")
+        await new.service.handle(request_)
+        await new.end()
+
+    run(scenario())
+
+
 def test_cancellations_without_a_job_are_limited_and_expire():
     spec = JobSpec("late", "e", "m", "k", Policy.BATCH)
     scheduler = Scheduler("s", random.Random(1))
--- a/tests/test_own_exploration.py
+++ b/tests/test_own_exploration.py
@@ -38,6 +38,15 @@
         "write_late",
         "take_over",
     ),
+    "reading at a former owner": (
+        "submit",
+        "arrive",
+        "retry",
+        "read_at_first",
+        "cut",
+        "write_late",
+        "take_over",
+    ),
     "repeated cancellation that expires": (
         "submit",
         "arrive",
@@ -84,6 +93,7 @@
     "cancel": ("submit",),
     "cancel_at_first": ("submit",),
     "cancel_again": ("cancel",),
+    "read_at_first": ("submit",),
     "half_expire_again": ("half_expire",),
     "write_late": ("cut",),
 }
@@ -111,8 +121,12 @@
     assert result.broken == []
     assert result.orders == len(list(linear_orders(SCENARIOS[scenario], AFTER))) > 0
     seen = set(result.codes)
-    assert seen >= {("submit", "ACCEPTED"), ("submit", "CANCELLED_BEFORE")}
-    assert seen >= {("cancel", "OK"), ("cancel", "NOT_FOUND")}
+    assert ("submit", "ACCEPTED") in seen
+    if "read_at_first" in SCENARIOS[scenario]:
+        assert seen >= {("read", "OK"), ("read", "NOT_FOUND")}
+    if "cancel" in SCENARIOS[scenario]:
+        assert seen >= {("cancel", "OK"), ("cancel", "NOT_FOUND")}
+        assert ("submit", "CANCELLED_BEFORE") in seen
 
 
 def keep_no_cancellation(monkeypatch):
