Answer a read only with the state that the wait made durable

What callers saw: a job could be read as cancelled, or as ended, while that decision was not committed. If the owner ended before the commit, the next one ran the job on.

Cause: a read waited until all decisions about the job were durable, and then answered with the job as it was after the wait. Decisions made during the wait showed, although the wait did not cover them.

Evidence: test_a_read_does_not_show_a_cancellation_that_is_not_durable fails with the change of the package reverted: 'cancelled' instead of 'running', with the write of the cancellation still blocked.

Change: the answer is made before the wait, so that the wait covers all of it.

--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -157,10 +157,11 @@
         return SubmitReply(int(reply.code), request.job_id, reply.message)
 
     async def _get(self, owner: ShardOwner, request: GetJob) -> JobView:
-        await self._find_job(owner, request.job_id, _is_visible_to(request))
-        await owner.wait_until_durable(request.job_id)
         job = await self._find_job(owner, request.job_id, _is_visible_to(request))
-        return view_of(job)
+        # Later decisions, which the wait does not cover, must not show.
+        view = view_of(job)
+        await owner.wait_until_durable(request.job_id)
+        return view
 
     async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
         jobs = [
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -279,6 +279,44 @@
     run(scenario())
 
 
+def test_a_read_does_not_show_a_cancellation_that_is_not_durable():
+    """Guards against "cancelled" for a job that a new owner runs on."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        store, writes, tasks = process.store, [], []
+        txn = store.txn
+
+        async def cancel_during_second_write(*args):
+            writes.append(args)
+            if len(writes) == 2:
+                tasks.append(asyncio.create_task(cancel(process)))
+                await let_tasks_run()
+            if len(writes) == 3:
+                await asyncio.Event().wait()
+            return await txn(*args)
+
+        store.txn = cancel_during_second_write
+        store.pause()
+        tasks.append(asyncio.create_task(submit(process)))
+        await until(lambda: writes)
+        reading = asyncio.create_task(
+            process.service.handle(GetJob("s", "e", "m", "j"))
+        )
+        await let_tasks_run()
+        tasks.append(asyncio.create_task(submit(process, "other")))
+        await let_tasks_run()
+        store.resume()
+        assert (await reading).state == "running"
+        await until(lambda: len(writes) == 3)
+        assert process.state() == "cancelled"
+        await process.end()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run(scenario())
+
+
 def test_cancellations_without_a_job_are_limited_and_expire():
     spec = JobSpec("late", "e", "m", "k", Policy.BATCH)
     scheduler = Scheduler("s", random.Random(1))
