--- a/flamingoway/core/withdrawals.py
+++ b/flamingoway/core/withdrawals.py
@@ -1,4 +1,4 @@
-"""Job ids that members cancelled before their submission arrived.
+"""Cancelled job ids without a job: not submitted yet, or forgotten since.
 
 A submission may be delayed in the network or in a paused process and arrive after the
 cancellation of its id. It is refused as long as the cancellation is kept.
@@ -10,8 +10,8 @@
 # Longer than the lease horizon, the longest time for which a process may act cut off
 # from the others.
 RETENTION_S = 2 * 3600.0
-# Beyond this number a cancellation is refused, because dropping an older one would
-# break the promise made by its answer.
+# Beyond this number the cancellation of an unknown id is refused, because dropping an
+# older one would break the promise made by its answer.
 MAX_PER_MEMBER = 2000
 
 
@@ -55,14 +55,17 @@
         return len(withdrawals) < MAX_PER_MEMBER or _oldest_expired(withdrawals, now)
 
     def add(self, withdrawal: Withdrawal) -> None:
-        """Keep a cancellation; drop the expired ones."""
+        """Keep a cancellation, anew if it is repeated; drop the expired ones."""
         # Times come from the records, so that every replay of a log drops the same.
         self._drop_expired(withdrawal.at)
         self._insert(withdrawal)
 
     def _insert(self, withdrawal: Withdrawal) -> None:
         key = (withdrawal.environment, withdrawal.member)
-        self._by_member.setdefault(key, {})[withdrawal.job_id] = withdrawal
+        withdrawals = self._by_member.setdefault(key, {})
+        # A repeated cancellation moves to the end, so that the oldest one stays first.
+        withdrawals.pop(withdrawal.job_id, None)
+        withdrawals[withdrawal.job_id] = withdrawal
 
     def _drop_expired(self, now: float) -> None:
         for key, withdrawals in list(self._by_member.items()):
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -7,6 +7,7 @@
 
 from flamingoway import epochguard, feeds, predecessor
 from flamingoway import owner as owner_module
+from flamingoway.core import retention
 from flamingoway.core.ledger import Ledger
 from flamingoway.core.scheduler import Scheduler
 from flamingoway.core.withdrawals import (
@@ -19,8 +20,8 @@
 from flamingoway.errors import Fenced, FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
-from flamingoway.messages import CancelJob, SubmitJob
-from flamingoway.model import JobSpec, Policy, TaskState
+from flamingoway.messages import CancelJob, ExplainJob, GetJob, SubmitJob
+from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
 from flamingoway.proto import etcd_pb2 as pb
 from flamingoway.status import Code
 from flamingoway.store.etcd import _to_batches
@@ -248,6 +249,74 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "request_", [GetJob("s", "e", "m", "j"), ExplainJob("s", "e", "j")]
+)
+def test_a_former_owner_does_not_answer_that_a_job_of_its_successor_is_unknown(
+    request_,
+):
+    """Guards against "no such job" for an accepted job."""
+
+    async def scenario():
+        cell = Cell(("w1", "w2"), documents={"e": ACTIVE})
+        cell.network.disconnected.add(("p1", "w2"))
+        old = await (await cell.own("p1")).ready()
+        cell.network.disconnected.add(("p2", "w1"))
+        new = await (await cell.own("p2")).ready()
+        assert await submit(new) == Code.ACCEPTED
+        old.store.down = True
+        with pytest.raises(Refused) as refused:
+            await old.service.handle(request_)
+        assert refused.value.code == Code.STORE_UNAVAILABLE
+        old.store.down = False
+        with pytest.raises(Refused) as refused:
+            await old.service.handle(request_)
+        assert refused.value.code == Code.OWNER_CHANGED
+        assert not old.service.owns("s")
+        await new.service.handle(request_)
+        await new.end()
+
+    run(scenario())
+
+
+def test_a_read_does_not_show_a_cancellation_that_is_not_durable():
+    """Guards against "cancelled" for a job that a new owner runs on."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        store, writes, tasks = process.store, [], []
+        txn = store.txn
+
+        async def cancel_during_second_write(*args):
+            writes.append(args)
+            if len(writes) == 2:
+                tasks.append(asyncio.create_task(cancel(process)))
+                await let_tasks_run()
+            if len(writes) == 3:
+                await asyncio.Event().wait()
+            return await txn(*args)
+
+        store.txn = cancel_during_second_write
+        store.pause()
+        tasks.append(asyncio.create_task(submit(process)))
+        await until(lambda: writes)
+        reading = asyncio.create_task(
+            process.service.handle(GetJob("s", "e", "m", "j"))
+        )
+        await let_tasks_run()
+        tasks.append(asyncio.create_task(submit(process, "other")))
+        await let_tasks_run()
+        store.resume()
+        assert (await reading).state == "running"
+        await until(lambda: len(writes) == 3)
+        assert process.state() == "cancelled"
+        await process.end()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run(scenario())
+
+
 def test_cancellations_without_a_job_are_limited_and_expire():
     spec = JobSpec("late", "e", "m", "k", Policy.BATCH)
     scheduler = Scheduler("s", random.Random(1))
@@ -266,11 +335,60 @@
     scheduler.cancel("late", "e", "other", None, 1.0, 1.0)
     assert reply() == Code.NOT_FOUND
     assert cancel_at("late", RETENTION_S) == Code.NOT_FOUND
-    assert len(list(scheduler.ledger.withdrawals)) == 2
+    kept = [(w.member, w.job_id, w.at) for w in scheduler.ledger.withdrawals]
+    assert kept == [("m", "j0", 1.0), ("m", "late", RETENTION_S), ("other", "late", 1)]
     scheduler.submit(spec, None, RETENTION_S, RETENTION_S)
     assert reply() == Code.CANCELLED_BEFORE
 
 
+def test_a_repeated_cancellation_does_not_expire_with_the_first_one():
+    """Guards against a start soon after a cancellation that had been kept before."""
+    spec = JobSpec("j", "e", "m", "k", Policy.BATCH)
+    scheduler = Scheduler("s", random.Random(1))
+    for job_id, at in (("j", 0.0), ("j", RETENTION_S - 1), ("other", RETENTION_S)):
+        scheduler.cancel(job_id, "e", "m", None, at, at)
+    parts = scheduler.ledger.snapshot()
+    for ledger in (scheduler.ledger, Ledger.restore(parts)):
+        scheduler = Scheduler("s", random.Random(1), ledger)
+        scheduler.submit(spec, None, RETENTION_S + 1, RETENTION_S + 1)
+        assert scheduler.take_batch().effects[-1].code == Code.CANCELLED_BEFORE
+
+
+@pytest.mark.parametrize("restored", [False, True])
+@pytest.mark.parametrize("cancelled_after_end", [False, True])
+def test_a_cancelled_job_that_is_forgotten_does_not_run_again(
+    monkeypatch, cancelled_after_end, restored
+):
+    """Guards against a late repetition of a submission whose job was cancelled."""
+    monkeypatch.setattr(retention, "MAX_FINISHED_JOBS", 0)
+    spec = JobSpec("j", "e", "m", "k", Policy.BATCH)
+    worker = WorkerInfo("w1", "", "r", "z1", "", Resources(4000, 65536))
+    scheduler = Scheduler("s", random.Random(1))
+    scheduler.set_worker(worker, True)
+    scheduler.submit(spec, None, 0.0, 0.0)
+    scheduler.cancel("j", "e", "m", None, 1.0, 1.0)
+    at = 1.0
+    if cancelled_after_end:
+        at += RETENTION_S
+        scheduler.cancel("j", "e", "m", None, at, at)
+    if restored:
+        ledger = Ledger.restore(scheduler.ledger.snapshot())
+        scheduler = Scheduler("s", random.Random(1), ledger)
+        scheduler.set_worker(worker, True)
+    scheduler.schedule(at + 10, at + 10)
+    assert scheduler.view("j") is None
+    scheduler.cancel("other", "e", "m", None, at + RETENTION_S, at + RETENTION_S)
+    scheduler.submit(spec, None, at + RETENTION_S, at + RETENTION_S)
+    assert scheduler.take_batch().effects[-1].code == Code.CANCELLED_BEFORE
+
+
+def test_repeated_cancellations_keep_the_order_of_expiry():
+    entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
+    withdrawals = Withdrawals([*entries, Withdrawal("e", "m", "j0", 3.0)])
+    withdrawals.add(Withdrawal("e", "m", "j3", RETENTION_S + 2))
+    assert [w.job_id for w in withdrawals] == ["j0", "j3"]
+
+
 def test_a_snapshot_keeps_the_order_of_expiry():
     entries = [Withdrawal("e", "m", f"j{n}", float(n)) for n in range(3)]
     restored = Withdrawals(entries)
