--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -831,6 +831,14 @@
     async def unregister_worker(self, worker):
         await self.operator.txn([], [Delete(f"servers/{worker.worker_id}")])
 
+    def create_store(self, name):
+        """Return a node's client of the store."""
+        return MemoryStore(self.engine)
+
+    def create_peers(self, name):
+        """Return a node's connections to the other nodes."""
+        return DirectPeers(self)
+
     def start_node(self, name):
         """Start a node, unless an overlapping fault has started it already.
 
@@ -838,7 +846,7 @@
         """
         if name in self.tasks and not self.tasks[name].done():
             return
-        store = self.stores[name] = MemoryStore(self.engine)
+        store = self.stores[name] = self.create_store(name)
         store.on_lost_answer = lambda: self.disruptions.note("store")
         port = self.ports[name] = WorkerPort(self, name)
         self.unfrozen[name] = asyncio.Event()
@@ -855,7 +863,7 @@
             lease_s=self.bounds.lease_s,
             retention_s=self.retention_s,
         )
-        peers = DirectPeers(self)
+        peers = self.create_peers(name)
         log = RecordingLog(name, self.lines)
         process = ProcessRecord(name, name, "a", self.power_by_name.get(name, 1.0))
         rng = random.Random(f"{self.seed}{name}{len(self.lines)}")
