--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,8 +1,9 @@
-"""Loopback proxy that delays, cuts, resets and silences connections."""
+"""Loopback proxy that delays, cuts, holds, resets and silences connections."""
 
 import asyncio
 import enum
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 
 class Link(enum.Enum):
@@ -21,6 +22,13 @@
     REFUSE = "refuse"
 
 
+@dataclass(eq=False)
+class _Channel:
+    """A connection through the proxy; ``silent`` ones forward nothing, not the end."""
+
+    silent: bool = False
+
+
 class Proxy:
     """Forwards connections to one address.
 
@@ -36,6 +44,9 @@
         self.link = Link.OPEN
         self.delay_s = 0.0
         self._target = target
+        self._passes = {False: asyncio.Event(), True: asyncio.Event()}
+        self._channels: set[_Channel] = set()
+        self.hold()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -58,6 +69,20 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def hold(self, requests: bool = False, answers: bool = False) -> None:
+        """Hold the bytes of a direction back, as a partition does, or let them pass.
+
+        No connection is opened while either direction is held.
+        """
+        for direction, held in ((False, requests), (True, answers)):
+            event = self._passes[direction]
+            event.clear() if held else event.set()
+
+    def silence(self) -> None:
+        """Discard all further bytes of the open connections, which stay open."""
+        for channel in self._channels:
+            channel.silent = True
+
     def _accept(self, reader, writer) -> None:
         task = asyncio.create_task(self._forward(reader, writer))
         self._tasks.add(task)
@@ -67,6 +92,8 @@
         if self.link is Link.REFUSE:
             writer.transport.abort()
             return
+        for event in self._passes.values():
+            await event.wait()
         ip, _, port = self._target.rpartition(":")
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
@@ -77,28 +104,34 @@
             writer.transport.abort()
             return
         self._writers |= {writer, upstream_writer}
+        channel = _Channel()
+        self._channels.add(channel)
         try:
             await asyncio.gather(
-                self._pump(reader, upstream_writer, answers=False),
-                self._pump(upstream_reader, writer, answers=True),
+                self._pump(channel, reader, upstream_writer, answers=False),
+                self._pump(channel, upstream_reader, writer, answers=True),
             )
         finally:
+            self._channels.discard(channel)
             self._writers -= {writer, upstream_writer}
             writer.transport.abort()
             upstream_writer.transport.abort()
 
-    async def _pump(self, reader, writer, answers: bool) -> None:
+    async def _pump(self, channel, reader, writer, answers: bool) -> None:
         try:
             while data := await reader.read(65536):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if self._forwards(answers):
+                await self._passes[answers].wait()
+                if self._forwards(answers) and not channel.silent:
                     writer.write(data)
                     await writer.drain()
         except OSError:
             # One side has disconnected; the other one is closed below.
             pass
-        writer.transport.abort() if writer.is_closing() else writer.close()
+        await self._passes[answers].wait()
+        if not channel.silent:
+            writer.transport.abort() if writer.is_closing() else writer.close()
 
     def _forwards(self, answers: bool) -> bool:
         """Return whether bytes are forwarded; others are discarded, not delayed."""
