--- a/tests/site_scenarios.py
+++ b/tests/site_scenarios.py
@@ -280,6 +280,7 @@
     )
     options = parser.parse_args()
     options.seed, options.entries, options.workers = 1, 3, 12
+    options.beside = None
     return sum(len(asyncio.run(play(name, options))) for name in options.names)
 
 
--- a/tests/site_soak.py
+++ b/tests/site_soak.py
@@ -1,18 +1,22 @@
 """Soak test at the size of a large site: real entry processes, many workers.
 
 ``python -m tests.site_soak SEED SECONDS [--entries N] [--workers N] [--code FOLDER]``
-plays one seed; the processes run the code of FOLDER. The workers run in a process of
+plays one seed; the processes run the code of FOLDER, and two in seven that of the
+folder after ``--beside``. The workers run in a process of
 their own. What callers sent and what workers were told is written to a record, and
 ``tests.site_checks`` checks the guarantees on it afterwards.
 """
 
 import argparse
 import asyncio
+import base64
 import functools
 import json
 import os
 import random
+import re
 import signal
+import struct
 import sys
 import tempfile
 import time
@@ -21,12 +25,14 @@
 from pathlib import Path
 from urllib.parse import parse_qs
 
+import msgspec
 import yaml
 
 from standins import kv
 from standins.platform import StoreStandin, _event, config
 from tests import site_checks
 from tests.platform_cell import SERVICE, Cell, Entry
+from tests.site_faults import FAULTS, fault
 from tests.site_workers import Http, Record, forever
 
 ROOT = Path(__file__).parent.parent
@@ -53,13 +59,10 @@
 PREFIXES = {"lineage": "/lin/", "marker": "/mar", "viability": "/via/"}
 # Routes that come and go; some begin with the prefix of another.
 EXTRA_PREFIXES = ["/via/q", "/via/q/", "/marx", "/marx/", "/lin/z", "/solo/"]
-FAULTS = {}
-
-
-def fault(function):
-    """Register a fault under its name; it lasts until its coroutine ends."""
-    FAULTS[function.__name__] = function
-    return function
+# An entry process in a response of the store: its name and its record.
+MEMBER = re.compile(rb'"key": "fw/member/([^"]+)", "value": "([^"]*)"')
+# The harness counts as starved when it resumes later than this, in seconds.
+LONGEST_GAP_S = 0.5
 
 
 async def call(method, port, path, body=None, timeout_s=DEADLINE_S + 0.2):
@@ -90,10 +93,13 @@
 
     Attributes:
         modes: ``silent``, ``reset`` or a status, by caller; ``*`` stands for all.
-        slow: Factor on the duration of an answer.
+        slow: Factor on the duration of an answer; ``busy`` is another one.
         lost: Share of writes that are applied without an answer.
         late: Share of writes that are applied 1 to 6 s late, without an answer.
         deaf: Whether watches report new revisions without their changes.
+        restarts: Number of restarts; a write under way at one gets no answer and is
+            applied, not applied or applied up to 6 s late.
+        links: Addresses of the proxies between processes, by caller and target.
     """
 
     def __init__(self, rng):
@@ -102,12 +108,40 @@
         self.modes = {}
         self.slow, self.lost, self.late, self.deaf = 1.0, 0.0, 0.0, False
         self.cut = asyncio.Event()
+        self.restarts, self.busy = 0, 1.0
+        self.links = {}
 
     def put(self, key, value):
         self.engine.txn([], [kv.PutOp(key.encode(), value)], [])
 
     async def answer(self, caller, method, target, headers, data):
-        await asyncio.sleep(STORE_ANSWER_S * self.slow)
+        """Answer a call; processes see each other at the addresses of the proxies."""
+        answer = await self.carry_out(caller, method, target, data)
+        if answer is None or method != "GET":
+            return answer
+        status, body = answer
+        body = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return status, MEMBER.sub(functools.partial(self.redirect, caller), body)
+
+    def redirect(self, caller, match):
+        address = self.links.get((caller, match[1].decode()))
+        if address is None:
+            return match[0]
+        record = msgspec.msgpack.decode(base64.b64decode(match[2]))
+        value = msgspec.msgpack.encode(record | {"peer_address": address})
+        return match[0].replace(match[2], base64.b64encode(value))
+
+    async def carry_out(self, caller, method, target, data):
+        restarts = self.restarts
+        await asyncio.sleep(STORE_ANSWER_S * self.slow * self.busy)
+        if restarts != self.restarts:
+            if not target.startswith("/kv-txn"):
+                return None
+            fate = self.rng.choice(["lost", "applied", "late"])
+            if fate != "lost":
+                await asyncio.sleep(self.rng.uniform(0.2, 6) * (fate == "late"))
+                await self._call(method, "/kv-txn", {}, json.loads(data))
+            return None
         mode = self.modes.get(caller) or self.modes.get("*")
         if mode == "silent":
             await forever()
@@ -169,7 +203,13 @@
     def __init__(self, site, index):
         self.index = index
         super().__init__(site.folder, f"e{index:03}", "127.0.0.1:1", site.advice_url)
-        self.code = site.options.code
+        beside = site.options.beside
+        self.code = beside if beside and index % 7 < 2 else site.options.code
+        self.clock = site.folder / f"{self.name}.clock"
+        self.set_clock(0.0)
+        shim = str(ROOT / "tests" / "clock_shim")
+        self.environment |= {"SITE_CLOCK": str(self.clock), "PYTHONPATH": shim}
+        self.server = None
         large = index % 3 == 0
         limits = {"cpuShare": 0.717 if large else 0.516, "cores": 3 if large else 1}
         self.settings |= {"zone": ZONES[index % len(ZONES)], "bounds": BOUNDS}
@@ -196,6 +236,11 @@
             await asyncio.sleep(pause_s)
             await self.start()
 
+    def set_clock(self, offset_s):
+        """Shift the time of day of the process."""
+        with self.clock.open("r+b" if self.clock.exists() else "wb") as file:
+            file.write(struct.pack("d", offset_s))
+
     def send(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
@@ -214,24 +259,19 @@
         self.version, self.jobs, self.paused, self.rate = 0, 0, False, 1.0
         self.listed, self.silent, self.classes = {}, set(), {}
         self.advice_url, self.host, self.next_worker = "", None, 0
+        self.links, self.linked, self.longest_gap_s = None, {}, 0.0
         self.tasks = set()
 
     # Set-up
 
     async def begin(self, entries):
         self.advice_url = await Http(self.advise).listen()
-        self.host = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tests.site_workers",
-            str(self.folder / "workers.jsonl"),
-            str(self.options.seed),
-            cwd=ROOT,
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self.stack.push_async_callback(self.end_host)
+        path, seed = str(self.folder / "workers.jsonl"), str(self.options.seed)
+        self.host = await self.start_helper("tests.site_workers", path, seed)
+        self.links = await self.start_helper("tests.site_links")
+        self.spawn(self.watch_harness())
         self.spawn(self.read_host())
+        self.spawn(self.read_links())
         self.spawn(self.send_heartbeats())
         self.add_workers(self.options.workers)
         self.configure()
@@ -241,9 +281,44 @@
             await self.wait_leader()
         self.record.write("ready", leader=self.leader().name)
 
-    async def end_host(self):
-        self.host.kill()
-        await self.host.wait()
+    async def start_helper(self, module, *arguments):
+        helper = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=1 << 20,
+        )
+        self.stack.push_async_callback(self.end_helper, helper)
+        return helper
+
+    async def end_helper(self, helper):
+        helper.kill()
+        await helper.wait()
+
+    async def watch_harness(self):
+        """Record the times in which the harness itself did not run."""
+        while True:
+            due = time.monotonic() + 0.1
+            await asyncio.sleep(0.1)
+            gap_s = time.monotonic() - due
+            self.longest_gap_s = max(gap_s, self.longest_gap_s)
+            if gap_s > LONGEST_GAP_S:
+                self.record.write("harness", starved_s=round(gap_s, 3))
+
+    async def read_links(self):
+        while line := await self.links.stdout.readline():
+            row = json.loads(line)
+            for caller, target, address in row["links"]:
+                self.store.links[caller, target] = address
+            self.linked[row["name"]].set()
+
+    def order_links(self, action, **fields):
+        line = json.dumps({"do": action} | fields)
+        self.links.stdin.write(line.encode() + b"\n")
 
     async def wait_leader(self):
         while True:
@@ -260,8 +335,12 @@
     async def add_entry(self):
         entry = SiteEntry(self, len(self.entries))
         self.entries.append(entry)
-        server = Http(functools.partial(self.store.answer, entry.name))
-        entry.settings["platform"]["address"] = await server.listen()
+        entry.server = Http(functools.partial(self.store.answer, entry.name))
+        entry.settings["platform"]["address"] = await entry.server.listen()
+        self.linked[entry.name] = asyncio.Event()
+        address = f"127.0.0.1:{entry.peer}"
+        self.order_links("add", name=entry.name, address=address)
+        await self.linked[entry.name].wait()
         entry.path.write_text(yaml.safe_dump(entry.settings))
         self.stack.push_async_callback(self._kill, entry)
         await entry.start()
@@ -700,6 +779,7 @@
         lines = "".join(json.dumps(row) + "\n" for row in rows)
         (folder / f"{name}.jsonl").write_text(lines)
     print(folder, f"{site.jobs} jobs", site_checks.counts(broken), flush=True)
+    print(f"  longest gap of the harness: {site.longest_gap_s:.2f} s", flush=True)
     print("  excused:", site_checks.counts(excused), flush=True)
     return broken
 
@@ -710,8 +790,11 @@
     parser.add_argument("seconds", type=float)
     parser.add_argument("--entries", type=int, default=12)
     parser.add_argument("--workers", type=int, default=60)
-    parser.add_argument("--load", type=float, default=0.4)
+    parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--code", type=Path, default=ROOT)
+    parser.add_argument(
+        "--beside", type=Path, help="folder of a build that some processes run"
+    )
     parser.add_argument("--label", default="now")
     parser.add_argument(
         "--logs", type=Path, default=Path(tempfile.gettempdir()) / "site-soak"
--- a/tests/site_workers.py
+++ b/tests/site_workers.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 import sys
 import time
 from dataclasses import dataclass
@@ -42,23 +44,42 @@
         self._handler = handler
         self.address = ""
         self._server = None
+        self._open, self._silent = set(), set()
 
     async def listen(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self.address
 
+    def silence(self):
+        """Leave the open connections without answers; new ones are served."""
+        self._silent |= self._open
+
+    def drop(self, reset=True):
+        """Reset or close the open connections."""
+        for writer in [w for w in self._open if not w.is_closing()]:
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+            else:
+                writer.close()
+
     async def _serve(self, reader, writer):
+        self._open.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                if writer in self._silent:
+                    break
                 first, *lines = head.decode("latin-1").split("\r\n")
                 method, target, _ = first.split(" ")
                 rows = (line.partition(":") for line in lines)
                 headers = {name.lower(): value.strip() for name, _, value in rows}
                 data = await reader.readexactly(int(headers.get("content-length", 0)))
                 answer = await self._handler(method, target, headers, data)
-                if answer is None:
+                if answer is None or writer in self._silent:
                     break
                 status, body = answer
                 body = body if isinstance(body, bytes) else json.dumps(body).encode()
@@ -69,10 +90,14 @@
                     + body
                 )
                 await writer.drain()
+            if writer in self._silent:
+                await reader.read()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # The caller has gone.
             pass
         finally:
+            self._open.discard(writer)
+            self._silent.discard(writer)
             writer.transport.abort()
 
 
@@ -324,6 +349,9 @@
         if worker is None:
             worker = self.workers[worker_id] = SiteWorker(self, worker_id)
             await worker.server.listen()
+        if action == "silence":
+            worker.server.silence()
+            return
         if action == "faults":
             worker.faults = value
         else:
