Record a silent worker again after a write that was not applied

What callers would see: after a takeover, tasks wait for a worker lost before it, although the former leader knew what ran there. Cause: a write that also deletes expired jobs is not applied when one of these has changed, but the worker's tasks counted as recorded from the moment the write was put together. Found by reading. Change: a write that was not applied leaves what counts as recorded as it was.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -939,6 +939,7 @@
         jobs = jobs[: limit - len(workers)]
         jobs, progress = self._encode_progress(jobs)
         versions = [job.version for job in jobs]
+        recorded_before = [worker.recorded_tasks for worker in workers]
         worker_records = [self._record(worker) for worker in workers]
         puts: list[Put | Delete] = [*progress]
         puts += [
@@ -953,6 +954,8 @@
             self._on_write_rejected(jobs, workers, len(puts), exc)
             return
         if not applied:
+            for worker, tasks in zip(workers, recorded_before, strict=True):
+                worker.recorded_tasks = tasks
             self._on_deletions_outdated(removed)
             return
         self._single_writes_left = max(0, self._single_writes_left - 1)
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -7,10 +7,12 @@
 
 from flamingoway.errors import StoreUnavailable
 from flamingoway.model import Resources
+from flamingoway.queues import records
 from flamingoway.queues.model import EndKind, StartReply, Step, StepJobSpec
 from flamingoway.queues.ports import PollRefused
 from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
-from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost
+from flamingoway.queues.table import TableJob
+from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost, _Deletions
 from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, World
 from tests.virtual import run_virtual
 
@@ -388,3 +390,30 @@
     idle, violations = run_virtual(main)
     assert idle == []
     assert violations == []
+
+
+def test_a_silent_worker_is_recorded_although_a_job_to_delete_has_changed():
+    """Guards against a record that is taken for stored with an outdated deletion."""
+
+    async def main():
+        world, _ = await leading_world([])
+        term = world.nodes[world.leader()]._term
+        silent, outdated = world.workers["w3"].worker_id, []
+
+        def take_deletions():
+            if outdated or not term._workers_to_record():
+                return take()
+            outdated.append(TableJob("b1", record=b"x", revision=1))
+            return _Deletions(jobs=tuple(outdated))
+
+        take, term._take_deletions = term._take_deletions, take_deletions
+        for port in world.ports.values():
+            port.unreachable.add(silent)
+        await asyncio.sleep(2.0)
+        term._flush_needed.set()
+        await asyncio.sleep(1.0)
+        stored = await world.stores[world.leader()].get(records.WORKER_PREFIX + silent)
+        await world.end()
+        return len(outdated), records.decode(records.WorkerRecord, stored.value).tasks
+
+    assert run_virtual(main) == (1, ())
