List jobs only with durable decisions

What callers saw: the list of a member's jobs showed a job as cancelled during an outage of the store, before the cancellation was committed, and jobs whose acceptance was not committed. If the owner ended before the commit, the next one ran the job on.

Cause: reading one job waited until its decisions were durable, the list did not.

Evidence: with the change of the package reverted, the case ListJobs of test_neither_a_read_nor_a_list_shows_a_cancellation_during_an_outage fails ('DID NOT RAISE Refused'); the case GetJob passes before and after.

Change: the list waits for the decisions about the jobs that it shows, as a read does. A member without such a decision is answered without the store.

--- a/flamingoway/controller.py
+++ b/flamingoway/controller.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from absl import logging
 
@@ -128,11 +128,11 @@
         self._committer.add(Batch([], [Reply(future, Code.OK)]))
         return future
 
-    def is_durable(self, job_id: str) -> bool:
-        """Tell whether all decisions about a job are durable."""
+    def are_durable(self, job_ids: Collection[str]) -> bool:
+        """Tell whether all decisions about some jobs are durable."""
         self.collect()
-        pending = self._committer.pending_records()
-        return all(job_of(record) != job_id for record in pending)
+        pending = {job_of(record) for record in self._committer.pending_records()}
+        return pending.isdisjoint(job_ids)
 
     def on_link_event(self, event: LinkEvent) -> None:
         """Handle an event of a worker link.
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -1,7 +1,7 @@
 """Owner of one shard: takes over, commits, runs the workers, and steps down."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from absl import logging
 
@@ -233,20 +233,20 @@
             ) from None
         self._require_controller()
 
-    async def wait_until_durable(self, job_id: str) -> None:
-        """Wait until all decisions about a job are durable.
+    async def wait_until_durable(self, job_ids: Collection[str]) -> None:
+        """Wait until all decisions about some jobs are durable.
 
         Raises:
             Refused: If they are not durable within ``WRITE_DEADLINE_S``, or if the
                 shard is not loaded or has been given up.
         """
         controller = self._require_controller()
-        if controller.is_durable(job_id):
+        if controller.are_durable(job_ids):
             return
-        reply = await self._wait_for_reply(controller.barrier(), job_id)
+        reply = await self._wait_for_reply(controller.barrier(), "")
         if reply.code != Code.OK:
             raise Refused(
-                "the job's state is not durable yet",
+                "the state of the job is not durable yet",
                 Code.STORE_UNAVAILABLE,
                 retry_after=1,
             )
--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -160,7 +160,7 @@
         job = await self._find_job(owner, request.job_id, _is_visible_to(request))
         # Later decisions, which the wait does not cover, must not show.
         view = view_of(job)
-        await owner.wait_until_durable(request.job_id)
+        await owner.wait_until_durable([request.job_id])
         return view
 
     async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
@@ -171,7 +171,9 @@
             and job.spec.member == request.member
         ]
         jobs.sort(key=lambda job: job.accepted_at, reverse=True)
-        return JobList([_summary_of(job) for job in jobs[: request.limit]])
+        summaries = [_summary_of(job) for job in jobs[: request.limit]]
+        await owner.wait_until_durable([summary.job_id for summary in summaries])
+        return JobList(summaries)
 
     async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
         reply = await owner.cancel(request.job_id, request.environment, request.member)
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -20,7 +20,7 @@
 from flamingoway.errors import Fenced, FlamingowayError, OutcomeUnknown, Refused
 from flamingoway.follower import ActiveDocument
 from flamingoway.jobs import job_id_of
-from flamingoway.messages import CancelJob, ExplainJob, GetJob, SubmitJob
+from flamingoway.messages import CancelJob, ExplainJob, GetJob, ListJobs, SubmitJob
 from flamingoway.model import JobSpec, Policy, Resources, TaskState, WorkerInfo
 from flamingoway.proto import etcd_pb2 as pb
 from flamingoway.status import Code
@@ -317,6 +317,33 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "request_", [GetJob("s", "e", "m", "j"), ListJobs("s", "e", "m", 10)]
+)
+def test_neither_a_read_nor_a_list_shows_a_cancellation_during_an_outage(
+    monkeypatch, request_
+):
+    """Guards against "cancelled" for a job that a new owner runs on."""
+
+    async def scenario():
+        monkeypatch.setattr(owner_module, "WRITE_DEADLINE_S", 0.05)
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        assert await submit(process) == Code.ACCEPTED
+        await process.service.handle(request_)
+        process.store.pause()
+        assert await cancel(process) == Code.WRITE_UNRESOLVED
+        with pytest.raises(Refused) as refused:
+            await process.service.handle(request_)
+        assert refused.value.code == Code.STORE_UNAVAILABLE
+        other = await process.service.handle(ListJobs("s", "e", "other", 10))
+        assert other.jobs == []
+        process.store.resume()
+        await process.end()
+
+    run(scenario())
+
+
 def test_cancellations_without_a_job_are_limited_and_expire():
     spec = JobSpec("late", "e", "m", "k", Policy.BATCH)
     scheduler = Scheduler("s", random.Random(1))
