Acknowledge a cancellation of an unknown job only if its owner keeps it

What callers saw: during a rolling upgrade, a cancellation was answered NOT_FOUND, and the job was accepted and started afterwards.

Cause: an owner of a build before answers that there is no such job without keeping the cancelled id. The process that the caller asked passed this on, although only the meaning that newer owners give to it is a promise.

Evidence: with the change of the package reverted, test_a_cancellation_that_an_owner_does_not_keep_is_not_acknowledged fails with NOT_FOUND, and test_no_order_breaks_a_rule_if_the_first_owner_is_of_an_earlier_build reports orders such as submit, cancel, arrive: 'started after its cancellation'. The earlier build is played by the current classes, whose first owner answers as that build did.

Change: an owner says with NOT_FOUND that it keeps the id. Without that, the caller is told that the outcome is unknown. Owners of the builds from up to now keep ids without saying so; the same answer is given for them until they are replaced.

Not covered: an earlier build that serves the caller itself still answers NOT_FOUND.

--- a/flamingoway/jobs.py
+++ b/flamingoway/jobs.py
@@ -158,19 +158,34 @@
     async def cancel(self, environment: str, member: str, job_id: str) -> SubmitReply:
         """Cancel a job.
 
+        Returns:
+            A reply with ``OK``, or with ``WRITE_UNRESOLVED`` if the job may still run.
+
         Raises:
             FlamingowayError: With ``NOT_FOUND`` if the member has no such job; a
                 submission that arrives later is refused.
             Refused: If the job was not cancelled.
         """
+        not_kept = []
 
         async def cancel_in(shard: str) -> SubmitReply:
             try:
                 return await self._call(CancelJob(shard, environment, member, job_id))
             except OutcomeUnknown as exc:
                 return SubmitReply(int(Code.WRITE_UNRESOLVED), job_id, exc.message)
+            except FlamingowayError as exc:
+                if not exc.details.get("kept"):
+                    not_kept.append(shard)
+                raise
 
-        return await self._find(environment, job_id, cancel_in)
+        try:
+            return await self._find(environment, job_id, cancel_in)
+        except FlamingowayError as exc:
+            if exc.code != Code.NOT_FOUND or not not_kept:
+                raise
+        # Owners of earlier builds do not keep cancellations of unknown jobs.
+        message = f"shard {not_kept[0]} may still accept a submission with this id"
+        return SubmitReply(int(Code.WRITE_UNRESOLVED), job_id, message)
 
     async def explain(self, environment: str, job_id: str) -> Explanation:
         """Return the reasons why a job waits.
--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -178,7 +178,7 @@
     async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
         reply = await owner.cancel(request.job_id, request.environment, request.member)
         if reply.code == Code.NOT_FOUND:
-            raise _not_found(request.job_id)
+            raise _not_found(request.job_id, kept=True)
         if reply.code == Code.MEMBER_LIMIT:
             raise Refused(reply.message, Code.MEMBER_LIMIT, retry_after=RETRY_AFTER_S)
         return SubmitReply(int(reply.code), request.job_id, reply.message)
@@ -265,8 +265,8 @@
     return lambda job: (job.spec.environment, job.spec.member) == caller
 
 
-def _not_found(job_id: str) -> FlamingowayError:
-    return FlamingowayError(f"no job {job_id!r}", Code.NOT_FOUND)
+def _not_found(job_id: str, **details: bool) -> FlamingowayError:
+    return FlamingowayError(f"no job {job_id!r}", Code.NOT_FOUND, **details)
 
 
 def _validated_kind(document: Document, request: SubmitJob) -> JobKind:
--- a/tests/own_exploration.py
+++ b/tests/own_exploration.py
@@ -18,6 +18,7 @@
 from flamingoway import predecessor
 from flamingoway.context import Context
 from flamingoway.core import retention
+from flamingoway.core.effects import Reply
 from flamingoway.core.withdrawals import RETENTION_S
 from flamingoway.errors import (
     FlamingowayError,
@@ -194,6 +195,7 @@
     def __init__(self, world, process_id: str):
         self.world = world
         self.cut = False
+        self._is_earlier_build = False
         self.links = []
         self.store = ExploredStore(world.engine)
         self.task: asyncio.Task | None = None
@@ -222,6 +224,8 @@
 
     async def handle(self, request):
         """Handle a job request; note the submissions that are refused."""
+        if isinstance(request, CancelJob):
+            return await self._handle_cancellation(request)
         if not isinstance(request, SubmitJob):
             return await self.service.handle(request)
         refused = self.world.refused
@@ -236,6 +240,14 @@
             refused[request.traceparent] = Code(reply.code)
         return reply
 
+    async def _handle_cancellation(self, request: CancelJob):
+        try:
+            return await self.service.handle(request)
+        except FlamingowayError as exc:
+            if self._is_earlier_build:
+                exc.details.clear()
+            raise
+
     async def acquire(self) -> None:
         """Become the owner of the shard with the next epoch."""
         world, process_id = self.world, self.context.settings.process_id
@@ -261,6 +273,17 @@
         self.task = asyncio.create_task(self.owner.run())
         self.task.add_done_callback(_retrieve_exception)
 
+    def use_earlier_build(self) -> None:
+        """Answer cancellations of unknown jobs as builds before 6c8bb8f do."""
+        scheduler = self.owner.scheduler
+
+        def withdraw(request, waiter):
+            reply = Reply(waiter, Code.NOT_FOUND, request.job_id, "no such job")
+            scheduler._state.effect(reply)
+
+        scheduler._withdraw = withdraw
+        self._is_earlier_build = True
+
     async def end(self) -> None:
         if self.task is not None:
             self.task.cancel()
@@ -291,11 +314,13 @@
     Args:
         document: Document in effect, with the kind ``k`` and the member ``m``.
         gap_s: Virtual time between two events, in seconds.
+        is_mixed: Whether the first owner is of a build that does not keep
+            cancellations of unknown jobs.
     """
 
     settings = parse_settings(SETTINGS)
 
-    def __init__(self, document, gap_s: float):
+    def __init__(self, document, gap_s: float, is_mixed: bool = False):
         self.clock = asyncio.get_running_loop().time
         self.wall = 1_000_000.0
         self.engine = kv.Engine(self.clock)
@@ -310,6 +335,7 @@
         self.refused: dict[str, Code] = {}
         self.denied = False
         self._gap_s = gap_s
+        self._is_mixed = is_mixed
         self._arrived = asyncio.Event()
         self._requests: list[asyncio.Task] = []
         self._deliveries: set[asyncio.Task] = set()
@@ -359,6 +385,8 @@
         try:
             await self.processes["p1"].acquire()
             await asyncio.sleep(POLL_INTERVAL_S)
+            if self._is_mixed:
+                self.processes["p1"].use_earlier_build()
             for event in order:
                 await getattr(self, event)()
                 self._poll()
@@ -572,6 +600,7 @@
     document,
     gap_s: float,
     max_broken: int = 10,
+    is_mixed: bool = False,
 ) -> Exploration:
     """Play all orders of events; stop after ``max_broken`` that break a rule.
 
@@ -581,6 +610,7 @@
         document: Document in effect.
         gap_s: Virtual time between two events, in seconds.
         max_broken: Number of broken orders after which to stop.
+        is_mixed: See ``World``.
     """
     result = Exploration()
 
@@ -589,7 +619,7 @@
 
     with mock.patch.object(predecessor, "refuses_connections", refuses_connections):
         for order in linear_orders(events, after):
-            world = World(document, gap_s)
+            world = World(document, gap_s, is_mixed)
             try:
                 await world.play(order)
             except Violation as exc:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -210,9 +210,14 @@
 
 
 class OneJobOwner:
-    """Owns two shards; the second one holds the job ``j``."""
+    """Owns two shards; the second one holds the job ``j``.
+
+    Attributes:
+        details: Details of the answer that there is no such job.
+    """
 
     def __init__(self, context, unavailable=()):
+        self.details = {"kept": True}
         self.router = JobRouter(context, dict, self, PeerClient(), _no_sleep)
         self.unavailable = unavailable
         self.cancelled = []
@@ -222,7 +227,7 @@
 
     async def handle(self, request):
         if request.shard != "t" or request.job_id != "j":
-            raise FlamingowayError("no such job", Code.NOT_FOUND)
+            raise FlamingowayError("no such job", Code.NOT_FOUND, **self.details)
         if isinstance(request, CancelJob):
             self.cancelled.append(request.shard)
             return SubmitReply(Code.OK, request.job_id)
@@ -268,6 +273,22 @@
     asyncio.run(scenario())
 
 
+def test_a_cancellation_that_an_owner_does_not_keep_is_not_acknowledged():
+    """Guards against "no such job" of an owner that accepts the job afterwards."""
+
+    async def scenario():
+        owner = OneJobOwner(two_shards())
+        owner.details = {}
+        assert (await owner.router.cancel("e", "m", "j")).code == Code.OK
+        reply = await owner.router.cancel("e", "m", "other")
+        assert (reply.code, reply.job_id) == (Code.WRITE_UNRESOLVED, "other")
+        with pytest.raises(FlamingowayError) as answer:
+            await owner.router.get("e", "m", "other")
+        assert answer.value.code == Code.NOT_FOUND
+
+    asyncio.run(scenario())
+
+
 def test_equal_parameters_in_another_order_are_the_same_request():
     first = request_digest("k", 1, False, b'{"a": 1, "b": 2}')
     assert first == request_digest("k", 1, False, b'{"b":2,"a":1}')
--- a/tests/test_own_exploration.py
+++ b/tests/test_own_exploration.py
@@ -110,8 +110,10 @@
     logging.set_verbosity(level)
 
 
-def run(events, gap_s, max_broken=10):
-    return run_virtual(lambda: explore(events, AFTER, ACTIVE, gap_s, max_broken))
+def run(events, gap_s, max_broken=10, is_mixed=False):
+    return run_virtual(
+        lambda: explore(events, AFTER, ACTIVE, gap_s, max_broken, is_mixed)
+    )
 
 
 @pytest.mark.parametrize("gap_s", GAPS_S)
@@ -129,6 +131,13 @@
         assert ("submit", "CANCELLED_BEFORE") in seen
 
 
+def test_no_order_breaks_a_rule_if_the_first_owner_is_of_an_earlier_build():
+    result = run(SCENARIOS["takeover"], GAPS_S[1], is_mixed=True)
+    assert result.broken == []
+    seen = set(result.codes)
+    assert seen >= {("cancel", "WRITE_UNRESOLVED"), ("cancel", "NOT_FOUND")}
+
+
 def keep_no_cancellation(monkeypatch):
     """Undo the refusal of a submission that arrives after its cancellation."""
 
