Do not run a check's key that a third process may have run

What callers saw: a check with an idempotency key ran twice. A process owned the key, lost its session in a pause or was cut off from the store, a second process took the key over, ran it and left; then the first one ran it again.

Cause: a process that may have been replaced unseen asks the next owner in its own view. The next owner answers that it has not run the key, which was taken for 'nobody has run it'. The second process was in between, and the first one has never seen it.

Evidence: with the change of the package reverted, both cases of test_a_key_that_a_third_process_may_have_run_is_ambiguous fail: answers 1000, 1000 and 1000, where the second must be KEY_AMBIGUOUS.

Change: the process that is asked also says until when it saw a third process own the key. If the key may have been issued before that, with the same margin as for a change of owner, its outcome is unknown. An asked process observes the membership before it answers.

Measured: test_keyed, test_idempotency, test_routing and test_peer pass, 68 tests.

--- a/flamingoway/core/idempotency.py
+++ b/flamingoway/core/idempotency.py
@@ -123,6 +123,24 @@
             since = time
         return since
 
+    def others_until(self, key: str, successor: str, wall: float) -> float | None:
+        """Return until when a third process owned a key.
+
+        Args:
+            key: The key.
+            successor: A process that owns the key besides this one.
+            wall: Now, in seconds since the epoch.
+
+        Returns:
+            Seconds since the epoch; ``None`` if no third process was seen to own it.
+        """
+        until = wall
+        for time, processes in reversed(self._observed):
+            if owner_of(key, processes) not in (None, self._process_id, successor):
+                return until
+            until = time
+        return None
+
     def previous_owner(self, key: str) -> str | None:
         """Return the owner before this process, as far as it knows.
 
--- a/flamingoway/keyed.py
+++ b/flamingoway/keyed.py
@@ -151,17 +151,19 @@
             OutcomeUnknown: If the outcome was dropped or the check still runs.
         """
         key = parse_key(request.key)
+        self.observe()
+        wall = self._context.wall_clock()
         history = self._histories.get(request.environment)
-        owned_since = None
+        owned_since = others_until = None
         if history is not None:
             owned_since = history.owned_since(key.text, request.new_owner)
+            others_until = history.others_until(key.text, request.new_owner, wall)
         scope = (request.environment, request.member, key.text)
-        wall = self._context.wall_clock()
         entry = self._table.fence(scope, key.stamp, wall, request.incarnation)
         if entry.digest and entry.digest != request.digest:
             raise BadRequest("the key was used with another body", Code.KEY_REUSED)
         if entry.fenced_for == request.incarnation:
-            return KeyState(owned_since if owned_since is not None else 0.0)
+            return KeyState(owned_since or 0.0, None, others_until or 0.0)
         reply = await self._outcome(entry, request.timeout_ms / 1000)
         return KeyState(0.0, reply)
 
@@ -333,6 +335,10 @@
                 "the key may have been issued before its previous owner took over",
                 Code.KEY_AMBIGUOUS,
             )
+        if state.reply is None and key.stamp < state.others_until + OWNERSHIP_MARGIN_S:
+            raise OutcomeUnknown(
+                "a third process may have run the key", Code.KEY_AMBIGUOUS
+            )
         return state.reply
 
 
--- a/flamingoway/messages.py
+++ b/flamingoway/messages.py
@@ -168,10 +168,13 @@
             seconds since the epoch; 0 if it has not owned it.
         reply: Outcome of the check, or ``None`` if the process has not run it. In
             that case the key is fenced and the process will never run it.
+        others_until: Wall-clock time until when a third process owned the key, in
+            seconds since the epoch; 0 if none was seen to own it.
     """
 
     covered_since: float
     reply: CheckReply | None = None
+    others_until: float = 0.0
 
 
 class FenceKey(Request):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -172,6 +172,17 @@
     assert history.owned_since(key, successor="p3") is None
 
 
+def test_a_process_knows_until_when_a_third_one_owned_a_key():
+    history = OwnerHistory("p1")
+    key = key_owned_by("p2", {"p1", "p2", "p3"}, "p1")
+    history.observe({"p1", "p2", "p3"}, NOW_S)
+    assert history.others_until(key, "p2", NOW_S + 5) is None
+    assert history.others_until(key, "p3", NOW_S + 5) == NOW_S + 5
+    history.observe({"p1"}, NOW_S + 10)
+    assert history.others_until(key, "p3", NOW_S + 20) == NOW_S + 10
+    assert history.others_until(key, "p2", NOW_S + 20) is None
+
+
 def test_a_new_process_knows_the_previous_owner_of_its_keys():
     history = OwnerHistory("p1")
     key = key_owned_by("p1", {"p1", "p2", "p3"}, "p3")
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -280,6 +280,45 @@
     assert len(ran) == 2
 
 
+def lose_session(paused):
+    paused.membership.session_started_at += 60.0
+
+
+def lose_store(cut_off):
+    cut_off.membership.store_up = False
+
+
+@pytest.mark.parametrize("fault", [lose_session, lose_store])
+def test_a_key_that_a_third_process_may_have_run_is_ambiguous(fault):
+    """Guards against a second run after two changes of owner that one did not see."""
+
+    async def scenario(processes, clock, target):
+        first, second, third = processes.values()
+        for process in (second, third):
+            process.set_view(["p2", "p3"])
+            process.checks.refresh()
+        clock.now += OWNERSHIP_MARGIN_S + 1
+        keys = (make_key(clock.now, number) for number in range(200))
+        key = next(
+            k
+            for k in keys
+            if owner_of(k, ["p1", "p3"]) == "p1" and owner_of(k, ["p2", "p3"]) == "p2"
+        )
+        replies = [await second.check(key)]
+        fault(first)
+        for process in (first, third):
+            process.set_view(["p1", "p3"])
+        replies.append(await first.check(key))
+        clock.now += 2 * OWNERSHIP_MARGIN_S
+        replies.append(await first.check(key_of("p1", ["p1", "p3"], clock.now)))
+        return replies, target.ran
+
+    views = {"p1": ["p1", "p3"]}
+    replies, ran = run(scenario, names=["p1", "p2", "p3"], views=views)
+    assert codes(replies) == [Code.OK, Code.KEY_AMBIGUOUS, Code.OK]
+    assert len(ran) == 2
+
+
 @pytest.mark.parametrize(
     ("view", "owner", "code"),
     [("p1", "p3", Code.OWNER_UNAVAILABLE), ("p2", "p3", Code.OWNER_CHANGED)],
