--- a/flamingoway/ownerservice.py
+++ b/flamingoway/ownerservice.py
@@ -160,7 +160,7 @@
         job = await self._find_job(owner, request.job_id, _is_visible_to(request))
         # Later decisions, which the wait does not cover, must not show.
         view = view_of(job)
-        await owner.wait_until_durable(request.job_id)
+        await owner.wait_until_durable([request.job_id])
         return view
 
     async def _list(self, owner: ShardOwner, request: ListJobs) -> JobList:
@@ -171,12 +171,14 @@
             and job.spec.member == request.member
         ]
         jobs.sort(key=lambda job: job.accepted_at, reverse=True)
-        return JobList([_summary_of(job) for job in jobs[: request.limit]])
+        summaries = [_summary_of(job) for job in jobs[: request.limit]]
+        await owner.wait_until_durable([summary.job_id for summary in summaries])
+        return JobList(summaries)
 
     async def _cancel(self, owner: ShardOwner, request: CancelJob) -> SubmitReply:
         reply = await owner.cancel(request.job_id, request.environment, request.member)
         if reply.code == Code.NOT_FOUND:
-            raise _not_found(request.job_id)
+            raise _not_found(request.job_id, kept=True)
         if reply.code == Code.MEMBER_LIMIT:
             raise Refused(reply.message, Code.MEMBER_LIMIT, retry_after=RETRY_AFTER_S)
         return SubmitReply(int(reply.code), request.job_id, reply.message)
@@ -263,8 +265,8 @@
     return lambda job: (job.spec.environment, job.spec.member) == caller
 
 
-def _not_found(job_id: str) -> FlamingowayError:
-    return FlamingowayError(f"no job {job_id!r}", Code.NOT_FOUND)
+def _not_found(job_id: str, **details: bool) -> FlamingowayError:
+    return FlamingowayError(f"no job {job_id!r}", Code.NOT_FOUND, **details)
 
 
 def _validated_kind(document: Document, request: SubmitJob) -> JobKind:
