Replace the channel to a peer after a call on it timed out

Callers of a process whose connections to other processes had gone silent waited in vain: an entry process kept one gRPC channel per peer, without keep-alive, and used it again after DEADLINE_EXCEEDED. Only calls for advice closed it. Announcements, forwarded requests and queries of the leader to that peer failed until one of the two processes ended.

A call that times out now replaces the channel; other calls in progress on the old one go on for up to 5 s. The new channel has connections of its own: gRPC otherwise shares the dead one while the old channel is open. test_a_peer_is_reached_again_after_its_connection_went_silent fails before, in both forms, and in one form without connections of its own.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -21,6 +21,8 @@
 SERVICE = "flamingoway.Peer"
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
+# Calls in progress on a channel that is replaced may go on for this time.
+REPLACED_GRACE_S = 5.0
 
 CHANNEL_OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -32,6 +34,8 @@
     ("grpc.enable_http_proxy", 0),
     # Two processes on one machine must not share a port.
     ("grpc.so_reuseport", 0),
+    # A channel that replaces another one must not share its connection.
+    ("grpc.use_local_subchannel_pool", 1),
 ]
 
 
@@ -174,6 +178,8 @@
 
     def __init__(self):
         self._channels: dict[str, grpc.aio.Channel] = {}
+        # Channels that were replaced, with the tasks that close them.
+        self._replaced: dict[asyncio.Task, grpc.aio.Channel] = {}
 
     async def call(
         self, address: str, request: Request, timeout_s: float, reply: type[R]
@@ -229,6 +235,8 @@
                 raise
             raise OutcomeUnknown(f"the channel to peer {address} was closed") from None
         except grpc.aio.AioRpcError as exc:
+            if exc.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._replace_channel(address, channel)
             if exc.code() == grpc.StatusCode.UNIMPLEMENTED:
                 raise Refused(
                     f"peer {address} does not serve {type(request).__name__}",
@@ -238,6 +246,14 @@
                 f"no reply from peer {address}: {exc.code().name}"
             ) from None
 
+    def _replace_channel(self, address: str, channel: grpc.aio.Channel) -> None:
+        """Use a new channel for further calls; the connection may be dead."""
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+            task = asyncio.create_task(channel.close(REPLACED_GRACE_S))
+            self._replaced[task] = channel
+            task.add_done_callback(self._replaced.pop)
+
     async def close_channel(self, address: str) -> None:
         """Close the channel to a peer; the next call opens a new one."""
         channel = self._channels.pop(address, None)
@@ -246,7 +262,7 @@
 
     async def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
+        for channel in [*self._channels.values(), *self._replaced.values()]:
             await channel.close()
         self._channels.clear()
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -11,6 +11,7 @@
 from flamingoway.messages import Depose, DeposeReply, GetStatus, StatusReply
 from flamingoway.peer import SERVICE, PeerClient, PeerServer
 from flamingoway.status import Code
+from standins.proxy import Proxy
 
 
 def free_address() -> str:
@@ -192,3 +193,51 @@
             await client.close()
 
     asyncio.run(asyncio.wait_for(body(), 20))
+
+
+@pytest.mark.parametrize("longest_s", [0.5, 3.0])
+def test_a_peer_is_reached_again_after_its_connection_went_silent(longest_s):
+    """Guards against calls that all time out on a connection that stays dead."""
+
+    async def call(client, address, timeout_s=0.5):
+        try:
+            return await client.call(address, DEPOSE, timeout_s, DeposeReply)
+        except OutcomeUnknown:
+            return None
+
+    async def main():
+        server, client, address = PeerServer(), PeerClient(), free_address()
+        server.handle(Depose, lambda request: asyncio.sleep(0, DeposeReply("x", True)))
+        proxy = Proxy(address)
+        async with server.listen(address, grace_s=0.1), proxy.listen() as here:
+            assert await call(client, here)
+            proxy.silence()
+            pending = asyncio.create_task(call(client, here, longest_s))
+            await call(client, here)
+            answers = [await call(client, here) for _ in range(2)]
+            await client.close()
+            await pending
+        assert all(answers)
+
+    asyncio.run(main())
+
+
+def test_a_slow_call_goes_on_when_another_one_timed_out():
+    """Guards against a time-out that ends the other calls to the same peer."""
+
+    async def main():
+        server, client, address = PeerServer(), PeerClient(), free_address()
+
+        async def handler(_request):
+            await asyncio.sleep(0.6)
+            return DeposeReply("x", True)
+
+        server.handle(Depose, handler)
+        async with server.listen(address, grace_s=0.1):
+            slow = asyncio.create_task(client.call(address, DEPOSE, 5.0, DeposeReply))
+            with pytest.raises(OutcomeUnknown):
+                await client.call(address, DEPOSE, 0.2, DeposeReply)
+            assert await slow == DeposeReply("x", True)
+            await client.close()
+
+    asyncio.run(main())
