--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -341,3 +341,15 @@
         return site.store.lost
 
     assert asyncio.run(main()) == 0.0
+
+
+def test_a_share_of_the_processes_runs_the_build_beside(tmp_path):
+    """Guards against plays of two builds that start one build only."""
+    options = SimpleNamespace(code=Path("this"), beside=Path("other"))
+    site = SimpleNamespace(folder=tmp_path, advice_url="", options=options)
+    entries = [site_soak.SiteEntry(site, index) for index in range(36)]
+    other = [entry for entry in entries if entry.code == options.beside]
+    cores = {entry.settings["limits"]["cores"] for entry in other}
+    assert (len(other), cores) == (11, {1, 3})
+    options.beside = None
+    assert site_soak.SiteEntry(site, 0).code == options.code
