Take a job that is stored again under a deleted id for a new one

What callers would see: an id is submitted again after its job's retention time, within the same read of a process's mirror as the deletion, or during an outage. That process shows the former job's end, and answers a cancellation at once, with nothing stored, so that the new job runs on; if it leads, the new job is never started. Cause: only the last change of a key counts, so the table never learns of the deletion, and keeps the state and the cancellation of the former job. A new range read doesn't tell either. Evidence: the new test deletes a job and stores it again within one read, with and without the history, and with and without a new cancellation. Change: deletions within a read are applied too, and a range read that shows a later creation of a job replaces the former one, with a cancellation only if it is newer than the read.

--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -221,10 +221,10 @@
         self._revision = changes.last_change if known else changes.revision
         self._reported.clear()
         self._changed_at = self._clock()
-        # Only the last change of a key counts.
-        latest = {event.key: event for event in changes.events}
-        self._heartbeat_seen = self._heartbeat_key in latest
-        self._listener.apply_changes(list(latest.values()))
+        self._heartbeat_seen = any(
+            event.key == self._heartbeat_key for event in changes.events
+        )
+        self._listener.apply_changes(_latest(changes.events))
 
     def _note_reported(self, revision: int, began: float) -> None:
         """Advance to the revisions reported ``GAP_S`` before the call was sent.
@@ -260,3 +260,17 @@
         if self._reachable:
             self._reachable = False
             self._log.write("store unreachable", prefix=self._prefix, why=exc.message)
+
+
+def _latest(events: list[WatchEvent]) -> list[WatchEvent]:
+    """Return the last change of each key, and all deletions, in their order.
+
+    A key that was deleted and written again stands for something new.
+    """
+    latest: list[WatchEvent] = []
+    seen: set[str] = set()
+    for event in reversed(events):
+        if event.item is None or event.key not in seen:
+            latest.append(event)
+        seen.add(event.key)
+    return latest[::-1]
--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -168,8 +168,23 @@
         known = {item.key for item in items}
         removed = [key for key in self._keys(revision) if key not in known]
         self.apply_changes([WatchEvent(key, None) for key in removed])
+        self._forget_former_jobs(items, revision)
         self.apply_changes([WatchEvent(item.key, item) for item in items])
 
+    def _forget_former_jobs(self, items: list[KeyValue], revision: int) -> None:
+        """Forget the jobs that were deleted and stored again under the same ids."""
+        for item in items:
+            if not item.key.startswith(records.JOB_PREFIX):
+                continue
+            job = self.find(records.id_in_key(item.key))
+            if job is None or job.revision >= item.create_revision:
+                continue
+            newer = TableJob(job.job_id)
+            if job.cancel_revision > revision:
+                newer.cancelled, newer.cancelled_at = True, job.cancelled_at
+                newer.cancel_revision = job.cancel_revision
+            self._jobs[job.job_id] = newer
+
     def apply_changes(self, events: list[WatchEvent]) -> None:
         """Apply changes in the order in which they were made."""
         for event in events:
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -298,6 +298,45 @@
     return table, mirror, asyncio.create_task(mirror.run())
 
 
+@pytest.mark.parametrize("history_kept", [True, False])
+@pytest.mark.parametrize("cancelled", [True, False])
+def test_a_job_that_is_stored_again_after_its_deletion_is_a_new_one(
+    history_kept, cancelled
+):
+    """Guards against an answer to a cancellation on the ground of a former end."""
+
+    async def main():
+        scripted = ScriptedStore()
+        operator = MemoryStore(scripted.engine)
+        job_key, progress_key, cancel_key = records.job_keys(JOB.job_id)
+        value = records.encode(records.JobRecord(JOB, 0.0))
+        end = records.ProgressRecord(StepJobState.COMPLETED, ended_at=1.0)
+        old = [Put(job_key, value), Put(progress_key, records.encode_progress(end))]
+        cancel = Put(cancel_key, records.encode(records.CancelRecord(1.0)))
+        await operator.txn([], [*old, cancel])
+        table, mirror, task = follow(scripted)
+        await mirror.wait_synced()
+        await asyncio.sleep(0.1)
+        scripted.hears_nothing = True
+        await asyncio.sleep(0.9)
+        added = []
+        table.on_job = lambda job: added.append(job.job_id)
+        await operator.txn([], [Delete(key) for key in records.job_keys(JOB.job_id)])
+        if cancelled:
+            await operator.txn([], [cancel])
+        await operator.txn([], [Put(job_key, value)])
+        scripted.hears_nothing = False
+        if not history_kept:
+            scripted.engine.compact()
+        await asyncio.sleep(NOTICED_S)
+        task.cancel()
+        job = table.find(JOB.job_id)
+        return job.state, job.cancelled, job.progress, added
+
+    expected = StepJobState.QUEUED, cancelled, b"", [JOB.job_id]
+    assert run_virtual(main) == expected
+
+
 @pytest.mark.parametrize("history_kept", [True, False])
 def test_a_cancellation_in_a_gap_of_the_watch_is_read(history_kept):
     """Guards against changes that a watch skips and no later one reports."""
