Count the age of a copy from its own read, not from a watch beside it

What callers would see: a new leader takes the pages that it has read for newer than they are, and starts tasks of jobs whose cancelling was acknowledged since the first page was read. Cause: while a new leader reads all, its mirror goes on watching. An answer of that watch is dropped, as it may be older than the pages, but confirmed the copy all the same; and one that came before the last page counted for the new content. Evidence: the new test reads for 2.0 s beside a watch. Change: a read sets the time of the copy to when its first call was sent; a watch confirms the copy only if its changes count.

--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -207,14 +207,16 @@
             return
         finally:
             self._watching = False
-        # ``catch_up`` may have advanced the copy meanwhile; these changes may then be
-        # older than its content.
-        if self._revision == after:
-            if changes.events:
-                self._apply(changes)
-            else:
-                self._note_reported(changes.revision, began)
-        self._on_answer(began)
+        self._note_reachable()
+        if self._revision != after:
+            # ``catch_up`` has advanced the copy meanwhile. These changes may be older
+            # than its content, so they neither count nor confirm it.
+            return
+        if changes.events:
+            self._apply(changes)
+        else:
+            self._note_reported(changes.revision, began)
+        self._confirmed_at = max(self._confirmed_at, began)
 
     def _apply(self, changes: ChangeSet) -> None:
         known = changes.last_change > self._revision
@@ -248,10 +250,11 @@
         self._changed_at = self._clock()
         self._complete = True
         self._synced.set()
-        self._on_answer(began)
+        # Watches that were answered meanwhile confirmed the former content.
+        self._confirmed_at = began
+        self._note_reachable()
 
-    def _on_answer(self, began: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, began)
+    def _note_reachable(self) -> None:
         if not self._reachable:
             self._reachable = True
             self._log.write("store reachable again", prefix=self._prefix)
--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -298,6 +298,39 @@
     return table, mirror, asyncio.create_task(mirror.run())
 
 
+def test_a_watch_beside_a_range_read_does_not_make_its_content_newer():
+    """Guards against a new leader that acts on pages read long before."""
+
+    async def main():
+        scripted = ScriptedStore()
+        operator = MemoryStore(scripted.engine)
+        _, mirror, task = follow(scripted)
+        await mirror.wait_synced()
+        await operator.txn([], [Put("servers/w0", b"x")])
+        read, ages = scripted.range, []
+
+        async def read_slowly(prefix):
+            content = await read(prefix)
+            await asyncio.sleep(2.0)
+            return content
+
+        scripted.range = read_slowly
+        began = asyncio.get_running_loop().time()
+        await mirror.catch_up()
+
+        def note_age():
+            read_age_s = asyncio.get_running_loop().time() - began
+            ages.append((mirror.age_s, read_age_s))
+
+        scripted.on_changes = note_age
+        await asyncio.sleep(1.0)
+        task.cancel()
+        return ages[0]
+
+    age_s, read_age_s = run_virtual(main)
+    assert age_s >= read_age_s > 2.0
+
+
 @pytest.mark.parametrize("history_kept", [True, False])
 @pytest.mark.parametrize("cancelled", [True, False])
 def test_a_job_that_is_stored_again_after_its_deletion_is_a_new_one(
