--- a/flamingoway/queues/mirror.py
+++ b/flamingoway/queues/mirror.py
@@ -210,24 +210,26 @@
             return
         finally:
             self._watching = False
-        # ``catch_up`` may have advanced the copy meanwhile; these changes may then be
-        # older than its content.
-        if self._revision == after:
-            if changes.events:
-                self._apply(changes)
-            else:
-                self._note_reported(changes.revision, began)
-        self._on_answer(began)
+        self._note_reachable()
+        if self._revision != after:
+            # ``catch_up`` has advanced the copy meanwhile. These changes may be older
+            # than its content, so they neither count nor confirm it.
+            return
+        if changes.events:
+            self._apply(changes)
+        else:
+            self._note_reported(changes.revision, began)
+        self._confirmed_at = max(self._confirmed_at, began)
 
     def _apply(self, changes: ChangeSet) -> None:
         known = changes.last_change > self._revision
         self._revision = changes.last_change if known else changes.revision
         self._reported.clear()
         self._changed_at = self._clock()
-        # Only the last change of a key counts.
-        latest = {event.key: event for event in changes.events}
-        self._heartbeat_seen = self._heartbeat_key in latest
-        self._listener.apply_changes(list(latest.values()))
+        self._heartbeat_seen = any(
+            event.key == self._heartbeat_key for event in changes.events
+        )
+        self._listener.apply_changes(_latest(changes.events))
 
     def _note_reported(self, revision: int, began: float) -> None:
         """Advance to the revisions reported ``GAP_S`` before the call was sent.
@@ -251,10 +253,11 @@
         self._changed_at = self._clock()
         self._complete = True
         self._synced.set()
-        self._on_answer(began)
+        # Watches that were answered meanwhile confirmed the former content.
+        self._confirmed_at = began
+        self._note_reachable()
 
-    def _on_answer(self, began: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, began)
+    def _note_reachable(self) -> None:
         if not self._reachable:
             self._reachable = True
             self._log.write(
@@ -275,3 +278,17 @@
                 revision=self._revision,
                 why=exc.message,
             )
+
+
+def _latest(events: list[WatchEvent]) -> list[WatchEvent]:
+    """Return the last change of each key, and all deletions, in their order.
+
+    A key that was deleted and written again stands for something new.
+    """
+    latest: list[WatchEvent] = []
+    seen: set[str] = set()
+    for event in reversed(events):
+        if event.item is None or event.key not in seen:
+            latest.append(event)
+        seen.add(event.key)
+    return latest[::-1]
