Keep the log lines on cancellations and leaders under load

Lines on cancellations competed with all others for the 400 lines a second, and any line was dropped while the reader of the output was slow. The absence of a line for an acknowledged cancellation therefore proved nothing.

Six events (answers to DELETE, cancellations learned, stored and learned jobs that were cancelled, changes of the leader) may exceed the burst by 200 lines together, and up to 200 of them wait in memory while the reader takes none. The volume stays bounded (400 lines a second, 1,400 instead of 1,200 at once), and a write still never blocks. Beyond that they are dropped and counted as before.

The two new tests fail with the set of these events empty.

--- a/flamingoway/queues/decisions.py
+++ b/flamingoway/queues/decisions.py
@@ -3,6 +3,7 @@
 import os
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -25,6 +26,19 @@
         "tasks placed",
     }
 )
+# These tell which process relied on which copy of the store. They may exceed the burst
+# by some lines, and wait in memory while the reader takes none.
+KEPT_EVENTS = frozenset(
+    {
+        "cancellation answered",
+        "cancellation learned",
+        "cancelled job learned",
+        "cancelled job stored",
+        "leader changed",
+        "leadership taken",
+    }
+)
+MAX_KEPT_LINES = 200
 MAX_LINE_BYTES = 4096
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -34,6 +48,8 @@
 
     Lines beyond the rate limit, and lines that would block because the reader of the
     output is slow, are dropped and counted; the next line written gives their number.
+    Up to ``MAX_KEPT_LINES`` of ``KEPT_EVENTS`` are written all the same, once the
+    reader goes on.
 
     Args:
         process: Name of the process, included in each line.
@@ -57,6 +73,7 @@
         self._tokens = BURST_LINES
         self._refilled_at = clock()
         self._unreported = 0
+        self._waiting: deque[bytes] = deque()
         os.set_blocking(self._descriptor, False)
 
     def write(self, event: str, **fields) -> None:
@@ -66,7 +83,8 @@
             event: What was decided or observed, in the past tense.
             **fields: The request's id, the inputs with their age, and the outcome.
         """
-        if not self._take_token(RESERVED_LINES if event in FREQUENT_EVENTS else 0.0):
+        kept = event in KEPT_EVENTS
+        if not self._take_token(event, kept):
             self._count_dropped()
             return
         line = {
@@ -79,24 +97,39 @@
         if self._unreported:
             line["dropped_lines"] = self._unreported
         data = _ENCODER.encode(line)[: MAX_LINE_BYTES - 1] + b"\n"
+        if self._write_waiting() and self._try_write(data):
+            self._unreported = 0
+        elif kept and len(self._waiting) < MAX_KEPT_LINES:
+            self._waiting.append(data)
+            self._unreported = 0
+        else:
+            self._count_dropped()
+
+    def _write_waiting(self) -> bool:
+        """Write the lines that wait; return whether none is left."""
+        while self._waiting and self._try_write(self._waiting[0]):
+            self._waiting.popleft()
+        return not self._waiting
+
+    def _try_write(self, data: bytes) -> bool:
         try:
             os.write(self._descriptor, data)
         except OSError:
             # The reader is slow or gone; logging must not block or end the process.
-            self._count_dropped()
-            return
-        self._unreported = 0
+            return False
+        return True
 
     def _count_dropped(self) -> None:
         self.dropped += 1
         self._unreported += 1
 
-    def _take_token(self, reserved: float) -> bool:
+    def _take_token(self, event: str, kept: bool) -> bool:
+        reserved = RESERVED_LINES if event in FREQUENT_EVENTS else 0.0
         now = self._clock()
         refill = (now - self._refilled_at) * MAX_LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + refill)
         self._refilled_at = now
-        if self._tokens < 1 + reserved:
+        if self._tokens < 1 + (-MAX_KEPT_LINES if kept else reserved):
             return False
         self._tokens -= 1
         return True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,8 +4,21 @@
 import os
 import shutil
 
+import pytest
+
 from flamingoway.build import PACKAGE, build_digest
-from flamingoway.queues.decisions import BURST_LINES, RESERVED_LINES, DecisionLog
+from flamingoway.queues.decisions import (
+    BURST_LINES,
+    KEPT_EVENTS,
+    MAX_KEPT_LINES,
+    RESERVED_LINES,
+    DecisionLog,
+)
+
+QUEUES = PACKAGE / "queues"
+LOGGING_SOURCES = "\n".join(
+    path.read_text() for path in QUEUES.glob("*.py") if path.name != "decisions.py"
+)
 
 
 class Clock:
@@ -82,3 +95,51 @@
         log.write("cancellation learned")
         os.read(read, 100_000)
     assert log.dropped == dropped
+
+
+def test_a_flood_of_other_lines_leaves_room_for_cancellations():
+    """Guards against an acknowledged cancellation of which no line tells."""
+    read, write = os.pipe()
+    os.set_blocking(read, False)
+    log = DecisionLog("n1", write, Clock())
+    for _ in range(2 * int(BURST_LINES)):
+        log.write("relayed")
+        os.read(read, 100_000) if log.dropped == 0 else None
+    dropped = log.dropped
+    for _ in range(MAX_KEPT_LINES):
+        log.write("cancellation answered")
+        os.read(read, 100_000)
+    assert log.dropped == dropped
+    log.write("cancellation answered")
+    assert log.dropped == dropped + 1
+
+
+def test_cancellations_wait_while_the_reader_is_stalled():
+    """Guards against a lost cancellation when the collector of the logs is slow."""
+    read, write = os.pipe()
+    os.set_blocking(read, False)
+    clock = Clock()
+    log = DecisionLog("n1", write, clock)
+    while not log.dropped:
+        clock.now += 1
+        log.write("x", text="y" * 200)
+    # Short lines take the room that is left in the pipe.
+    while log.dropped < 10:
+        clock.now += 1
+        log.write("x")
+    for number in range(MAX_KEPT_LINES + 1):
+        clock.now += 1
+        log.write("cancellation answered", number=number)
+    assert log.dropped == 11
+    os.read(read, 1_000_000)
+    clock.now += 1
+    log.write("next")
+    lines = [json.loads(line) for line in os.read(read, 1_000_000).splitlines()]
+    assert [line["number"] for line in lines[:-1]] == list(range(MAX_KEPT_LINES))
+    assert (lines[-1]["event"], lines[-1]["dropped_lines"]) == ("next", 1)
+    assert 1 <= lines[0]["dropped_lines"] <= 10
+
+
+@pytest.mark.parametrize("event", sorted(KEPT_EVENTS))
+def test_every_kept_event_exists(event):
+    assert f'"{event}"' in LOGGING_SOURCES
