Count cancellations and late starts, and measure the age of copies

Whether a leader acts on a copy that lacks a stored cancellation, or sends an order long after its decision, could not be seen without the line of each start: its row has the age behind the first 200 characters of the line, and no metric tells of either.

- `flamingoway_queue_cancellations_total` by outcome, `flamingoway_queue_cancellation_seconds` until the leader learns of one (the line has `delay_s` too), `flamingoway_queue_start_copy_age_seconds`.
- `flamingoway_queue_cancelled_starts_total` and the line `cancelled job started`, which should not occur.
- `start sent late`: an order that has waited for 1 s or more, by itself, as one of the frequent lines.

The new tests fail without it. In virtual time, an order to start waits when the stops of a large job take the 32 calls of its worker.

--- a/flamingoway/cli/logs.py
+++ b/flamingoway/cli/logs.py
@@ -14,6 +14,7 @@
 NOTABLE_EVENTS = frozenset(
     {
         "advice missing",
+        "cancelled job started",
         "election unresolved",
         "end notice failed",
         "entry skipped",
@@ -35,6 +36,7 @@
         "poll refused",
         "reload refused",
         "session expired",
+        "start sent late",
         "started",
         "stopped",
         "stopping",
--- a/flamingoway/queues/decisions.py
+++ b/flamingoway/queues/decisions.py
@@ -21,6 +21,7 @@
     {
         "jobs taken over",
         "runs adopted",
+        "start sent late",
         "starts answered",
         "starts sent",
         "tasks placed",
@@ -33,6 +34,7 @@
         "cancellation answered",
         "cancellation learned",
         "cancelled job learned",
+        "cancelled job started",
         "cancelled job stored",
         "leader changed",
         "leadership taken",
--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -25,6 +25,7 @@
 from . import records
 from .decisions import DecisionLog
 from .messages import AnnounceRequest, CancelRequest, StateRequest, SubmitRequest
+from .metrics import QueueMetrics
 from .mirror import Mirror
 from .model import DesiredState, Queue, StepJobSpec, StepJobState
 from .records import CancelRecord, JobRecord, QueueRecord
@@ -109,6 +110,7 @@
         relay: Forwards requests to other processes.
         name: Name of this process.
         log: Decision log.
+        metrics: Metrics of the process.
     """
 
     def __init__(
@@ -119,6 +121,7 @@
         relay: Relay,
         name: str,
         log: DecisionLog,
+        metrics: QueueMetrics,
     ):
         self._store = store
         self._table = table
@@ -131,6 +134,7 @@
         self._name = name
         self._announcements: set[asyncio.Task] = set()
         self._log = log
+        self._metrics = metrics
         self._desired: DesiredState | None = None
         self._check_epoch = True
         self._pending: list[_PendingJob] = []
@@ -407,6 +411,7 @@
             job = self._table.find(job_id)
             if job is not None and job.cancelled:
                 revision = job.cancel_revision or None
+            self._metrics.cancellations.labels(_cancel_label(outcome)).inc()
             # The first fields tell whether a caller could rely on the answer.
             self._log.write(
                 "cancellation answered",
@@ -705,6 +710,13 @@
             self._table.apply_changes([WatchEvent(key, item)])
 
 
+def _cancel_label(outcome: str) -> str:
+    """Return the label of the metric for the outcome of a cancellation."""
+    if outcome in ("stored", "no such job"):
+        return outcome
+    return "already ended" if outcome.startswith("already ") else "not stored"
+
+
 def _cancel_put(job_id: str) -> Put:
     record = CancelRecord(time.time())
     return Put(records.CANCEL_PREFIX + job_id, records.encode(record))
--- a/flamingoway/queues/metrics.py
+++ b/flamingoway/queues/metrics.py
@@ -44,6 +44,25 @@
         self.flush_seconds = self._histogram(
             "flamingoway_queue_flush_seconds", "Time of one write of progress"
         )
+        self.cancellations = prometheus_client.Counter(
+            "flamingoway_queue_cancellations_total",
+            "Answers to cancellations by what became of them",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self.cancellation_seconds = self._histogram(
+            "flamingoway_queue_cancellation_seconds",
+            "Time from a cancellation until the leader learned of it, by two clocks",
+        )
+        self.cancelled_starts = prometheus_client.Counter(
+            "flamingoway_queue_cancelled_starts_total",
+            "Orders to start a run of a job that was known as cancelled",
+            registry=self._registry,
+        )
+        self.start_copy_age_seconds = self._histogram(
+            "flamingoway_queue_start_copy_age_seconds",
+            "Age of the copy of the store at an order to start a run",
+        )
         self.skipped_records = self._counter(
             "flamingoway_queue_skipped_records_total",
             "Records that are not valid and were skipped, by kind",
--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -132,6 +132,7 @@
             self._relay,
             process.name,
             log,
+            self.metrics,
         )
         self._session = Session(
             self._store, self._table, process, clock, log, self._faults
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -97,6 +97,8 @@
 EXPIRED_JOBS_PER_WRITE = 9
 # Replies to orders that arrive within this time share a line of the log.
 REPLY_LOG_DELAY_S = 0.05
+# An order that has waited for this long since its decision has a line of its own.
+LATE_START_S = 1.0
 
 
 class LeadershipLost(Exception):
@@ -336,10 +338,15 @@
         open_job = self._cluster.jobs[job.job_id]
         if open_job.state.final:
             return
+        # The two times are those of different clocks.
+        delay_s = max(0.0, time.time() - job.cancelled_at) if job.cancelled_at else None
+        if delay_s is not None:
+            self._metrics.cancellation_seconds.observe(delay_s)
         self._log.write(
             "cancellation learned",
             job=job.job_id,
             revision=job.cancel_revision or None,
+            delay_s=None if delay_s is None else round(delay_s, 3),
             by=source,
             epoch=self._cluster.epoch,
             copy_revision=self._mirror.revision,
@@ -608,6 +615,27 @@
         """Log an order to start a run, and what it is based on, before it is sent."""
         order, job = start.order, start.run.step.job
         stored = self._table.find(job.spec.job_id)
+        copy_age_s = self._mirror.age_s
+        decided_age_s = round(now - start.run.placed_at, 3)
+        self._metrics.start_copy_age_seconds.observe(copy_age_s)
+        if stored is not None and stored.cancelled:
+            self._metrics.cancelled_starts.inc()
+            self._log.write(
+                "cancelled job started",
+                task=order.task_id,
+                run=order.number,
+                cancel_revision=stored.cancel_revision or None,
+                epoch=self._cluster.epoch,
+            )
+        if decided_age_s >= LATE_START_S:
+            self._log.write(
+                "start sent late",
+                task=order.task_id,
+                run=order.number,
+                decided_age_s=decided_age_s,
+                epoch=self._cluster.epoch,
+                copy_revision=self._mirror.revision,
+            )
         row = {
             "task": order.task_id,
             "run": order.number,
@@ -618,13 +646,13 @@
             "state": job.state,
             "cancelled": None if stored is None else stored.cancelled,
             "job_revision": None if stored is None else stored.revision,
-            "decided_age_s": round(now - start.run.placed_at, 3),
+            "decided_age_s": decided_age_s,
         }
         self._starts_sent.add(
             row,
             epoch=self._cluster.epoch,
             copy_revision=self._mirror.revision,
-            copy_age_s=round(self._mirror.age_s, 2),
+            copy_age_s=round(copy_age_s, 2),
         )
 
     async def _stop(self, stop: StopRun) -> None:
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -93,7 +93,13 @@
         others = {"n2": ProcessRecord("n2", "n2:1", "z")}
         relay = Relay("n1", self.peers, lambda: others, rng, self.log)
         self.intake = Intake(
-            self.monitored, self.table, self.mirror, relay, "n1", self.log
+            self.monitored,
+            self.table,
+            self.mirror,
+            relay,
+            "n1",
+            self.log,
+            self.metrics,
         )
         self.intake.set_desired_state(DesiredState(1, (QUEUE,)))
         self.task = asyncio.create_task(self.mirror.run())
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -17,6 +17,8 @@
     RowLog,
     payload_digest,
 )
+from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
+from flamingoway.queues.term import LATE_START_S
 from flamingoway.status import Code
 from flamingoway.store import Put
 from standins.memory import MemoryStore
@@ -165,6 +167,56 @@
     assert answer["acknowledged"] and answer["revision"] > 0
 
 
+def test_metrics_tell_what_became_of_cancellations_and_on_what_starts_were_based():
+    async def body(world, leader, other):
+        await world.submit(other, LASTING)
+        await asyncio.sleep(1.0)
+        await world.cancel(other, "a1")
+        await asyncio.sleep(1.0)
+        await world.cancel(other, "a1")
+        await world.cancel(other, "b2")
+        return [world.nodes[n].metrics.render().decode() for n in (leader, other)]
+
+    _, (led, followed) = run_world(body)
+    prefix = "flamingoway_queue_"
+    for outcome in ("stored", "already ended", "no such job"):
+        name = f'{prefix}cancellations_total{{outcome="{outcome}"}}'
+        assert f"{name} 1.0" in followed
+    assert f"{prefix}cancellation_seconds_count 1.0" in led
+    assert f"{prefix}start_copy_age_seconds_count 2.0" in led
+    assert f"{prefix}cancelled_starts_total 0.0" in led
+
+
+async def delay_starts(world, leader, other):
+    """Start a task whose order waits, as the stops of a large job take all calls."""
+    small = Step(2 * MAX_CALLS_PER_WORKER, Resources(100, 100), 1.0)
+    steps = (small,) * len(world.workers)
+    await world.submit(other, StepJobSpec("b2", "checks", "payload", steps))
+    await asyncio.sleep(3.0)
+    port = world.ports[leader]
+    reach = port._reach
+
+    async def reach_slowly(worker_id):
+        await asyncio.sleep(1.5)
+        return await reach(worker_id)
+
+    port._reach = reach_slowly
+    with world.disruptions.during(*world.workers):
+        await world.cancel(leader, "b2")
+        await world.submit(other, LASTING)
+        await asyncio.sleep(6.0)
+
+
+def test_a_start_that_waited_for_a_free_call_is_logged_by_itself():
+    """Guards against a late order that a cut line with many rows does not show."""
+    lines, _ = run_world(delay_starts)
+    late = entries(lines, "start sent late")
+    ages = [row["decided_age_s"] for _, row in entries(lines, "starts sent")]
+    assert len(late) == sum(age >= LATE_START_S for age in ages) > 0
+    assert {row["task"] for _, row in late} == {"a1.0.0.0", "a1.0.0.1"}
+    assert min(row["decided_age_s"] for _, row in late) >= LATE_START_S
+
+
 def test_a_job_that_was_cancelled_before_it_was_stored_is_logged_as_such():
     async def body(world, leader, other):
         await world.cancel(other, "a1")
