Write no line for each task of a gang that is done

A run that ends as done in a step that is complete already has no row any more. Ends of cancelled jobs, of untracked runs and of other kinds stay.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -666,6 +666,9 @@
             if ended.sequence <= worker.processed:
                 continue
             run = worker.runs.get((ended.task_id, ended.number))
+            if run is not None and ended.kind is EndKind.DONE and run.step.complete:
+                # The end of another task of its gang has been reported before.
+                continue
             if run is None or run.phase is RunPhase.STOPPING:
                 row = {
                     "task": ended.task_id,
--- a/tests/test_queue_log.py
+++ b/tests/test_queue_log.py
@@ -142,6 +142,21 @@
     assert all(row["taken"] for _, row in entries(lines, "stops answered"))
 
 
+def test_the_ends_of_a_gang_that_is_done_are_not_logged_one_by_one():
+    """Guards against lines on gangs that crowd out those on starts."""
+
+    async def body(world, leader, other):
+        world.duration = lambda task_id: 1.0
+        gang = Step(4, Resources(9000, 1000), 1.0, gang=True)
+        await world.submit(other, StepJobSpec("a1", "checks", "payload", (gang,)))
+        await asyncio.sleep(5.0)
+
+    lines, _ = run_world(body)
+    ((_, ended),) = entries(lines, "job ended")
+    assert ended["outcome"] == "completed"
+    assert entries(lines, "stopped runs ended") == []
+
+
 def test_a_cancellation_asked_of_the_leader_is_logged_as_learned_from_its_caller():
     async def body(world, leader, other):
         await world.submit(other, LASTING)
