Keep orders to start a run before routine lines of the log

`starts sent` says on which copy a start was based, and was among the lines that are dropped first. A start after a cancellation would have had no explanation in most cases.

`advice answered`, `tasks placed`, `starts answered` and the lines of a takeover now leave 300 more lines of the burst than `starts sent`, so that orders are written first. The volume is the same.

--- a/flamingoway/queues/decisions.py
+++ b/flamingoway/queues/decisions.py
@@ -17,16 +17,20 @@
 # The frequent events, which come with each start or run, leave this many lines of the
 # burst to the others: leadership, cancellations, stops and ends.
 RESERVED_LINES = 600.0
-FREQUENT_EVENTS = frozenset(
+FREQUENT_EVENTS = frozenset({"start sent late", "starts sent"})
+# Those that no start depends on leave some of theirs to the orders to start a run.
+ROUTINE_RESERVED_LINES = 900.0
+ROUTINE_EVENTS = frozenset(
     {
+        "advice answered",
         "jobs taken over",
         "runs adopted",
-        "start sent late",
         "starts answered",
-        "starts sent",
         "tasks placed",
     }
 )
+_RESERVED = dict.fromkeys(FREQUENT_EVENTS, RESERVED_LINES)
+_RESERVED |= dict.fromkeys(ROUTINE_EVENTS, ROUTINE_RESERVED_LINES)
 # These tell which process relied on which copy of the store. They may exceed the burst
 # by some lines, and wait in memory while the reader takes none.
 KEPT_EVENTS = frozenset(
@@ -86,7 +90,7 @@
             **fields: The request's id, the inputs with their age, and the outcome.
         """
         kept = event in KEPT_EVENTS
-        if not self._take_token(event, kept):
+        if not self._take_token(-MAX_KEPT_LINES if kept else _RESERVED.get(event, 0.0)):
             self._count_dropped()
             return
         line = {
@@ -125,13 +129,12 @@
         self.dropped += 1
         self._unreported += 1
 
-    def _take_token(self, event: str, kept: bool) -> bool:
-        reserved = RESERVED_LINES if event in FREQUENT_EVENTS else 0.0
+    def _take_token(self, reserved: float) -> bool:
         now = self._clock()
         refill = (now - self._refilled_at) * MAX_LINES_PER_S
         self._tokens = min(BURST_LINES, self._tokens + refill)
         self._refilled_at = now
-        if self._tokens < 1 + (-MAX_KEPT_LINES if kept else reserved):
+        if self._tokens < 1 + reserved:
             return False
         self._tokens -= 1
         return True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+from collections import Counter
 
 import pytest
 
@@ -97,6 +98,29 @@
     assert log.dropped == dropped
 
 
+def test_orders_to_start_a_run_are_written_rather_than_routine_lines():
+    """Guards against starts that no line explains on a leader that is always busy."""
+    read, write = os.pipe()
+    os.set_blocking(read, False)
+    clock = Clock()
+    log = DecisionLog("n1", write, clock)
+    written = Counter()
+    for _ in range(1000):
+        clock.now += 0.01
+        for event in (
+            "advice answered",
+            "tasks placed",
+            "starts answered",
+            "job ended",
+        ):
+            log.write(event)
+        log.write("starts sent")
+        lines = os.read(read, 100_000).splitlines()
+        written.update(json.loads(line)["event"] for line in lines)
+    assert written["starts sent"] == written["job ended"] == 1000
+    assert log.dropped > 0
+
+
 def test_a_flood_of_other_lines_leaves_room_for_cancellations():
     """Guards against an acknowledged cancellation of which no line tells."""
     read, write = os.pipe()
