Test that a takeover with slow pages starts no job cancelled meanwhile

The test elects a leader whose read of all records takes 2.9 s, cancels a job after its first page and holds the watch that would tell. It passes since the age of a copy counts from its first page and starts need a copy of the last 2.5 s.

--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -151,6 +151,55 @@
     assert run_virtual(main) == (True, [], True)
 
 
+def test_a_new_leader_starts_no_job_cancelled_after_its_first_page_was_read():
+    """Guards against a takeover whose pages take long and are no snapshot."""
+
+    async def main():
+        world, _ = await leading_world([])
+        leader = world.leader()
+        others = [name for name in world.names if name != leader]
+        heir, caller = others
+        for name in others[1:]:
+            # Only the heir can be elected.
+            world.nodes[name]._election._delay_s = lambda: 60.0
+        step = Step(1, Resources(10, 10), 1.0)
+        for worker in world.workers.values():
+            worker.draining = True
+            await world.register_worker(worker)
+        await asyncio.sleep(0.5)
+        assert await world.submit(caller, StepJobSpec("a1", "checks", "x", (step,)))
+        store, read_begun = world.stores[heir], asyncio.Event()
+        read = store.range
+
+        async def read_slowly(prefix, *args):
+            content = await read(prefix, *args)
+            if prefix == "fw/" and world.nodes[heir]._term is not None:
+                read_begun.set()
+                await asyncio.sleep(2.9)
+            return content
+
+        store.range = read_slowly
+        for worker in world.workers.values():
+            worker.draining = False
+            await world.register_worker(worker)
+        await world.kill_node(leader)
+        async with asyncio.timeout(10.0):
+            await read_begun.wait()
+        released = hold_watches(store, "fw/")
+        assert await world.cancel(caller, "a1")
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(4.0)
+        leads = world.nodes[heir]._term is not None
+        before = [*started]
+        released.set()
+        await asyncio.sleep(1.0)
+        await world.end()
+        return leads, before, started
+
+    assert run_virtual(main) == (True, [], [])
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
