Store a job that is submitted again after its deletion

What callers would see: a submission of an id whose job was deleted after its retention time is answered 200 by the process that accepted it once, though nothing is stored: a GET says 410. Cause: ids of jobs accepted here, which the mirror may not show yet, were remembered without end. Evidence: the new test deletes a job and submits it again. Before, it failed: nothing was stored. Change: such an id counts only until the copy has been confirmed by a call sent later. Result: the tests of test_queue_intake, _unasked, _review, _term and test_platform_process pass.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -135,7 +135,8 @@
         self._check_epoch = True
         self._pending: list[_PendingJob] = []
         self._writers: set[asyncio.Task] = set()
-        self._recently_accepted: set[str] = set()
+        # Times of acceptance of jobs that the mirror may not show yet.
+        self._recently_accepted: dict[str, float] = {}
         # Jobs that the leader notifies this process of.
         self._stored_here: set[str] = set()
         self._source_of_change = "copy"
@@ -210,7 +211,7 @@
             await self._store_job(spec, queue, timeout_s)
         if len(self._recently_accepted) >= MAX_RECENT_JOBS:
             self._recently_accepted.clear()
-        self._recently_accepted.add(spec.job_id)
+        self._recently_accepted[spec.job_id] = asyncio.get_running_loop().time()
         self._log.write(
             "job accepted",
             job=spec.job_id,
@@ -384,7 +385,13 @@
 
     def knows(self, job_id: str) -> bool:
         """Return whether this process knows an accepted job."""
-        return self._table.find(job_id) is not None or job_id in self._recently_accepted
+        if self._table.find(job_id) is not None:
+            return True
+        accepted_at = self._recently_accepted.get(job_id)
+        if accepted_at is None:
+            return False
+        # A copy that was confirmed later would show the job, unless it was deleted.
+        return self._mirror.age_s >= asyncio.get_running_loop().time() - accepted_at
 
     async def cancel(self, job_id: str, timeout_s: float, relay: bool = True) -> None:
         """Cancel a job; returns once that is stored.
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -37,7 +37,7 @@
 from flamingoway.queues.relay import Relay
 from flamingoway.queues.table import JobTable
 from flamingoway.status import Code
-from flamingoway.store import Put
+from flamingoway.store import Delete, Put
 from flamingoway.store.monitored import MonitoredStore
 from standins import kv
 from standins.memory import MemoryStore
@@ -134,6 +134,21 @@
     run_with_cell(body)
 
 
+def test_a_job_that_is_submitted_again_after_its_deletion_is_stored():
+    """Guards against an acceptance of which nothing is stored."""
+
+    async def body(cell):
+        await cell.intake.submit(JOB, 3.0)
+        await asyncio.sleep(1.0)
+        keys = records.job_keys(JOB.job_id)
+        await cell.store.txn([], [Delete(key) for key in keys])
+        await asyncio.sleep(2.0)
+        await cell.intake.submit(JOB, 3.0)
+        assert stored(cell)
+
+    run_with_cell(body)
+
+
 def test_a_lost_answer_is_resolved():
     async def body(cell):
         cell.store.drop_answers(1)
