Be unready if the watch of the configuration is stuck

What callers would see: a process whose reads of the configuration hang, while its other store calls are answered, stays ready and goes on with old routes. Cause: readiness looks at the age of the copy of the records only. Evidence: the new test holds the watch of the configuration of one process for 6 s. Before, it failed: the process stayed ready. Change: the copy of the configuration must also be younger than 4 s. Requests that arrive all the same are still handled as the copy says.

--- a/flamingoway/queues/node.py
+++ b/flamingoway/queues/node.py
@@ -50,8 +50,8 @@
 # A process is not ready, so that callers go to others, if the store has not answered
 # for this long.
 READY_STORE_AGE_S = 2.0
-# Nor if its copy of the records is older than this; followers read twice a second, and
-# a watch waits for 0.8 s.
+# Nor if its copy of the records or of the configuration is older than this; followers
+# read twice a second, and a watch waits for 0.8 s.
 READY_MIRROR_AGE_S = 4.0
 # It is not ready either if all calls to the store have failed for this long.
 READY_STORE_LOST_S = 0.5
@@ -122,6 +122,16 @@
         self._mirror = self._create_mirror(
             records.ROOT, self._table, FOLLOWER_READ_INTERVAL_S, records.LEADER_KEY
         )
+        config = ConfigListener(
+            platform.config_key,
+            platform.decode_config,
+            self._configure,
+            log,
+            self._faults,
+        )
+        self._config_mirror = self._create_mirror(
+            platform.config_prefix, config, CONFIG_READ_INTERVAL_S
+        )
         self._relay = Relay(
             process.name, peers, lambda: self._table.processes, rng, log
         )
@@ -163,21 +173,12 @@
             and self._intake.desired is not None
             and self._store.age_s < READY_STORE_AGE_S
             and self._mirror.age_s < READY_MIRROR_AGE_S
+            and self._config_mirror.age_s < READY_MIRROR_AGE_S
             and self._store_lost_s() < READY_STORE_LOST_S
         )
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        config = ConfigListener(
-            self._platform.config_key,
-            self._platform.decode_config,
-            self._configure,
-            self._log,
-            self._faults,
-        )
-        config_mirror = self._create_mirror(
-            self._platform.config_prefix, config, CONFIG_READ_INTERVAL_S
-        )
         server = self._server
         server.on_error = self._on_call_error
         server.handle(AskRequest, self._handle_ask)
@@ -194,10 +195,10 @@
             stack.push_async_callback(self._store.close)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._mirror.run())
-                group.create_task(config_mirror.run())
+                group.create_task(self._config_mirror.run())
                 group.create_task(self._session.run())
                 await self._mirror.wait_synced()
-                await config_mirror.wait_synced()
+                await self._config_mirror.wait_synced()
                 self._lead_task = group.create_task(self._lead())
 
     async def stop(self) -> None:
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -200,6 +200,25 @@
     assert run_virtual(main) == (True, [], [])
 
 
+def test_a_process_whose_watch_of_the_configuration_is_stuck_is_not_ready():
+    """Guards against callers who are answered by an old configuration for long."""
+
+    async def main():
+        world, _ = await leading_world([])
+        before = [world.nodes[name].ready for name in world.names]
+        released = hold_watches(world.stores["n0"], "op/")
+        await asyncio.sleep(6.0)
+        held = [world.nodes[name].ready for name in world.names]
+        released.set()
+        await asyncio.sleep(3.0)
+        after = [world.nodes[name].ready for name in world.names]
+        await world.end()
+        return before, held, after
+
+    everyone = [True, True, True]
+    assert run_virtual(main) == (everyone, [False, True, True], everyone)
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
