--- a/tests/own_exploration.py
+++ b/tests/own_exploration.py
@@ -1,6 +1,6 @@
 """Runs all orders of a few messages about one job on the own interface.
 
-Real owners, routers, schedulers and logs of two processes run in virtual time against
+Real owners, routers, schedulers and logs of three processes run in virtual time against
 fakes of the store, the worker and the network. Each order starts from scratch.
 """
 
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from flamingoway import predecessor
+from flamingoway import predecessor, snapshotter
 from flamingoway.context import Context
 from flamingoway.core import retention
 from flamingoway.core.effects import Reply
@@ -41,7 +41,7 @@
 from flamingoway.settings import parse_settings
 from flamingoway.status import Code
 from flamingoway.store import Put
-from flamingoway.store.keys import Keys
+from flamingoway.store.keys import Keys, prefix_end
 from flamingoway.vmlist import Vm
 from flamingoway.worker import (
     LinkDown,
@@ -254,15 +254,14 @@
         last = world.owners.get("s")
         former = []
         if last is not None:
-            former.append(
-                FormerOwner(
-                    last.epoch,
-                    last.process_id,
-                    last.process_id,
-                    last.peer_address,
-                    world.wall,
-                )
+            replaced = FormerOwner(
+                last.epoch,
+                last.process_id,
+                last.process_id,
+                last.peer_address,
+                world.wall,
             )
+            former = [replaced, *last.former]
         epoch = last.epoch + 1 if last else 1
         owner = OwnerInfo("s", epoch, process_id, process_id, process_id, former)
         result = await self.store.txn(
@@ -309,7 +308,7 @@
 
 
 class World:
-    """Two processes, a process without a shard, one worker and one caller.
+    """Three processes, the first of which owns the shard, one worker and one caller.
 
     Args:
         document: Document in effect, with the kind ``k`` and the member ``m``.
@@ -340,6 +339,9 @@
         self._requests: list[asyncio.Task] = []
         self._deliveries: set[asyncio.Task] = set()
         self._delivered = 0
+        self._records: list = []
+        log = Keys("test").log("s")
+        self.engine.watch(log.encode(), prefix_end(log).encode(), 0, self._note_groups)
 
     async def call(self, address, request, timeout_s, reply):
         """Deliver a request to a process; replaces ``PeerClient.call``."""
@@ -364,6 +366,12 @@
             return await process.service.depose(request)
         return await process.handle(request)
 
+    @property
+    def has_snapshot(self) -> bool:
+        """Whether a snapshot has replaced a part of the log."""
+        head = Keys("test").snapshot_head("s").encode()
+        return bool(self.engine.range(kv.RangeOp(head)).entries)
+
     def number(self, request: SubmitJob) -> SubmitJob:
         """Return a submission with a trace id that no other delivery has."""
         self._delivered += 1
@@ -440,6 +448,9 @@
     async def take_over(self) -> None:
         await self.processes["p2"].acquire()
 
+    async def take_over_again(self) -> None:
+        await self.processes["p3"].acquire()
+
     async def expire(self) -> None:
         """Let the time pass for which a cancellation is kept."""
         await self._pass_time(RETENTION_S)
@@ -521,18 +532,19 @@
     def _is_cancelled(self) -> bool:
         """Whether a cancellation was acknowledged that covers the job as it is now."""
         cancelled_at = self.answers.cancelled_at
-        accepted = [r for r in self._records() if isinstance(r, JobAccepted)]
+        accepted = [r for r in self._records if isinstance(r, JobAccepted)]
         if cancelled_at is None or not accepted:
             return cancelled_at is not None
         return accepted[-1].at < cancelled_at + RETENTION_S
 
-    def _records(self) -> list:
-        prefix = Keys("test").log("s").encode()
-        entries = self.engine.range(kv.RangeOp(prefix, prefix + b"\xff")).entries
-        return [r for entry in entries for r in decode_group(entry.value).records]
+    def _note_groups(self, changes: kv.Changes) -> None:
+        """Note the groups that are appended, before a snapshot replaces them."""
+        for change in changes.changes:
+            if change.entry is not None:
+                self._records.extend(decode_group(change.entry.value).records)
 
     def _check(self) -> None:
-        answers, records = self.answers, self._records()
+        answers, records = self.answers, self._records
         accepted = [
             record
             for record in records
@@ -585,11 +597,13 @@
 
     Attributes:
         orders: Number of orders played.
+        snapshots: Number of orders in which a snapshot replaced the log.
         broken: Orders that broke a rule, with the rule.
         codes: How often each code was answered, by kind of request.
     """
 
     orders: int = 0
+    snapshots: int = 0
     broken: list[tuple[tuple[str, ...], str]] = field(default_factory=list)
     codes: Counter = field(default_factory=Counter)
 
@@ -601,6 +615,7 @@
     gap_s: float,
     max_broken: int = 10,
     is_mixed: bool = False,
+    has_snapshots: bool = False,
 ) -> Exploration:
     """Play all orders of events; stop after ``max_broken`` that break a rule.
 
@@ -611,13 +626,18 @@
         gap_s: Virtual time between two events, in seconds.
         max_broken: Number of broken orders after which to stop.
         is_mixed: See ``World``.
+        has_snapshots: Whether owners replace the log by a snapshot at each chance.
     """
     result = Exploration()
 
     async def refuses_connections(_address):
         return False
 
-    with mock.patch.object(predecessor, "refuses_connections", refuses_connections):
+    groups = 1 if has_snapshots else snapshotter.SNAPSHOT_GROUPS
+    with (
+        mock.patch.object(predecessor, "refuses_connections", refuses_connections),
+        mock.patch.object(snapshotter, "SNAPSHOT_GROUPS", groups),
+    ):
         for order in linear_orders(events, after):
             world = World(document, gap_s, is_mixed)
             try:
@@ -625,6 +645,7 @@
             except Violation as exc:
                 result.broken.append((order, str(exc)))
             result.orders += 1
+            result.snapshots += world.has_snapshot
             for code in world.answers.submissions.values():
                 result.codes["submit", code.name] += 1
             for code in world.answers.cancellations:
--- a/tests/test_own_exploration.py
+++ b/tests/test_own_exploration.py
@@ -76,6 +76,16 @@
         "take_over",
         "expire",
     ),
+    "two takeovers": (
+        "submit",
+        "arrive",
+        "retry",
+        "cancel",
+        "cut",
+        "write_late",
+        "take_over",
+        "take_over_again",
+    ),
     "cancellation of a forgotten job, in steps": (
         "submit",
         "arrive",
@@ -96,6 +106,7 @@
     "read_at_first": ("submit",),
     "half_expire_again": ("half_expire",),
     "write_late": ("cut",),
+    "take_over_again": ("take_over",),
 }
 # Within one round trip to the store, and longer than one.
 GAPS_S = (0.005, 0.3)
@@ -110,10 +121,8 @@
     logging.set_verbosity(level)
 
 
-def run(events, gap_s, max_broken=10, is_mixed=False):
-    return run_virtual(
-        lambda: explore(events, AFTER, ACTIVE, gap_s, max_broken, is_mixed)
-    )
+def run(events, gap_s, **options):
+    return run_virtual(lambda: explore(events, AFTER, ACTIVE, gap_s, **options))
 
 
 @pytest.mark.parametrize("gap_s", GAPS_S)
@@ -138,6 +147,13 @@
     assert seen >= {("cancel", "WRITE_UNRESOLVED"), ("cancel", "NOT_FOUND")}
 
 
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_no_order_breaks_a_rule_while_snapshots_replace_the_log(scenario):
+    result = run(SCENARIOS[scenario], GAPS_S[0], has_snapshots=True)
+    assert result.broken == []
+    assert result.snapshots > 0
+
+
 def keep_no_cancellation(monkeypatch):
     """Undo the refusal of a submission that arrives after its cancellation."""
 
