Answer a check that may have run as unknown, whatever its retry met

What callers saw: an idempotent check whose first attempt had no answer was sent to another target, which refused it, or the deadline passed before that. The caller was told 'not run' (TARGET_REFUSED, DEADLINE_PASSED), although the first target may have run it. With an idempotency key, the key was released, so that the check could run again.

Cause: the error of the last attempt was taken for that of the check. That no earlier attempt is open was true only for the first one.

Change: the last error of an attempt that may have run is kept, and raised if the check ends without an answer.

--- a/flamingoway/checkrunner.py
+++ b/flamingoway/checkrunner.py
@@ -211,22 +211,31 @@
         """Send a check and retry it on other targets.
 
         Only an idempotent check is sent again if it may already have run.
+
+        Raises:
+            Refused: No attempt ran the check.
+            OutcomeUnknown: An attempt may have run it.
         """
         self._retries.note_attempt()
         request_id = uuid.UUID(int=self._context.rng.getrandbits(128)).hex
         tried: list[str] = []
+        unresolved: FlamingowayError | None = None
         while True:
             if call.deadline <= self._clock():
                 self.targets.release(target)
-                raise Refused("the deadline passed", Code.DEADLINE_PASSED)
+                refused = Refused("the deadline passed", Code.DEADLINE_PASSED)
+                raise unresolved or refused
             try:
                 return await self._send(call, target, request_id)
             except FlamingowayError as exc:
+                if exc.code.ran != "no":
+                    unresolved = exc
                 tried.append(target.load.target_id)
                 target = self._next_target(call, exc, tried)
                 if target is None:
-                    exc.details.setdefault("retry_after", REFUSED_RETRY_AFTER_S)
-                    raise
+                    error = unresolved or exc
+                    error.details.setdefault("retry_after", REFUSED_RETRY_AFTER_S)
+                    raise error from None
 
     async def _send(self, call: CheckCall, target: Target, request_id: str) -> Answer:
         name = target.load.target_id
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,6 +10,7 @@
 
 from flamingoway.core.ejection import BASE_EJECTION_S, LEAVING_TIMEOUT_S, Ejection
 from flamingoway.core.routing import TargetLoad, slot_share, target_pickers
+from flamingoway.errors import OutcomeUnknown, Refused
 from flamingoway.status import Code
 from standins.target import Target
 
@@ -176,6 +177,32 @@
     assert (code, ran, ids) == (Code.OUTCOME_UNKNOWN, runs, 1)
 
 
+@pytest.mark.parametrize("second", [Code.TARGET_REFUSED, Code.DEADLINE_PASSED])
+def test_a_check_that_may_have_run_is_not_answered_with_the_refusal_of_its_retry(
+    monkeypatch, second
+):
+    """Guards against "not run" for an idempotent check whose first attempt may have."""
+
+    async def scenario(ingress, targets):
+        runner = ingress._checks._runners["kerbihan-trial"]
+        clock = runner._clock
+        errors = [OutcomeUnknown("no answer"), Refused("leaving", second)]
+
+        async def send(target, request):
+            runner.targets.release(target)
+            if second == Code.DEADLINE_PASSED:
+                runner._clock = lambda: clock() + 60
+            raise errors.pop(0)
+
+        monkeypatch.setattr(runner.targets, "send", send)
+        answer = await call(ingress.port, check_request())
+        return json.loads(answer[2])["code"], len(errors)
+
+    document = make_document(idempotent=True)
+    code, left = run_with_targets(scenario, 2, document)
+    assert (code, left) == (Code.OUTCOME_UNKNOWN, second == Code.DEADLINE_PASSED)
+
+
 def test_time_outs_by_short_deadlines_eject_no_target():
     """Guards against ejections that stop the checks of other callers."""
 
