Answer a cancellation that a part of the shards keeps as unresolved

What callers saw: a cancellation was refused ('not cancelled'), and a repetition of the submission was then refused with CANCELLED_BEFORE.

Cause: an environment with several shards asks one after the other. The first one kept the cancelled id; the owner of the next one could not be reached, and its refusal was taken for that of the whole request.

Evidence: with the change of the package reverted, test_a_cancellation_that_a_part_of_the_shards_keeps_is_not_refused fails: 'shard t currently has no owner'.

Change: after a shard has kept the id, a refusal by another one is answered with WRITE_UNRESOLVED. If the first shard refuses, nothing has changed, and so does the answer.

test_a_job_is_found_in_a_shard_that_its_id_no_longer_maps_to asserted the refusal of the cancellation in that state. The new test asserts the new answer, and the refusal if it is the first shard that cannot be reached.

Measured: test_jobs, test_cancellation and test_own_exploration pass, 79 tests.

--- a/flamingoway/jobs.py
+++ b/flamingoway/jobs.py
@@ -166,7 +166,7 @@
                 submission that arrives later is refused.
             Refused: If the job was not cancelled.
         """
-        not_kept = []
+        kept, not_kept = [], []
 
         async def cancel_in(shard: str) -> SubmitReply:
             try:
@@ -174,8 +174,11 @@
             except OutcomeUnknown as exc:
                 return SubmitReply(int(Code.WRITE_UNRESOLVED), job_id, exc.message)
             except FlamingowayError as exc:
-                if not exc.details.get("kept"):
-                    not_kept.append(shard)
+                if exc.code == Code.NOT_FOUND:
+                    (kept if exc.details.get("kept") else not_kept).append(shard)
+                elif kept:
+                    # The id is cancelled in a part of the shards.
+                    return SubmitReply(int(Code.WRITE_UNRESOLVED), job_id, exc.message)
                 raise
 
         try:
