Share the reads of the epoch of requests for unknown jobs

What would be seen: since a job is answered as unknown only after a read of the epoch, a flood of requests for unknown jobs would reach the store one by one.

Change: requests that wait at the same time share one read. It begins after all of them, so that none is answered from a read before its arrival; there are two reads now.

--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -101,6 +101,9 @@
         self._snapshotter: Snapshotter | None = None
         self._fleet: Fleet | None = None
         self._controller: ShardController | None = None
+        self._confirmation_lock = asyncio.Lock()
+        self._confirmations_begun = 0
+        self._last_confirmation = 0
         self._stop_requested = asyncio.Event()
         self._ended = asyncio.Event()
         self._relinquished = False
@@ -218,13 +221,20 @@
     async def confirm_ownership(self) -> None:
         """Check that no other process has taken the shard; give it up otherwise.
 
+        Calls that wait at the same time share one read of the store, which begins after
+        all of them.
+
         Raises:
             Refused: If the shard has another owner, or if the store does not confirm
                 within ``WRITE_DEADLINE_S`` that it has none.
         """
+        begun_before = self._confirmations_begun
         try:
-            async with asyncio.timeout(WRITE_DEADLINE_S):
-                await self._guard.confirm()
+            async with asyncio.timeout(WRITE_DEADLINE_S), self._confirmation_lock:
+                if self._last_confirmation <= begun_before:
+                    self._confirmations_begun += 1
+                    await self._guard.confirm()
+                    self._last_confirmation = self._confirmations_begun
         except Fenced:
             await self.depose()
         except (StoreUnavailable, StoreOutcomeUnknown, TimeoutError):
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -249,6 +249,32 @@
     run(scenario())
 
 
+def test_requests_for_unknown_jobs_share_a_read_of_the_store():
+    """Guards against a flood of such requests that reaches the store."""
+
+    async def scenario():
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own()).ready()
+        read, reads = process.store.get, []
+
+        async def get(key):
+            reads.append(key)
+            await asyncio.sleep(0.01)
+            return await read(key)
+
+        process.store.get = get
+        requests = [GetJob("s", "e", "m", f"j{n}") for n in range(100)]
+        calls = [process.service.handle(request) for request in requests]
+        first = asyncio.create_task(process.service.handle(requests[0]))
+        await until(lambda: reads)
+        answers = await asyncio.gather(first, *calls, return_exceptions=True)
+        assert {answer.code for answer in answers} == {Code.NOT_FOUND}
+        assert len(reads) == 2
+        await process.end()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "request_", [GetJob("s", "e", "m", "j"), ExplainJob("s", "e", "j")]
 )
