Explore commands that reach the worker late

A further scenario of the exploration holds the commands of the first owner to the worker back and releases them at any point: starts and stops arrive after a cancellation, or after a takeover.

--- a/tests/own_exploration.py
+++ b/tests/own_exploration.py
@@ -148,10 +148,17 @@
         self._process.world.note_starts(command.starts)
         self._seq += 1
         message = to_command(command, self._shard, self._epoch, self._seq)
+        if self._process.held_commands is None:
+            self._execute(self._stream, message)
+        else:
+            execute = functools.partial(self._execute, self._stream, message)
+            self._process.held_commands.append(execute)
+        return self._seq
+
+    def _execute(self, stream, message):
         with contextlib.suppress(StaleEpoch):
-            self._worker.on_command(self._stream, message)
+            self._worker.on_command(stream, message)
         asyncio.get_running_loop().call_soon(self.poll)
-        return self._seq
 
     async def run(self):
         try:
@@ -195,6 +202,7 @@
     def __init__(self, world, process_id: str):
         self.world = world
         self.cut = False
+        self.held_commands: list | None = None
         self._is_earlier_build = False
         self.links = []
         self.store = ExploredStore(world.engine)
@@ -445,6 +453,16 @@
         self.processes["p1"].store.heal_late()
         self.processes["p1"].cut = False
 
+    async def hold_commands(self) -> None:
+        """Let the commands of the first owner to the worker arrive later."""
+        self.processes["p1"].held_commands = []
+
+    async def release_commands(self) -> None:
+        process = self.processes["p1"]
+        held, process.held_commands = process.held_commands, None
+        for execute in held or ():
+            execute()
+
     async def take_over(self) -> None:
         await self.processes["p2"].acquire()
 
@@ -522,6 +540,7 @@
     async def _settle(self) -> None:
         await self.write_late()
         await self.arrive()
+        await self.release_commands()
         for _ in range(int(SETTLE_S / POLL_INTERVAL_S)):
             self._poll(always=True)
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/tests/test_own_exploration.py
+++ b/tests/test_own_exploration.py
@@ -47,6 +47,15 @@
         "write_late",
         "take_over",
     ),
+    "late commands": (
+        "submit",
+        "arrive",
+        "retry",
+        "cancel",
+        "hold_commands",
+        "release_commands",
+        "take_over",
+    ),
     "repeated cancellation that expires": (
         "submit",
         "arrive",
@@ -106,6 +115,7 @@
     "read_at_first": ("submit",),
     "half_expire_again": ("half_expire",),
     "write_late": ("cut",),
+    "release_commands": ("hold_commands",),
     "take_over_again": ("take_over",),
 }
 # Within one round trip to the store, and longer than one.
