Do not run a check's key that a process which has left may have run

What callers saw: a check with an idempotency key ran twice in a cell of two processes. The key's owner was paused beyond its session, the other process took the key over, ran it and left; then the first one, alone now, ran it again.

Cause: without another live process there is nobody to ask, which was taken for 'nobody has run it'. The same answer was given for a next owner that had left since it was determined.

Evidence: with the change of the package reverted, test_a_key_that_the_only_other_process_may_have_run_is_ambiguous fails: answers 1000, 1000 and 1000, where the second must be KEY_AMBIGUOUS.

Change: a process that may have been replaced unseen and finds no other one looks up until when it saw one. A key that may have been issued before that has an unknown outcome. A next owner that is not live any more leaves the outcome unknown, too. A process that never saw another one runs its keys as before (test_a_process_that_never_saw_another_one...).

Measured: test_keyed, test_idempotency, test_routing, test_ingress and test_store_faults pass, 143 tests.

--- a/flamingoway/core/idempotency.py
+++ b/flamingoway/core/idempotency.py
@@ -141,6 +141,22 @@
             until = time
         return None
 
+    def others_live_until(self, wall: float) -> float | None:
+        """Return until when another process was live.
+
+        Args:
+            wall: Now, in seconds since the epoch.
+
+        Returns:
+            Seconds since the epoch; ``None`` if no other process was seen.
+        """
+        until = wall
+        for time, processes in reversed(self._observed):
+            if processes - {self._process_id}:
+                return until
+            until = time
+        return None
+
     def previous_owner(self, key: str) -> str | None:
         """Return the owner before this process, as far as it knows.
 
--- a/flamingoway/keyed.py
+++ b/flamingoway/keyed.py
@@ -262,9 +262,24 @@
                 return reply
         if not self._may_be_replaced(key):
             return None
-        return await self._query_and_fence(
-            history.next_owner(key.text), request, key, False
-        )
+        self.observe()
+        next_owner = history.next_owner(key.text)
+        if next_owner is None:
+            self._check_others_left(history, key)
+            return None
+        return await self._query_and_fence(next_owner, request, key, False)
+
+    def _check_others_left(self, history: OwnerHistory, key: Key) -> None:
+        """Check that no process that has left can have run a key.
+
+        Raises:
+            OutcomeUnknown: ``KEY_AMBIGUOUS`` if one can.
+        """
+        until = history.others_live_until(self._context.wall_clock())
+        if until is not None and key.stamp < until + OWNERSHIP_MARGIN_S:
+            raise OutcomeUnknown(
+                "a process that has left may have run the key", Code.KEY_AMBIGUOUS
+            )
 
     def _may_be_replaced(self, key: Key) -> bool:
         """Tell whether another process may own the key, or may have owned it.
@@ -286,7 +301,7 @@
         """Ask a process for the outcome of a key and fence the key there.
 
         Args:
-            process: Id of the process; ``None`` if there is none.
+            process: Id of the process; ``None`` if none is known.
             request: The check.
             key: The key of the check.
             is_previous: Whether the process owned the key before this one. The
@@ -300,11 +315,9 @@
             OutcomeUnknown: ``KEY_AMBIGUOUS`` if the process may have run the check.
         """
         info = self._membership.processes.get(process or "")
-        if info is None and not is_previous:
-            return None
         if info is None:
             raise OutcomeUnknown(
-                "the previous owner of the key is not live", Code.KEY_AMBIGUOUS
+                "another owner of the key is not live", Code.KEY_AMBIGUOUS
             )
         fence_request = FenceKey(
             request.environment,
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -183,6 +183,16 @@
     assert history.others_until(key, "p2", NOW_S + 20) is None
 
 
+def test_a_process_knows_until_when_another_one_was_live():
+    history = OwnerHistory("p1")
+    history.observe({"p1"}, NOW_S)
+    assert history.others_live_until(NOW_S + 5) is None
+    history.observe({"p1", "p2"}, NOW_S + 10)
+    assert history.others_live_until(NOW_S + 15) == NOW_S + 15
+    history.observe({"p1"}, NOW_S + 20)
+    assert history.others_live_until(NOW_S + 25) == NOW_S + 20
+
+
 def test_a_new_process_knows_the_previous_owner_of_its_keys():
     history = OwnerHistory("p1")
     key = key_owned_by("p1", {"p1", "p2", "p3"}, "p3")
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -319,6 +319,39 @@
     assert len(ran) == 2
 
 
+def test_a_key_that_the_only_other_process_may_have_run_is_ambiguous():
+    """Guards against a second run after a pause in which the other one ran and left."""
+
+    async def scenario(processes, clock, target):
+        paused, other = processes.values()
+        paused.checks.refresh()
+        other.set_view(["p2"])
+        other.checks.refresh()
+        clock.now += OWNERSHIP_MARGIN_S + 1
+        key = key_of("p1", BOTH, clock.now)
+        replies = [await other.check(key)]
+        lose_session(paused)
+        paused.set_view(["p1"])
+        replies.append(await paused.check(key))
+        clock.now += 2 * OWNERSHIP_MARGIN_S
+        replies.append(await paused.check(make_key(clock.now)))
+        return replies, target.ran
+
+    replies, ran = run(scenario)
+    assert codes(replies) == [Code.OK, Code.KEY_AMBIGUOUS, Code.OK]
+    assert len(ran) == 2
+
+
+@pytest.mark.parametrize("fault", [lose_session, lose_store])
+def test_a_process_that_never_saw_another_one_runs_its_keys(fault):
+    async def scenario(processes, clock, target):
+        fault(processes["p1"])
+        return await processes["p1"].check(make_key(clock.now)), target.ran
+
+    reply, ran = run(scenario, names=["p1"])
+    assert (reply.code, len(ran)) == (Code.OK, 1)
+
+
 @pytest.mark.parametrize(
     ("view", "owner", "code"),
     [("p1", "p3", Code.OWNER_UNAVAILABLE), ("p2", "p3", Code.OWNER_CHANGED)],
