Cancel a job that is announced after its cancellation was stored here

What callers would see: a cancellation is answered 200 by the leader, which then starts tasks of the job and stops them a moment later. Cause: the process that stores a cancellation applied it to its table only if it knew the job. If it leads and the job's announcement arrives after the cancellation and before its mirror has shown it, the job was added without it. Evidence: found by the exploration of message orders (tests/exploration.py). The new test fails without the change: the job is added as not cancelled.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -453,8 +453,8 @@
         else:
             await self._store_cancel(job_id, job is None, timeout_s)
         self._log.write("job cancelled", job=job_id)
-        job = self._table.find(job_id)
-        if job is not None and not job.cancelled:
+        job = self._table.jobs.get(job_id)
+        if job is None or not job.cancelled:
             self._note_cancelled(job_id)
         return "stored"
 
@@ -463,8 +463,7 @@
 
         Args:
             job_id: The job.
-            revision: Revision of the write; 0 if it is not known, which is allowed only
-                if the job is accepted.
+            revision: Revision of the write; 0 if another process wrote it.
         """
         put = _cancel_put(job_id)
         item = KeyValue(put.key, put.value, revision, revision)
@@ -488,9 +487,10 @@
                 raise BadRequest(
                     "no such job", Code.NOT_FOUND, cancel_revision=result.revision
                 )
+        # Also if the job is not known here yet: if this process leads, the job may be
+        # announced to it before its mirror shows the cancellation.
         result = await self._write_cancel(job_id, [], retry_for_s)
-        if self._table.find(job_id) is not None:
-            self._note_cancelled(job_id, result.revision)
+        self._note_cancelled(job_id, result.revision)
 
     async def _write_cancel(
         self, job_id: str, compares: list[Compare], retry_for_s: float
--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -76,6 +76,24 @@
     run_with_cell(body)
 
 
+def test_a_job_announced_after_its_stored_cancellation_is_cancelled():
+    """Guards against a start before the leader's mirror shows its own write."""
+
+    async def body(cell):
+        value = records.encode(records.JobRecord(JOB, 0.0))
+        key = records.JOB_PREFIX + JOB.job_id
+        # Stored by another process; the mirror of this one does not show it yet.
+        result = await MemoryStore(cell.engine).txn([], [Put(key, value)])
+        await cell.intake.cancel(JOB.job_id, 3.0)
+        added = []
+        cell.table.on_job = lambda job: added.append(job.cancelled)
+        item = KeyValue(key, value, result.revision, result.revision)
+        cell.table.apply_changes([WatchEvent(key, item)])
+        assert added == [True]
+
+    run_with_cell(body)
+
+
 def test_an_order_is_not_sent_after_a_pause_while_its_connection_is_opened(
     monkeypatch,
 ):
