Send a start only while the epoch was confirmed within the session's TTL

What callers saw: a task started after its cancellation had been acknowledged. An owner had committed the start while its worker was not connected, and held it. It was then paused, or cut off from store and peers; another process took over and acknowledged the cancellation. When the worker connected to the former owner first, that one sent the start.

Cause: 'this shard is mine' was true at the commit and was taken for true at the sending. The guard in between was the lease horizon, which is meant for running work and lasts 70 minutes.

Evidence: before the change, test_a_former_owner_sends_no_start_that_it_has_held_since_before_its_successor and test_a_held_start_is_sent_once_the_epoch_is_confirmed fail with a start at w1.

Change: a start is sent only if a commit or a read has confirmed the epoch within the TTL of the session, counted from the sending of that call. Another process takes over at the earliest when a session was not renewed for that time. A start that follows its commit is sent at once as before; a held one waits for the next confirmation, at most 10 s while the store answers. Renewals of leases keep the horizon. A commit that is found in the log by a later attempt confirms nothing, as the epoch may have changed since.

--- a/flamingoway/commit.py
+++ b/flamingoway/commit.py
@@ -86,6 +86,8 @@
         position: End of the log; updated with each committed group.
         on_committed: Receives the effects of committed groups in the order in which
             they were added.
+        on_confirmed: Receives the clock time at which a write was sent that confirmed
+            the epoch.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         store: Store,
         position: LogPosition,
         on_committed: Callable[[list[Effect]], None],
+        on_confirmed: Callable[[float], None] = lambda sent_at: None,
     ):
         settings = context.settings
         self._context = context
@@ -101,6 +104,7 @@
         self._keys = Keys(settings.cell)
         self._position = position
         self._on_committed = on_committed
+        self._on_confirmed = on_confirmed
         self._interval_s = len(settings.shards) / settings.limits.writes_per_second
         self._pending: deque[PendingPart] = deque()
         self._in_flight: list[PendingPart] = []
@@ -233,6 +237,7 @@
         while True:
             earlier_unresolved = self._maybe_applied
             self._maybe_applied = True
+            sent_at = self._context.clock()
             try:
                 result = await self._send(data)
             except StoreUnavailable as exc:
@@ -241,7 +246,9 @@
             except StoreOutcomeUnknown as exc:
                 self._log_failure(exc)
             else:
-                if not result.succeeded:
+                if result.succeeded:
+                    self._on_confirmed(sent_at)
+                else:
                     self._resolve(result, write_id, earlier_unresolved)
                 return
             await asyncio.sleep(backoff_s * self._context.rng.uniform(0.5, 1.5))
--- a/flamingoway/epochguard.py
+++ b/flamingoway/epochguard.py
@@ -1,6 +1,7 @@
 """Checks that an owner still has the current epoch of its shard."""
 
 import asyncio
+from collections.abc import Callable
 
 from .context import Context
 from .errors import Fenced, StoreOutcomeUnknown, StoreUnavailable
@@ -22,6 +23,9 @@
         store: Holds the epoch.
         membership: Reports other owners.
         acquired: Result of the acquisition.
+
+    Attributes:
+        on_confirmed: Called after each confirmation of the epoch.
     """
 
     def __init__(
@@ -37,14 +41,31 @@
         self._acquired = acquired
         self._key = Keys(context.settings.cell).epoch(acquired.owner.shard)
         self._confirmed_at = context.clock()
+        self.on_confirmed: Callable[[], None] = lambda: None
 
     def may_grant_leases(self) -> bool:
-        """Tell whether starts and renewals of leases may be sent."""
+        """Tell whether leases may be granted or renewed."""
         # Counts from the last read that confirmed the epoch. A renewed session is not
         # enough: it may be a new one, begun after another process took over.
         age_s = self._context.clock() - self._confirmed_at
         return age_s < self._context.settings.limits.lease_horizon_s
 
+    def may_start(self) -> bool:
+        """Tell whether starts may be sent."""
+        # A start may have waited for its worker since its commit. Another process takes
+        # over at the earliest when a session has not been renewed for its TTL.
+        age_s = self._context.clock() - self._confirmed_at
+        return age_s < self._context.settings.store.session_ttl_s
+
+    def note_confirmed(self, sent_at: float) -> None:
+        """Note a write that the store applied on the condition of the epoch.
+
+        Args:
+            sent_at: Clock time at which the write was sent, in seconds.
+        """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self.on_confirmed()
+
     async def confirm(self) -> None:
         """Check once that the epoch in the store is this owner's.
 
@@ -56,7 +77,7 @@
         entry = await self._store.get(self._key)
         if entry is None or entry.mod_revision != self._acquired.epoch_revision:
             raise self._fenced_error()
-        self._confirmed_at = requested_at
+        self.note_confirmed(requested_at)
 
     async def run(self) -> None:
         """Confirm the epoch at intervals, also while nothing is committed.
--- a/flamingoway/fleet.py
+++ b/flamingoway/fleet.py
@@ -74,8 +74,9 @@
         epoch: The owner's epoch.
         events: Queue that the links write to.
         make_link: Class of the links, from the registry.
-        may_grant_leases: Tells whether this owner may still send starts and renew
-            task leases.
+        may_grant_leases: Tells whether this owner may still grant and renew task
+            leases.
+        may_start: Tells whether this owner may send starts.
         taken_over_at: Monotonic time of the takeover, in seconds.
     """
 
@@ -87,6 +88,7 @@
         events: asyncio.Queue[LinkEvent],
         make_link: Callable[..., WorkerLink],
         may_grant_leases: Callable[[], bool],
+        may_start: Callable[[], bool],
         taken_over_at: float,
     ):
         self._context = context
@@ -95,6 +97,7 @@
         self._events = events
         self._make_link = make_link
         self._may_grant_leases = may_grant_leases
+        self._may_start = may_start
         self._taken_over_at = taken_over_at
         limits = context.settings.limits
         self._terms = LeaseTerms(
@@ -103,6 +106,8 @@
         self._sessions: dict[str, WorkerSession] = {}
         self._stream_numbers = itertools.count(1)
         self._closed = False
+        # Ids of workers whose starts wait for a confirmation of the epoch.
+        self._withheld: set[str] = set()
 
     @property
     def shard(self) -> str:
@@ -211,6 +216,12 @@
         for session in receivers.values():
             self._flush(session, [])
 
+    def send_withheld(self) -> None:
+        """Send the starts that waited for a confirmation of the epoch."""
+        withheld, self._withheld = self._withheld, set()
+        for worker_id in withheld:
+            self.renew(worker_id, [])
+
     def renew(self, worker_id: str, attempts: list[Attempt]) -> None:
         """Renew leases and send pending commands; acknowledge the last report."""
         session = self._sessions.get(worker_id)
@@ -257,10 +268,13 @@
         if self._closed or session.link is None or not session.stream:
             return
         can_lease = self._can_lease(session)
+        can_start = can_lease and self._may_start()
+        if session.starts and can_lease and not can_start:
+            self._withheld.add(session.worker_id)
         command = WorkerCommand(
             session.report_seq,
             self._terms.lease_s,
-            starts=list(session.starts.values()) if can_lease else [],
+            starts=list(session.starts.values()) if can_start else [],
             stops=list(session.stops.values()),
             acks=list(session.acks.values()),
             renewals=renewals if can_lease else [],
--- a/flamingoway/owner.py
+++ b/flamingoway/owner.py
@@ -334,13 +334,17 @@
             self._events,
             self._make_link,
             self._guard.may_grant_leases,
+            self._guard.may_start,
             self._taken_over_at,
         )
+        self._guard.on_confirmed = self._fleet.send_withheld
         self._controller = ShardController(
             context,
             scheduler,
             self._fleet,
-            lambda done: GroupCommitter(context, self._store, self._position, done),
+            lambda done: GroupCommitter(
+                context, self._store, self._position, done, self._guard.note_confirmed
+            ),
             lambda: self._former_owners.deposed_at,
             lambda: self._membership.store_up,
         )
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -32,6 +32,7 @@
 from tests.test_jobs import run as run_remote
 
 LEASE_S = 15.0
+SESSION_TTL_S = 4.0
 # With 10 % for clock drift.
 LEASE_EXPIRY_S = 16.5
 
@@ -627,6 +628,64 @@
     run(scenario())
 
 
+def test_a_former_owner_sends_no_start_that_it_has_held_since_before_its_successor(
+    monkeypatch,
+):
+    """Guards against a start after a cancellation at the new owner."""
+
+    async def scenario():
+        monkeypatch.setattr(epochguard, "CONFIRM_INTERVAL_S", 0.01)
+        cell = Cell(documents={"e": ACTIVE})
+        old = await (await cell.own("p1")).ready()
+        old.store.pause()
+        submitting = asyncio.create_task(submit(old))
+        await until(lambda: not old.owner._controller.committer.idle)
+        cell.network.disconnected |= {("p1", "w1"), ("p2", "w1")}
+        await until(lambda: old.owner.status["workers"] == 0)
+        old.store.resume()
+        assert await submitting == Code.ACCEPTED
+        old.store.down = True
+        await let_tasks_run()
+        cell.clock.now += SESSION_TTL_S
+        new = await cell.own("p2")
+        await until(lambda: new.owner.ready)
+        assert await cancel(new) == Code.OK
+        cell.network.disconnected.remove(("p1", "w1"))
+        await until(lambda: old.owner.status["workers"] > 0)
+        await let_tasks_run()
+        assert cell.network.starts() == []
+        await new.end()
+        await old.end()
+
+    run(scenario())
+
+
+def test_a_held_start_is_sent_once_the_epoch_is_confirmed(monkeypatch):
+    async def scenario():
+        monkeypatch.setattr(epochguard, "CONFIRM_INTERVAL_S", 0.01)
+        cell = Cell(documents={"e": ACTIVE})
+        process = await (await cell.own("p1")).ready()
+        process.store.pause()
+        submitting = asyncio.create_task(submit(process))
+        await until(lambda: not process.owner._controller.committer.idle)
+        cell.network.disconnected.add(("p1", "w1"))
+        await until(lambda: process.owner.status["workers"] == 0)
+        process.store.resume()
+        assert await submitting == Code.ACCEPTED
+        process.store.down = True
+        await let_tasks_run()
+        cell.clock.now += SESSION_TTL_S
+        cell.network.disconnected.clear()
+        await until(lambda: process.owner.status["workers"] > 0)
+        await let_tasks_run()
+        assert cell.network.starts() == []
+        process.store.down = False
+        await until(cell.network.starts)
+        await process.end()
+
+    run(scenario())
+
+
 def test_the_epoch_is_read_also_by_an_idle_owner(monkeypatch):
     """Guards against leases that a former owner renews after a silent watch."""
 
