--- a/tests/test_queue_excerpts.py
+++ b/tests/test_queue_excerpts.py
@@ -195,6 +195,22 @@
     assert {value(line, "build") for line in (answer, sent)} == {NEW_BUILD}
 
 
+def test_an_answer_that_rests_on_the_copy_alone_says_so(tmp_path, monkeypatch):
+    """Guards against an acknowledgement that looks like a stored cancellation."""
+
+    async def body(world, leader, asked, other):
+        await world.submit(other, TWO_STEPS)
+        await asyncio.sleep(4.0)
+        assert await world.cancel(asked, JOB_ID)
+        return asked
+
+    play = Play(tmp_path, monkeypatch)
+    (answer,) = play.find(play.run(body), "cancellation answered")
+    assert value(answer, "acknowledged") is True
+    assert value(answer, "revision") is None
+    assert value(answer, "outcome") == "already completed"
+
+
 def test_an_order_that_was_decided_long_before_it_was_sent_shows_its_age(
     tmp_path, monkeypatch
 ):
