--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -219,6 +219,24 @@
     assert run_virtual(main) == (everyone, [False, True, True], everyone)
 
 
+def test_a_copy_from_before_an_outage_counts_only_until_the_store_answers():
+    """Guards against starts by an undisturbed process on what it read before."""
+
+    async def main():
+        world, term = await leading_world([])
+        term._store_age_s = lambda: 3.0
+        without = term.may_start
+        term._store._on_outage()
+        await asyncio.sleep(0.0001)
+        during = term.may_start
+        await asyncio.sleep(0.3)
+        after = term.may_start
+        await world.end()
+        return without, during, after
+
+    assert run_virtual(main) == (False, True, False)
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
