--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -58,8 +58,8 @@
 # the platform's store. A new leader waits this long plus a worker's lease before it
 # gives up the tasks of a worker that it cannot reach.
 MAX_STORE_AGE_S = 5.0
-# Nothing starts on the ground of a copy that is older than this, unless the store does
-# not answer. A copy that is well reaches 2.2 s while the store is slow: two watches.
+# Nothing starts on a copy that is older than this, unless the store does not answer. It
+# is shorter than the time in which a cancellation must be in force.
 MAX_START_AGE_S = 2.5
 # A worker holds a poll open for at most this long, until a run ends. Each poll also
 # renews the worker's lease.
