Test that a cancellation prevents a start in flight, and that no end is told early

Both pass on too: by the protocol, a stop that overtakes its start keeps the run from starting, and is sent without waiting for the start's answer; ends are told to other processes only once they are stored, so that a cancellation that finds one holds for each later leader. In a scratch copy without either, both fail.

--- a/tests/test_queue_unasked.py
+++ b/tests/test_queue_unasked.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from flamingoway.errors import BadRequest, OutcomeUnknown, Refused
+from flamingoway.errors import (
+    BadRequest,
+    OutcomeUnknown,
+    Refused,
+    StoreOutcomeUnknown,
+)
 from flamingoway.httpserver import HttpRequest
 from flamingoway.model import Resources
 from flamingoway.platform.ingress import JobIngress
@@ -208,6 +213,68 @@
     assert run_virtual(main) == []
 
 
+def test_a_start_that_waits_for_its_connection_is_prevented_by_a_cancellation():
+    """Guards against a stop that waits for the answer to the start."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        port, begun = world.ports[leader], asyncio.Event()
+        start = port.start
+
+        async def start_after_connecting(entry, order):
+            begun.set()
+            await asyncio.sleep(0.6)
+            return await start(entry, order)
+
+        port.start = start_after_connecting
+        assert await world.submit(leader, JOB)
+        async with asyncio.timeout(2.0):
+            await begun.wait()
+        assert await world.cancel(leader, JOB.job_id)
+        started = []
+        world.checker.on_start = lambda worker, run, order: started.append(run.task_id)
+        await asyncio.sleep(2.0)
+        await world.end()
+        return started
+
+    assert run_virtual(main) == []
+
+
+def test_an_end_that_is_not_stored_ends_no_job_for_other_processes():
+    """Guards against a cancellation that is answered on the ground of a lost end."""
+
+    async def main():
+        world = await begin()
+        leader = world.leader()
+        others = [name for name in world.names if name != leader]
+        world.duration = lambda task_id: 1.0
+        assert await world.submit(others[0], JOB)
+        await asyncio.sleep(0.5)
+        store = world.stores[leader]
+        write = store.txn
+
+        async def lose_progress(compares, operations, reads=None):
+            if any(o.key.startswith(records.PROGRESS_PREFIX) for o in operations):
+                raise StoreOutcomeUnknown("lost")
+            return await write(compares, operations, reads)
+
+        store.txn = lose_progress
+        await asyncio.sleep(0.9)
+        ended = world.nodes[leader]._term.cluster.jobs[JOB.job_id].state
+        shown = [world.nodes[n]._table.find(JOB.job_id).state for n in others]
+        acknowledged = await world.cancel(others[0], JOB.job_id)
+        stored = records.CANCEL_PREFIX + JOB.job_id
+        key_exists = stored.encode() in world.engine._keys
+        await world.end()
+        return ended, shown, acknowledged, key_exists
+
+    ended, shown, acknowledged, key_exists = run_virtual(main)
+    assert ended is StepJobState.COMPLETED
+    assert not any(state.final for state in shown)
+    assert (acknowledged, key_exists) == (True, True)
+
+
 class OldPeers:
     """Other processes, of which those named answer a cancellation after a read alone.
 
