Delete the record of a worker that was forgotten while it was being recorded

What callers would see: after a takeover, jobs accepted before it wait for up to the horizon and a lease because of a worker that left long ago. Cause: a forgotten worker's record is deleted if the worker was recorded when it was forgotten. If the write of the record was still in flight then, as in an outage, the record stays. Evidence: the new test holds the write for 3 s while the worker leaves. Before, it failed: the record was still there. Change: after the write, the record of a worker that is no longer known is deleted.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -957,6 +957,11 @@
             worker.recorded = True
             if record.tasks is None:
                 worker.recorded_tasks = None
+            worker_id = worker.entry.worker_id
+            if worker_id not in self._cluster.workers:
+                # It was forgotten during the write.
+                self._removed_workers.append(worker_id)
+                self._flush_needed.set()
         self._advance_acknowledged()
         if workers:
             self._plan_needed.set()
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -11,7 +11,7 @@
 from flamingoway.queues.ports import PollRefused
 from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
 from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost
-from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, World
+from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, FakeWorker, World
 from tests.virtual import run_virtual
 
 # Longest time for which a job may have nothing running beside idle workers.
@@ -237,6 +237,36 @@
     assert run_virtual(main) == (False, True, False)
 
 
+def test_a_worker_that_leaves_while_it_is_recorded_leaves_no_record():
+    """Guards against a takeover that waits for the runs of a worker that has left."""
+
+    async def main():
+        world, _ = await leading_world([])
+        leader = world.leader()
+        store, key = world.stores[leader], "fw/worker/w9"
+        write, held = store.txn, asyncio.Event()
+
+        async def hold_record(compares, operations, reads=None):
+            if any(o.key == key for o in operations) and not held.is_set():
+                held.set()
+                await asyncio.sleep(3.0)
+            return await write(compares, operations, reads)
+
+        store.txn = hold_record
+        worker = world.workers["w9"] = FakeWorker(world, "w9", "r9")
+        await world.register_worker(worker)
+        async with asyncio.timeout(2.0):
+            await held.wait()
+        worker.up = False
+        await world.unregister_worker(worker)
+        await asyncio.sleep(6.0)
+        known = "w9" in world.nodes[leader]._term.cluster.workers
+        await world.end()
+        return known, key.encode() in world.engine._keys
+
+    assert run_virtual(main) == (False, False)
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
