Send no waiting start to a worker that drains or has left

What callers would see: a wide gang's tasks start on a worker seconds after it reported that it is draining, and are ended with it. Cause: a worker takes 32 calls at a time, so the starts of a wide gang wait for their turn. Before each is sent, it is checked whether the run is still wanted and whether the leader may act, but not whether the worker still takes work. Evidence: the new test queues 192 starts, holds the first 32 calls, and lets the worker drain, or leave the registry. Change: a start is sent only if its worker is listed and not draining; otherwise its task is placed again, as after other starts that were not sent.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -913,8 +913,10 @@
 
     def may_start(self, run: Run) -> bool:
         """Return whether the order to start a run may still be sent."""
-        tracked = run.worker.runs.get(run.key) is run
-        return tracked and run.phase is RunPhase.STARTING
+        worker = run.worker
+        tracked = worker.runs.get(run.key) is run
+        leaving = worker.entry.draining or not worker.listed
+        return tracked and run.phase is RunPhase.STARTING and not leaving
 
     def on_start_reply(self, run: Run, reply: StartReply, now: float) -> None:
         """Process the result of an order to start a run."""
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -267,6 +267,44 @@
     assert run_virtual(main) == (False, False)
 
 
+@pytest.mark.parametrize("leaves", [False, True], ids=["draining", "unlisted"])
+def test_orders_that_wait_are_not_sent_to_a_worker_that_leaves(leaves):
+    """Guards against starts that were decided before a worker began to drain."""
+
+    async def main():
+        world, _ = await leading_world([])
+        port = world.ports[world.leader()]
+        start, released, sent = port.start, asyncio.Event(), []
+
+        async def hold_start(entry, order):
+            sent.append(entry.worker_id)
+            await released.wait()
+            return await start(entry, order)
+
+        port.start = hold_start
+        step = Step(6 * MAX_CALLS_PER_WORKER, Resources(10, 10), 1.0, gang=True)
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
+        await asyncio.sleep(1.0)
+        before = set(sent)
+        for worker_id in before:
+            worker = world.workers[worker_id]
+            worker.draining = True
+            if leaves:
+                await world.unregister_worker(worker)
+            else:
+                await world.register_worker(worker)
+        await asyncio.sleep(1.0)
+        sent.clear()
+        released.set()
+        await asyncio.sleep(1.0)
+        await world.end()
+        return before, set(sent)
+
+    before, after = run_virtual(main)
+    assert before
+    assert not before & after
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
