Count no pause into the lifetime of the advice service's tickets

What callers would see: tasks wait longer, since starts are rejected for their tickets and the service is asked again. Cause: tickets count from the receipt of the answer. A process that was paused in a call reads the answer seconds after it came, and takes its tickets for new. Evidence: the new test lets 10 s pass during a call. Before, it failed: tickets of 1 s counted as valid for 1 s more. Change: what a call took beyond its longest time is taken off the lifetime. Calls without a pause are treated as before; a ticket may still count for as long as its call took after it has expired, and costs a rejected start then.

--- a/flamingoway/queues/advice.py
+++ b/flamingoway/queues/advice.py
@@ -8,6 +8,7 @@
 import asyncio
 import heapq
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from functools import partial
 
 from ..errors import FlamingowayError, Refused
@@ -133,7 +134,7 @@
         advice = None
         error = asyncio.CancelledError() if task.cancelled() else task.exception()
         if error is None:
-            advice = task.result()
+            advice = _without_pause(call, task.result(), self._clock() - sent_at)
         else:
             now = self._clock()
             self._paused_until[name] = now + FAILED_PROCESS_PAUSE_S
@@ -151,7 +152,7 @@
             self._dispatch()
 
     async def _call(self, name: str, call: AdviceCall) -> Advice:
-        timeout_s = call.duration_s * CALL_SLACK_FACTOR + CALL_SLACK_S
+        timeout_s = _timeout_s(call)
         if name == self._name:
             return await self._service.ask(call.step.id, list(call.workers), timeout_s)
         process = self._processes().get(name)
@@ -170,3 +171,16 @@
             await self._peers.close_channel(address)
             raise
         return Advice(reply.tickets, reply.valid_s)
+
+
+def _timeout_s(call: AdviceCall) -> float:
+    return call.duration_s * CALL_SLACK_FACTOR + CALL_SLACK_S
+
+
+def _without_pause(call: AdviceCall, advice: Advice, took_s: float) -> Advice:
+    """Return advice whose lifetime does not include a pause of a process.
+
+    An answer that was read later than any call takes had arrived before.
+    """
+    paused_s = max(0.0, took_s - _timeout_s(call) - CALL_SLACK_S)
+    return replace(advice, valid_s=max(0.0, advice.valid_s - paused_s))
--- a/tests/test_queue_advice.py
+++ b/tests/test_queue_advice.py
@@ -139,3 +139,32 @@
         return results
 
     assert asyncio.run(main()) == [None]
+
+
+@pytest.mark.parametrize("paused_s, valid_s", [(0.0, 1.0), (10.0, 0.0)])
+def test_the_lifetime_of_tickets_includes_no_pause(paused_s, valid_s):
+    """Guards against starts with tickets that expired before their answer was read."""
+    now = 0.0
+
+    class PausedService:
+        async def ask(self, step_id, workers, timeout_s):
+            nonlocal now
+            now += paused_s
+            return Advice({"w0": "t"}, 1.0)
+
+    async def main():
+        results = []
+        dispatcher = AdviceDispatcher(
+            "n0",
+            PausedService(),
+            None,
+            dict,
+            lambda call, advice: results.append(advice),
+            lambda: now,
+            RecordingLog(),
+        )
+        dispatcher.submit(advice_call("a1"))
+        await asyncio.sleep(0.01)
+        return results
+
+    assert [advice.valid_s for advice in asyncio.run(main())] == [valid_s]
