--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -58,8 +58,8 @@
 # the platform's store. A new leader waits this long plus a worker's lease before it
 # gives up the tasks of a worker that it cannot reach.
 MAX_STORE_AGE_S = 5.0
-# Nothing starts on the ground of a copy that is older than this, unless the store does
-# not answer. A copy that is well reaches 2.2 s while the store is slow: two watches.
+# Nothing starts on a copy that is older than this, unless the store does not answer. It
+# is shorter than the time in which a cancellation must be in force.
 MAX_START_AGE_S = 2.5
 # A worker holds a poll open for at most this long, until a run ends. Each poll also
 # renews the worker's lease.
@@ -1000,6 +1000,11 @@
             worker.recorded = True
             if record.tasks is None:
                 worker.recorded_tasks = None
+            worker_id = worker.entry.worker_id
+            if worker_id not in self._cluster.workers:
+                # It was forgotten during the write.
+                self._removed_workers.append(worker_id)
+                self._flush_needed.set()
         self._advance_acknowledged()
         if workers:
             self._plan_needed.set()
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -13,7 +13,7 @@
 from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
 from flamingoway.queues.table import TableJob
 from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost, _Deletions
-from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, World
+from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, FakeWorker, World
 from tests.virtual import run_virtual
 
 # Longest time for which a job may have nothing running beside idle workers.
@@ -221,6 +221,92 @@
     assert run_virtual(main) == (everyone, [False, True, True], everyone)
 
 
+def test_a_copy_from_before_an_outage_counts_only_until_the_store_answers():
+    """Guards against starts by an undisturbed process on what it read before."""
+
+    async def main():
+        world, term = await leading_world([])
+        term._store_age_s = lambda: 3.0
+        without = term.may_start
+        term._store._on_outage()
+        await asyncio.sleep(0.0001)
+        during = term.may_start
+        await asyncio.sleep(0.3)
+        after = term.may_start
+        await world.end()
+        return without, during, after
+
+    assert run_virtual(main) == (False, True, False)
+
+
+def test_a_worker_that_leaves_while_it_is_recorded_leaves_no_record():
+    """Guards against a takeover that waits for the runs of a worker that has left."""
+
+    async def main():
+        world, _ = await leading_world([])
+        leader = world.leader()
+        store, key = world.stores[leader], "fw/worker/w9"
+        write, held = store.txn, asyncio.Event()
+
+        async def hold_record(compares, operations, reads=None):
+            if any(o.key == key for o in operations) and not held.is_set():
+                held.set()
+                await asyncio.sleep(3.0)
+            return await write(compares, operations, reads)
+
+        store.txn = hold_record
+        worker = world.workers["w9"] = FakeWorker(world, "w9", "r9")
+        await world.register_worker(worker)
+        async with asyncio.timeout(2.0):
+            await held.wait()
+        worker.up = False
+        await world.unregister_worker(worker)
+        await asyncio.sleep(6.0)
+        known = "w9" in world.nodes[leader]._term.cluster.workers
+        await world.end()
+        return known, key.encode() in world.engine._keys
+
+    assert run_virtual(main) == (False, False)
+
+
+@pytest.mark.parametrize("leaves", [False, True], ids=["draining", "unlisted"])
+def test_orders_that_wait_are_not_sent_to_a_worker_that_leaves(leaves):
+    """Guards against starts that were decided before a worker began to drain."""
+
+    async def main():
+        world, _ = await leading_world([])
+        port = world.ports[world.leader()]
+        start, released, sent = port.start, asyncio.Event(), []
+
+        async def hold_start(entry, order):
+            sent.append(entry.worker_id)
+            await released.wait()
+            return await start(entry, order)
+
+        port.start = hold_start
+        step = Step(6 * MAX_CALLS_PER_WORKER, Resources(10, 10), 1.0, gang=True)
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
+        await asyncio.sleep(1.0)
+        before = set(sent)
+        for worker_id in before:
+            worker = world.workers[worker_id]
+            worker.draining = True
+            if leaves:
+                await world.unregister_worker(worker)
+            else:
+                await world.register_worker(worker)
+        await asyncio.sleep(1.0)
+        sent.clear()
+        released.set()
+        await asyncio.sleep(1.0)
+        await world.end()
+        return before, set(sent)
+
+    before, after = run_virtual(main)
+    assert before
+    assert not before & after
+
+
 def test_orders_that_wait_are_not_sent_once_the_leader_may_not_act():
     """Guards against a leader that acts on a permission that ended while it waited."""
 
