Let calls on a replaced channel last until their own deadlines

What callers saw: a check that is forwarded with a long deadline is answered as unknown 5 s after any other call to the same process has timed out, though the process still works on it. Cause: since a call that times out replaces the channel to the peer, and the old channel was closed after 5 s, as if no call took longer. Evidence: the new test fails without the change: a call of 5.8 s with a deadline of 9 s ends with OutcomeUnknown (the channel to the peer was closed). Change: the channel records until when its calls may go on and is closed no earlier.

--- a/flamingoway/peer.py
+++ b/flamingoway/peer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import weakref
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, ClassVar, TypeVar
@@ -21,8 +22,6 @@
 SERVICE = "flamingoway.Peer"
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
-# Calls in progress on a channel that is replaced may go on for this time.
-REPLACED_GRACE_S = 5.0
 
 CHANNEL_OPTIONS = [
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
@@ -178,6 +177,8 @@
 
     def __init__(self):
         self._channels: dict[str, grpc.aio.Channel] = {}
+        # Loop times until which calls on the channels may go on.
+        self._busy_until = weakref.WeakKeyDictionary[grpc.aio.Channel, float]()
         # Channels that were replaced, with the tasks that close them.
         self._replaced: dict[asyncio.Task, grpc.aio.Channel] = {}
 
@@ -218,6 +219,8 @@
             self._channels[address] = channel
         await _connect(channel, address, min(CONNECT_TIMEOUT_S, timeout_s))
         method = f"/{SERVICE}/{type(request).__name__}"
+        ends_at = asyncio.get_running_loop().time() + timeout_s
+        self._busy_until[channel] = max(self._busy_until.get(channel, 0.0), ends_at)
         try:
             call = channel.unary_unary(method)(
                 _ENCODER.encode(request), timeout=timeout_s
@@ -250,7 +253,8 @@
         """Use a new channel for further calls; the connection may be dead."""
         if self._channels.get(address) is channel:
             del self._channels[address]
-            task = asyncio.create_task(channel.close(REPLACED_GRACE_S))
+            left_s = self._busy_until[channel] - asyncio.get_running_loop().time()
+            task = asyncio.create_task(channel.close(max(0.0, left_s)))
             self._replaced[task] = channel
             task.add_done_callback(self._replaced.pop)
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -241,3 +241,24 @@
             await client.close()
 
     asyncio.run(main())
+
+
+def test_a_long_call_goes_on_when_a_short_one_timed_out_long_before():
+    """Guards against a forwarded check that ends before its deadline."""
+
+    async def main():
+        server, client, address = PeerServer(), PeerClient(), free_address()
+
+        async def handler(_request):
+            await asyncio.sleep(5.8)
+            return DeposeReply("x", True)
+
+        server.handle(Depose, handler)
+        async with server.listen(address, grace_s=0.1):
+            long = asyncio.create_task(client.call(address, DEPOSE, 9.0, DeposeReply))
+            with pytest.raises(OutcomeUnknown):
+                await client.call(address, DEPOSE, 0.2, DeposeReply)
+            assert await long == DeposeReply("x", True)
+            await client.close()
+
+    asyncio.run(main())
