Cancel a job that is announced after its cancellation was stored elsewhere

What callers would see: a cancellation of a job that is not stored yet is answered 410 by the leader, which then starts tasks of the job and stops them once its copy shows the cancellation. Cause: a leader whose own calls to the store fail forwards the cancellation; another process stores it and answers NOT_FOUND with its revision. The leader passed the answer on and did not apply the cancellation to its table, as it does for one that it stores itself. A job that is stored and announced before its copy shows the cancellation was added as not cancelled. Evidence: the new test fails without the change: the job is added as not cancelled. Change: the forwarded answer is applied with the revision that it names.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -449,7 +449,13 @@
                     CancelRequest(job_id, left_s), is_answer=_is_cancellation_stored
                 ),
             )
-            await self._attempt_until(deadline, attempts)
+            try:
+                await self._attempt_until(deadline, attempts)
+            except FlamingowayError as exc:
+                # Another process may have stored it.
+                if exc.code is Code.NOT_FOUND:
+                    self._note_cancelled(job_id, exc.details["cancel_revision"])
+                raise
         else:
             await self._store_cancel(job_id, job is None, timeout_s)
         self._log.write("job cancelled", job=job_id)
--- a/tests/test_queue_review.py
+++ b/tests/test_queue_review.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from flamingoway.errors import BadRequest
+from flamingoway.errors import BadRequest, FlamingowayError
 from flamingoway.httpserver import HttpRequest
 from flamingoway.platform import client
 from flamingoway.platform.ingress import JobIngress
@@ -12,6 +12,7 @@
 from flamingoway.queues.mirror import LEADER_READ_INTERVAL_S
 from flamingoway.queues.model import DesiredState, EndKind
 from flamingoway.queues.runs import StartRun
+from flamingoway.status import Code
 from flamingoway.store import KeyValue, Put, WatchEvent
 from standins import kv
 from standins.memory import MemoryStore
@@ -94,6 +95,27 @@
     run_with_cell(body)
 
 
+def test_a_job_announced_after_its_cancellation_was_stored_elsewhere_is_cancelled():
+    """Guards against a start by a leader that answered the cancellation."""
+
+    async def body(cell):
+        cell.peers.answer = FlamingowayError(
+            "no such job", Code.NOT_FOUND, cancel_revision=7
+        )
+        cell.store.down = True
+        await asyncio.sleep(1.0)
+        with pytest.raises(FlamingowayError):
+            await cell.intake.cancel(JOB.job_id, 2.0)
+        added = []
+        cell.table.on_job = lambda job: added.append(job.cancelled)
+        value = records.encode(records.JobRecord(JOB, 0.0))
+        item = KeyValue(records.JOB_PREFIX + JOB.job_id, value, 8, 8)
+        cell.table.apply_changes([WatchEvent(item.key, item)])
+        assert added == [True]
+
+    run_with_cell(body)
+
+
 def test_an_order_is_not_sent_after_a_pause_while_its_connection_is_opened(
     monkeypatch,
 ):
