Explore pauses of the leader, slow reads and refused calls

Cause: the exploration did not find two of the undone fixes, (a paused leader takes its copy for current) and (a slow range read drops a cancellation). It knew no pauses and held no range reads.

Change: the loop can stop the code of one node, as a stopped process; range reads are held. Scenarios may ask that a node starts nothing whose cancellation it has answered itself.

Undoing is found by "pause", by "slow read".

--- a/tests/test_queue_exploration.py
+++ b/tests/test_queue_exploration.py
@@ -7,9 +7,12 @@
 
 import pytest
 
+from flamingoway.queues import records
 from flamingoway.queues.mirror import Mirror
+from flamingoway.queues.table import JobTable
 from tests.exploration import (
     OLD_BUILD,
+    OWN_CANCELLATION,
     RETENTION,
     SCENARIOS,
     ReadOnlyCancelIntake,
@@ -31,6 +34,22 @@
         self._revision = max(self._revision, revision)
 
 
+class ReceiptAgeMirror(Mirror):
+    """Counts the age of the copy from an answer, as before 1d6d04a."""
+
+    def _on_answer(self, began):
+        super()._on_answer(self._clock())
+
+
+class ForgetfulTable(JobTable):
+    """Drops a cancellation that is newer than a range read, as before 963c638."""
+
+    def _keys(self, revision):
+        jobs = [job for job in self._jobs.values() if job.revision <= revision]
+        keys = [records.JOB_PREFIX + job.job_id for job in jobs]
+        return [*super()._keys(revision), *keys]
+
+
 def require_none(report):
     for order in report.failures:
         pytest.fail(order.trace(report.scenario), pytrace=False)
@@ -49,6 +68,8 @@
     ("repeated submission", {"intake": ReadOnlyCancelIntake}),
     ("kill", {"intake": ReadOnlyCancelIntake}),
     ("gap", {"mirror": ReportedRevisionMirror}),
+    ("pause", {"mirror": ReceiptAgeMirror}),
+    ("slow read", {"table": ForgetfulTable}),
 ]
 
 
@@ -68,6 +89,11 @@
     require_none(explore(RETENTION))
 
 
+def test_a_leader_does_not_start_a_job_whose_cancellation_it_has_stored():
+    """Guards against starts until the leader's watch shows its own write."""
+    require_none(explore(OWN_CANCELLATION))
+
+
 def test_an_order_is_repeated_alike():
     scenario = replace(BY_NAME["kill"], max_faults=1)
     orders = [run_order(scenario) for _ in range(2)]
