--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -414,7 +414,7 @@
             acknowledged = True
         except FlamingowayError as exc:
             outcome, acknowledged = exc.message, exc.code == Code.NOT_FOUND
-            revision = exc.details.get("cancel_revision")
+            revision = _cancel_revision(exc) or None
             raise
         finally:
             job = self._table.find(job_id)
@@ -446,15 +446,16 @@
             attempts = (
                 lambda left_s: self._store_cancel(job_id, job is None, left_s),
                 lambda left_s: self._relay.call_any(
-                    CancelRequest(job_id, left_s), is_answer=_is_cancellation_stored
+                    CancelRequest(job_id, left_s),
+                    is_answer=lambda error: _cancel_revision(error) > 0,
                 ),
             )
             try:
                 await self._attempt_until(deadline, attempts)
             except FlamingowayError as exc:
                 # Another process may have stored it.
-                if exc.code is Code.NOT_FOUND:
-                    self._note_cancelled(job_id, exc.details["cancel_revision"])
+                if revision := _cancel_revision(exc):
+                    self._note_cancelled(job_id, revision)
                 raise
         else:
             await self._store_cancel(job_id, job is None, timeout_s)
@@ -739,12 +740,14 @@
     return Put(records.CANCEL_PREFIX + job_id, records.encode(record))
 
 
-def _is_cancellation_stored(error: FlamingowayError) -> bool:
-    """Return whether another process's error says that a cancellation is stored.
+def _cancel_revision(error: FlamingowayError) -> int:
+    """Return the revision of the cancellation that an error says is stored, or 0.
 
-    A process of an older build stores nothing if it finds no job.
+    The error may come from another process. One of an older build stores nothing if it
+    finds no job, and names no revision.
     """
-    return "cancel_revision" in error.details
+    revision = error.details.get("cancel_revision")
+    return revision if isinstance(revision, int) and revision > 0 else 0
 
 
 def _fail(pending: _PendingJob) -> None:
