--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -209,8 +209,11 @@
     intakes: dict[str, type[Intake]] = field(default_factory=dict)
     tables: dict[str, type[JobTable]] = field(default_factory=dict)
     mirrors: dict[str, type[Mirror]] = field(default_factory=dict)
+    terms: dict[str, type[term.Term]] = field(default_factory=dict)
 
-    def with_classes(self, intake=None, table=None, mirror=None) -> "Scenario":
+    def with_classes(
+        self, intake=None, table=None, mirror=None, leader=None
+    ) -> "Scenario":
         """Return the scenario with other classes on all nodes."""
 
         def on_all(kind, present):
@@ -221,6 +224,7 @@
             intakes=on_all(intake, self.intakes),
             tables=on_all(table, self.tables),
             mirrors=on_all(mirror, self.mirrors),
+            terms=on_all(leader, self.terms),
         )
 
 
@@ -550,6 +554,7 @@
             "Intake": self.scenario.intakes.get(name, Intake),
             "JobTable": self.scenario.tables.get(name, JobTable),
             "Mirror": self.scenario.mirrors.get(name, Mirror),
+            "Term": self.scenario.terms.get(name, term.Term),
         }
         context = self.contexts[name] = contextvars.copy_context()
         context.run(NODE.set, name)
--- a/tests/test_queue_exploration.py
+++ b/tests/test_queue_exploration.py
@@ -10,6 +10,7 @@
 from flamingoway.queues import records
 from flamingoway.queues.mirror import Mirror
 from flamingoway.queues.table import JobTable
+from flamingoway.queues.term import Term
 from tests.exploration import (
     OLD_BUILD,
     OWN_CANCELLATION,
@@ -42,6 +43,14 @@
         self._confirmed_at = self._clock()
 
 
+class UnboundedStartTerm(Term):
+    """Starts on copies of any age that allows orders, as before 35c7559 and cceedfc."""
+
+    @property
+    def may_start(self):
+        return self.may_send_orders
+
+
 class ForgetfulTable(JobTable):
     """Drops a cancellation that is newer than a range read, as before 963c638."""
 
@@ -69,7 +78,7 @@
     ("repeated submission", {"intake": ReadOnlyCancelIntake}),
     ("kill", {"intake": ReadOnlyCancelIntake}),
     ("gap", {"mirror": ReportedRevisionMirror}),
-    ("pause", {"mirror": ReceiptAgeMirror}),
+    ("pause", {"mirror": ReceiptAgeMirror, "leader": UnboundedStartTerm}),
     ("slow read", {"table": ForgetfulTable}),
 ]
 
