Apply a forwarded answer to a cancellation only if it names its revision

Only an answer that names one says that the cancellation is stored; the package sends no other, but the exploration undoes fixes of the package, and its answers then have none: KeyError instead of the answer.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -453,7 +453,7 @@
                 await self._attempt_until(deadline, attempts)
             except FlamingowayError as exc:
                 # Another process may have stored it.
-                if exc.code is Code.NOT_FOUND:
+                if _is_cancellation_stored(exc):
                     self._note_cancelled(job_id, exc.details["cancel_revision"])
                 raise
         else:
