Keep the channel to a process whose call for advice failed

What callers saw: a job or cancellation that the leader forwards, or a notice of an end, is answered as unknown if a call for advice to the same process fails at that time. Cause: after any failed call for advice the leader closed its channel to the process, which cancels the other calls in progress on it: also if the process answered that the advice service failed, and, since, after a time-out, when the dead channel has been replaced already and the new one is closed. Evidence: the new test fails without the change. Change: the channel is closed only if the process cannot be reached; covers time-outs.

--- a/flamingoway/queues/advice.py
+++ b/flamingoway/queues/advice.py
@@ -165,8 +165,9 @@
             reply = await self._peers.call(
                 address, request, timeout_s + CALL_SLACK_S, AskReply
             )
-        except FlamingowayError:
-            # The connection may be dead; the next call opens a new one.
-            await self._peers.close_channel(address)
+        except FlamingowayError as exc:
+            # Other calls may be in progress, unless there is no connection.
+            if exc.code is Code.OWNER_UNAVAILABLE:
+                await self._peers.close_channel(address)
             raise
         return Advice(reply.tickets, reply.valid_s)
--- a/tests/test_queue_advice.py
+++ b/tests/test_queue_advice.py
@@ -5,12 +5,13 @@
 
 import pytest
 
-from flamingoway.errors import OutcomeUnknown
+from flamingoway.errors import OutcomeUnknown, Refused
 from flamingoway.queues.advice import AdviceDispatcher
 from flamingoway.queues.model import Advice
 from flamingoway.queues.ports import NoReply
 from flamingoway.queues.records import ProcessRecord
 from flamingoway.queues.runs import AdviceCall
+from flamingoway.status import Code
 from tests.queue_cluster import Bench, RecordingLog, step
 
 
@@ -94,6 +95,37 @@
     assert None in dispatch(processes, Peers(AssertionError("called")))
 
 
+def test_a_peer_without_advice_keeps_the_channel_of_other_calls():
+    """Guards against a cancellation cut off because the advice service failed."""
+    closed = []
+
+    class RecordingPeers(Peers):
+        async def close_channel(self, address):
+            closed.append(address)
+
+    processes = {"n1": ProcessRecord("n1", "n1:1", "z")}
+    for error in (
+        Refused("the advice service did not answer", Code.NO_TARGET),
+        OutcomeUnknown("no reply from peer n1:1: DEADLINE_EXCEEDED"),
+    ):
+        assert None in dispatch(lambda: processes, RecordingPeers(error))
+    assert closed == []
+
+
+def test_a_peer_that_cannot_be_reached_gets_a_new_channel():
+    """Guards against calls that wait for a connection attempt without an answer."""
+    closed = []
+
+    class RecordingPeers(Peers):
+        async def close_channel(self, address):
+            closed.append(address)
+
+    processes = {"n1": ProcessRecord("n1", "n1:1", "z")}
+    error = Refused("peer n1:1 cannot be reached", Code.OWNER_UNAVAILABLE)
+    assert None in dispatch(lambda: processes, RecordingPeers(error))
+    assert closed == ["n1:1"]
+
+
 def test_a_call_on_a_closed_channel_counts_as_missing_advice():
     processes = {"n1": ProcessRecord("n1", "n1:1", "z")}
     error = OutcomeUnknown("the channel to peer n1:1 was closed")
