--- a/tests/exploration.py
+++ b/tests/exploration.py
@@ -192,6 +192,7 @@
         intakes: Class of the intake by node name, if it is not the current one.
         tables: Class of the table by node name, likewise.
         mirrors: Class of the mirror by node name, likewise.
+        leader: Class of the leader's term on all nodes.
     """
 
     name: str
@@ -209,7 +210,7 @@
     intakes: dict[str, type[Intake]] = field(default_factory=dict)
     tables: dict[str, type[JobTable]] = field(default_factory=dict)
     mirrors: dict[str, type[Mirror]] = field(default_factory=dict)
-    terms: dict[str, type[term.Term]] = field(default_factory=dict)
+    leader: type[term.Term] = term.Term
 
     def with_classes(
         self, intake=None, table=None, mirror=None, leader=None
@@ -224,7 +225,7 @@
             intakes=on_all(intake, self.intakes),
             tables=on_all(table, self.tables),
             mirrors=on_all(mirror, self.mirrors),
-            terms=on_all(leader, self.terms),
+            leader=leader or self.leader,
         )
 
 
@@ -554,7 +555,6 @@
             "Intake": self.scenario.intakes.get(name, Intake),
             "JobTable": self.scenario.tables.get(name, JobTable),
             "Mirror": self.scenario.mirrors.get(name, Mirror),
-            "Term": self.scenario.terms.get(name, term.Term),
         }
         context = self.contexts[name] = contextvars.copy_context()
         context.run(NODE.set, name)
@@ -940,6 +940,7 @@
         for name in ("FOLLOWER_READ_INTERVAL_S", "LEADER_READ_INTERVAL_S"):
             stack.enter_context(mock.patch.object(queue_node, name, READ_INTERVAL_S))
         stack.enter_context(mock.patch.object(term, "EXPIRY_INTERVAL_S", STEP_S))
+        stack.enter_context(mock.patch.object(queue_node, "Term", scenario.leader))
         return runner.run(_play(scenario, list(prefix), visited, strict, choose, stack))
 
 
