End a play of the soak when a process cannot start

tests.site_soak waited up to 120 s for a process that had already ended, holding the machine for others.

The play now ends with the name of the process. The test fails before: it waits until its own limit of 5 s.

--- a/tests/site_soak.py
+++ b/tests/site_soak.py
@@ -332,6 +332,8 @@
         while True:
             if (await call("GET", entry.ready, "/ready"))[0] == 200:
                 return
+            if entry.process.returncode is not None:
+                raise RuntimeError(f"{entry.name} ended before it was ready")
             await asyncio.sleep(0.2)
 
     async def add_entry(self):
--- a/tests/test_site_faults.py
+++ b/tests/test_site_faults.py
@@ -353,3 +353,11 @@
     assert (len(other), cores) == (11, {1, 3})
     options.beside = None
     assert site_soak.SiteEntry(site, 0).code == options.code
+
+
+def test_a_process_that_ends_before_it_is_ready_ends_the_play():
+    """Guards against plays that wait for a process that cannot start."""
+    process = SimpleNamespace(returncode=1)
+    entry = SimpleNamespace(name="e000", ready=1, process=process)
+    with pytest.raises(RuntimeError, match="e000"):
+        asyncio.run(asyncio.wait_for(FakeSite(1).wait_ready(entry), 5))
