Name each job once in a write of several jobs

What callers saw: a job takes longer to be accepted, one write for each job instead of one for all. Cause: a request that is repeated at a process while the first one waits, as after a pause, was put into the same write; the store rejects a write that names a key twice with 400, and the 8 to 11 jobs of the write were then written one by one. The new test fails without the change: the write is rejected. Change: a write takes each job once; the repeated request waits for the next one, which finds the job stored.

--- a/flamingoway/queues/intake.py
+++ b/flamingoway/queues/intake.py
@@ -585,7 +585,13 @@
         first = self._pending[0]
         if first.alone:
             return [first]
-        return [p for p in self._pending if not p.alone][:JOBS_PER_WRITE]
+        # The store rejects a write that names a key twice, and a repeated request may
+        # wait beside the first one.
+        batch: dict[str, _PendingJob] = {}
+        for pending in self._pending:
+            if not pending.alone and len(batch) < JOBS_PER_WRITE:
+                batch.setdefault(pending.job_id, pending)
+        return list(batch.values())
 
     def _refuse_queued(self, batch: list[_PendingJob]) -> None:
         """Refuse the jobs queued behind an unanswered write."""
--- a/tests/test_queue_intake.py
+++ b/tests/test_queue_intake.py
@@ -128,6 +128,20 @@
     run_with_cell(body)
 
 
+def test_a_request_repeated_beside_the_first_one_is_written_with_other_jobs():
+    """Guards against a write that names a job twice, which the store rejects."""
+
+    async def body(cell):
+        other = replace(JOB, job_id="00000000000000ab")
+        calls = (cell.intake.submit(job, 3.0) for job in (JOB, JOB, other))
+        await asyncio.gather(*calls)
+        assert stored(cell)
+        rejected = [fields for event, fields in cell.log.lines if "rejected" in event]
+        assert rejected == []
+
+    run_with_cell(body)
+
+
 def test_submitting_the_same_job_again_writes_nothing():
     """Guards against a job that runs twice because its caller retried."""
 
