--- a/tests/test_queue_exploration.py
+++ b/tests/test_queue_exploration.py
@@ -37,8 +37,9 @@
 class ReceiptAgeMirror(Mirror):
     """Counts the age of the copy from an answer, as before 1d6d04a."""
 
-    def _on_answer(self, began):
-        super()._on_answer(self._clock())
+    async def _follow_once(self, wait_s):
+        await super()._follow_once(wait_s)
+        self._confirmed_at = self._clock()
 
 
 class ForgetfulTable(JobTable):
