--- a/tests/site_faults.py
+++ b/tests/site_faults.py
@@ -40,7 +40,7 @@
 
 @fault
 async def silent_channels(site):
-    """Open channels go silent for good, at once; new ones work."""
+    """Open channels go silent permanently, at once; new ones work."""
     kinds = [silence_store, silence_peers, silence_workers]
     chosen = site.rng.choice([*([kind] for kind in kinds), kinds])
     kind = "silent_channels " + " ".join(silence.__name__ for silence in chosen)
