Poll a worker that is listed again by its own state

Cause: the leader kept one poll loop for each worker id. After a worker was forgotten, its loop slept for up to 0.5 s before it looked whether its id was known. If the registry listed the id again meanwhile, the cluster state held a new WorkerState, but the loop found the id, went on polling for the forgotten state and kept a new loop from starting. The state that the planner uses was never settled.

Ruled out: the registry copy (the entry is read, "worker restarted" names the new start), quarantine (no such line), room (the runner is empty).

Change: loops and wake-ups are kept by WorkerState, and a loop ends as soon as the cluster state holds another one for the id. Wake-ups go with their loop.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -403,6 +403,10 @@
         self._unsettled.pop(worker.entry.worker_id, None)
         self._forget_incarnation(worker.entry.worker_id)
 
+    def holds(self, worker: WorkerState) -> bool:
+        """Return whether this is the state of the worker that has its id now."""
+        return self._workers.get(worker.entry.worker_id) is worker
+
     def all_runs_expired(self, worker: WorkerState, now: float) -> bool:
         """Return whether no run can exist on a worker that does not answer."""
         inherited = self._unsettled.get(worker.entry.worker_id)
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -222,9 +222,10 @@
         self._stops_answered = RowLog(log, "stops answered", REPLY_LOG_DELAY_S)
         self._plan_needed = asyncio.Event()
         self._flush_needed = asyncio.Event()
-        self._poll_wakeups: dict[str, asyncio.Event] = {}
+        # Workers that are polled. A worker that is forgotten and listed again has
+        # another state under the same id, and a loop of its own.
+        self._poll_wakeups: dict[WorkerState, asyncio.Event] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._poll_tasks: dict[str, asyncio.Task] = {}
         self._failed: asyncio.Future = asyncio.get_running_loop().create_future()
         self._removed_workers: list[str] = []
         self._expired_jobs: list[TableJob] = []
@@ -279,7 +280,7 @@
             self._registry.on_change = None
             self._dispatcher.close()
             self._sender.close()
-            tasks = [*self._tasks, *self._poll_tasks.values()]
+            tasks = list(self._tasks)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -475,19 +476,14 @@
     # Workers
 
     def _ensure_poll_loop(self, worker: WorkerState) -> None:
-        worker_id = worker.entry.worker_id
-        loop = self._poll_tasks.get(worker_id)
-        if loop is None or loop.done():
-            self._poll_wakeups[worker_id] = asyncio.Event()
-            task = asyncio.create_task(self._poll_loop(worker))
-            task.add_done_callback(self._on_task_done)
-            self._poll_tasks[worker_id] = task
-
-    async def _poll_loop(self, worker: WorkerState) -> None:
+        if worker not in self._poll_wakeups:
+            wake = self._poll_wakeups[worker] = asyncio.Event()
+            self._spawn(self._poll_loop(worker, wake))
+
+    async def _poll_loop(self, worker: WorkerState, wake: asyncio.Event) -> None:
         """Poll a worker until the cluster state drops it."""
-        wake = self._poll_wakeups[worker.entry.worker_id]
         retry_s = POLL_RETRY_S
-        while worker.entry.worker_id in self._cluster.workers:
+        while self._cluster.holds(worker):
             if not self.may_send_orders:
                 await asyncio.sleep(TICK_S)
                 continue
@@ -499,6 +495,7 @@
             self._drop_if_expired(worker)
             await asyncio.sleep(retry_s)
             retry_s = min(POLL_RETRY_MAX_S, retry_s * 2)
+        del self._poll_wakeups[worker]
 
     async def _poll_contained(self, worker: WorkerState, wake: asyncio.Event) -> bool:
         """Poll once; an unforeseen error counts as no answer of this worker."""
@@ -748,7 +745,7 @@
             )
 
     def _wake_poll(self, worker: WorkerState) -> None:
-        event = self._poll_wakeups.get(worker.entry.worker_id)
+        event = self._poll_wakeups.get(worker)
         if event is not None:
             event.set()
 
--- /dev/null
+++ b/tests/test_reused_ids.py
@@ -0,0 +1,61 @@
+"""Guards against state of a worker that is used for another one with the same id."""
+
+import asyncio
+
+import pytest
+
+from flamingoway.model import Resources
+from flamingoway.queues.model import Step, StepJobSpec
+from tests.queue_world import FakeWorker
+from tests.test_queue_term import MAX_IDLE_S, leading_world
+from tests.virtual import run_virtual
+
+RACK = "r9"
+
+
+async def add_worker(world, worker_id="w9"):
+    """Add the only worker of its rack."""
+    worker = world.workers[worker_id] = FakeWorker(world, worker_id, RACK)
+    await world.register_worker(worker)
+    await asyncio.sleep(1.0)
+    return worker
+
+
+async def wait_for_event(world, event, worker):
+    """Wait until a line of the log tells of an event of a worker."""
+    for _ in range(10_000):
+        if any(
+            line[2] == event and line[3].get("worker") == worker.worker_id
+            for line in world.lines
+        ):
+            return
+        await asyncio.sleep(0.001)
+    raise TimeoutError(event)
+
+
+def job_for_rack(job_id="a1"):
+    step = Step(1, Resources(1000, 1000), 1.0, label=RACK)
+    return StepJobSpec(job_id, "checks", "x", (step,))
+
+
+@pytest.mark.parametrize("away_s", [0.0, 0.1, 0.25, 0.4, 0.49, 1.0])
+def test_a_worker_that_is_listed_again_soon_after_it_was_forgotten_gets_work(away_s):
+    """Guards against a loop that goes on polling for the forgotten state."""
+
+    async def main():
+        world, _ = await leading_world([])
+        worker = await add_worker(world)
+        worker.crash()
+        await asyncio.sleep(3.0)
+        await world.unregister_worker(worker)
+        await wait_for_event(world, "worker forgotten", worker)
+        await asyncio.sleep(away_s)
+        worker.up = True
+        await world.register_worker(worker)
+        assert await world.submit("n0", job_for_rack())
+        await asyncio.sleep(MAX_IDLE_S)
+        started = set(world.checker.started)
+        await world.end()
+        return started, world.checker.violations
+
+    assert run_virtual(main) == ({"a1"}, [])
