Record a worker only once it has answered

Cause: the leader recorded every listed worker under fw/worker/ as one on which runs may exist, before it had answered anything. A new leader waits for all recorded workers until their leases have expired, here 5 s + 9.5 s / 0.97 + 0.2 s, and starts nothing of inherited jobs before.

Change: a worker is recorded after its first answer. Nothing can have started before: a worker is used only once it is settled, which takes an answer, and recorded. So an entry without a worker leaves no record, whatever is wrong with it.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -878,14 +878,21 @@
         return dirty
 
     def _workers_to_record(self) -> list[WorkerState]:
-        """Return new workers, and those whose recorded tasks have changed."""
+        """Return new workers, and those whose recorded tasks have changed.
+
+        Nothing may start on a worker before it has answered, so a registry entry that
+        no worker stands behind leaves no record for which a successor would wait.
+        """
         now, cluster = self._clock(), self._cluster
         workers = cluster.workers.values()
         rejected = self._rejected_workers
         new = [
             w
             for w in workers
-            if w.listed and not w.recorded and w.entry.worker_id not in rejected
+            if w.answering
+            and w.listed
+            and not w.recorded
+            and w.entry.worker_id not in rejected
         ]
         # Called after each event, so it skips the workers whose record cannot change.
         changed = [
