Delete the record of a worker once nothing can run there

What callers may see: a record under fw/worker/ whose worker never answers, left by an earlier build for an odd registry entry, or not readable, holds up inherited jobs at each change of the leader for 10 to 15 s, as long as the entry is listed. A record whose entry names another id than its key was never deleted.

Cause: a record was deleted only together with a worker that the registry no longer lists, although a leader drops all runs of a silent worker once its leases have expired. The next leader began the same wait anew.

Change: when all runs of a worker are dropped because its leases have expired, or because another incarnation answers at its address, its record is deleted too; it is recorded again before it is used. A record with another id than its key counts as not readable. The wait itself is unchanged. A write of a record that ends after the deletion was decided leaves the tasks that it names noted, so that it is replaced before use.

--- a/flamingoway/queues/table.py
+++ b/flamingoway/queues/table.py
@@ -268,7 +268,7 @@
         record = self._faults.decode(
             "worker record", item, records.decode, WorkerRecord
         )
-        if record is None:
+        if record is None or record.entry.worker_id != worker_id:
             # Anything may run there until its leases have expired.
             record = WorkerRecord(WorkerEntry(worker_id, "", "", "", Resources()))
         self._workers[worker_id] = record
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -585,6 +585,7 @@
             self._cluster.drop_runs(
                 worker, self._clock(), "another incarnation of the worker answered"
             )
+            self._delete_record(worker)
             self._after_event()
         else:
             # The worker has not renewed its leases, so its runs may expire.
@@ -597,13 +598,22 @@
         unsettled = worker.entry.worker_id in self._cluster.unsettled
         if worker.runs or worker.orphans or unsettled:
             self._cluster.drop_runs(worker, now, "its lease has expired")
+            # It is recorded again before it is used. A successor would otherwise wait
+            # for it although nothing can run there.
+            self._delete_record(worker)
             self._after_event()
-        if not worker.listed and not worker.runs:
+        if not worker.listed:
             self._log.write("worker forgotten", worker=worker.entry.worker_id)
             self._cluster.remove_worker(worker)
-            if worker.recorded:
-                self._removed_workers.append(worker.entry.worker_id)
-                self._flush_needed.set()
+            self._delete_record(worker)
+
+    def _delete_record(self, worker: WorkerState) -> None:
+        """Delete the record of a worker on which nothing can run."""
+        if worker.recorded:
+            worker.recorded = False
+            worker.recorded_tasks = None
+            self._removed_workers.append(worker.entry.worker_id)
+            self._flush_needed.set()
 
     # Orders
 
@@ -921,11 +931,10 @@
 
     def _take_deletions(self) -> _Deletions:
         """Return what to delete next, of forgotten workers and expired jobs."""
-        # The registry may have listed a forgotten worker again in the meantime.
         self._removed_workers = [
             worker_id
             for worker_id in self._removed_workers
-            if worker_id not in self._cluster.workers
+            if not self._needs_record(worker_id)
         ]
         workers = self._removed_workers[:1]
         del self._removed_workers[:1]
@@ -937,6 +946,11 @@
         jobs = [job for job in taken if self._is_expired(job)]
         return _Deletions(tuple(workers), tuple(jobs))
 
+    def _needs_record(self, worker_id: str) -> bool:
+        """Return whether a worker that was to be forgotten has come back since."""
+        worker = self._cluster.workers.get(worker_id)
+        return worker is not None and (worker.recorded or worker.answering)
+
     def _is_expired(self, job: TableJob) -> bool:
         before = time.time() - self._retention_s
         return self._table.jobs.get(job.job_id) is job and 0 < job.closed_at < before
@@ -1002,8 +1016,7 @@
                     self._cluster.remove_job(job)
         for worker, record in zip(workers, worker_records, strict=True):
             worker.recorded = True
-            if record.tasks is None:
-                worker.recorded_tasks = None
+            worker.recorded_tasks = record.tasks
             worker_id = worker.entry.worker_id
             if worker_id not in self._cluster.workers:
                 # It was forgotten during the write.
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -6,11 +6,15 @@
 import pytest
 
 from flamingoway.model import Resources
+from flamingoway.queues import records
 from flamingoway.queues.model import Step, StepJobSpec
-from tests.queue_world import FakeWorker
+from flamingoway.store import Put
+from tests.queue_world import LEASE_S, FakeWorker
 from tests.test_queue_term import MAX_IDLE_S, leading_world
 from tests.virtual import run_virtual
 
+# Longer than a new leader waits for a worker that it cannot reach.
+TAKEOVER_WAIT_S = 2 * LEASE_S + 5.0
 TASK_S = 4.0
 
 
@@ -75,3 +79,93 @@
         return found, world.checker.violations
 
     assert run_virtual(main) == ({"a1.0.1.0"}, [])
+
+
+@pytest.mark.parametrize("listed", [True, False])
+@pytest.mark.parametrize("readable", [True, False])
+def test_a_record_of_a_worker_that_never_answers_delays_one_takeover(listed, readable):
+    """Guards against a record that each later leader waits for again."""
+
+    async def main():
+        world, _ = await leading_world([])
+        worker = ForeignWorker(world, "planner")
+        world.workers["w9"] = worker
+        value = records.encode(records.WorkerRecord(worker.entry))
+        put = Put("fw/worker/w9", value if readable else b"\xff")
+        await world.operator.txn([], [put])
+        if listed:
+            await world.register_worker(worker)
+        await asyncio.sleep(1.0)
+        await kill_leader(world)
+        await asyncio.sleep(TAKEOVER_WAIT_S)
+        kept = await world.operator.get("fw/worker/w9")
+        due_at = await submit_chain(world, "a1")
+        await asyncio.sleep(1.0)
+        await kill_leader(world)
+        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
+        found = running(world)
+        await world.end()
+        return kept, found, world.checker.violations
+
+    assert run_virtual(main) == (None, {"a1.0.1.0"}, [])
+
+
+def test_a_record_under_the_id_of_another_worker_is_deleted_after_one_takeover():
+    """Guards against a record that is never deleted, as its entry names another id."""
+
+    async def main():
+        world, _ = await leading_world([])
+        entry = world.workers["w0"].entry
+        value = records.encode(records.WorkerRecord(entry))
+        await world.operator.txn([], [Put("fw/worker/w9", value)])
+        world.workers["w9"] = ForeignWorker(world, "planner")
+        await asyncio.sleep(1.0)
+        await kill_leader(world)
+        await asyncio.sleep(TAKEOVER_WAIT_S)
+        kept = await world.operator.get("fw/worker/w9")
+        others = await world.operator.get("fw/worker/w0")
+        await world.end()
+        return kept, others is not None
+
+    assert run_virtual(main) == (None, True)
+
+
+def test_a_record_that_names_tasks_is_replaced_before_its_worker_is_used_again():
+    """Guards against a successor that trusts tasks recorded before later starts."""
+
+    async def main():
+        world, term = await leading_world([])
+        world.failure_share = 0.0
+        world.duration = lambda task_id: 60.0
+        worker = world.workers["w9"] = FakeWorker(world, "w9", "r9")
+        await world.register_worker(worker)
+        await asyncio.sleep(1.0)
+        step = Step(1, Resources(1000, 1000), 1.0, label="r9")
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
+        await asyncio.sleep(1.0)
+        store, key = world.stores[world.leader()], "fw/worker/w9"
+        write, released = store.txn, asyncio.Event()
+
+        async def hold_record(compares, operations, reads=None):
+            if any(o.key == key for o in operations):
+                await released.wait()
+            return await write(compares, operations, reads)
+
+        store.txn = hold_record
+        for port in world.ports.values():
+            port.unreachable.add("w9")
+        await asyncio.sleep(2 * LEASE_S)
+        for port in world.ports.values():
+            port.unreachable.clear()
+        await asyncio.sleep(2.0)
+        released.set()
+        used = []
+        for _ in range(1000):
+            if term.cluster.workers["w9"].usable:
+                item = await world.operator.get(key)
+                used.append(records.decode(records.WorkerRecord, item.value).tasks)
+            await asyncio.sleep(0.003)
+        await world.end()
+        return set(used), world.checker.violations
+
+    assert run_virtual(main) == ({None}, [])
