Leave alone the workers of services that are not configured

What callers may see: an entry of another writer may name a service of another system and the address of its worker. The leader polled it with its own fencing token. If that worker has seen a higher token, its refusal ended the term: a leader stopped at once, and so did each of its successors. If it has not, its owner was locked out instead. PROTOCOL.md: an entry with "a state or service that isn't named here ... names no runner to use".

Cause: nothing compared the service of an entry with the configuration before its worker was polled; only the planner did, by the queue of each step.

Change: a worker is added only if the configuration names its service, as a service or as that of a queue, or if an open job needs it, whose queue may have been removed. Entries are looked at again when the configuration changes and after a takeover has read the jobs. A worker that is known or recorded is polled on whatever the configuration says, since its leases depend on it.

--- a/flamingoway/platform/wire.py
+++ b/flamingoway/platform/wire.py
@@ -406,6 +406,7 @@
             s.name for s in body.services if not s.admission_check
         ),
         max_body_bytes=body.limits.max_body_bytes,
+        services=frozenset(s.name for s in body.services),
     )
 
 
--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -390,6 +390,16 @@
         worker.listed = True
         return worker
 
+    def uses_service(self, name: str) -> bool:
+        """Return whether a service is configured, or an open job needs its workers.
+
+        An entry of another service may be that of another system, whose workers must
+        not see the fencing tokens of this one.
+        """
+        if self._desired is not None and self._desired.has_service(name):
+            return True
+        return any(job.queue.service == name for job in self._jobs.values())
+
     def mark_unlisted(self, worker_id: str, now: float) -> None:
         """Record that the registry no longer lists a worker."""
         worker = self._workers.get(worker_id)
--- a/flamingoway/queues/model.py
+++ b/flamingoway/queues/model.py
@@ -117,6 +117,7 @@
     """One version of the operator's configuration.
 
     Attributes:
+        services: Names of the services. That of a queue counts even if it is missing.
         services_without_admission_check: Services whose workers start every run that
             they are ordered to.
         max_body_bytes: Limit on the body of a request.
@@ -126,6 +127,7 @@
     queues: tuple[Queue, ...]
     services_without_admission_check: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
+    services: frozenset[str] = frozenset()
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix, or ``None``."""
@@ -136,6 +138,10 @@
                 best = queue
         return best
 
+    def has_service(self, name: str) -> bool:
+        """Return whether a service or a queue names a pool of workers."""
+        return name in self.services or any(q.service == name for q in self.queues)
+
     def queue(self, name: str) -> Queue | None:
         """Return a queue by name, or ``None``."""
         return next((q for q in self.queues if q.name == name), None)
--- a/flamingoway/queues/registry.py
+++ b/flamingoway/queues/registry.py
@@ -41,6 +41,10 @@
         """Apply changes to the entries."""
         for event in events:
             self._set(event)
+        self.notify()
+
+    def notify(self) -> None:
+        """Let the listener look at all entries again."""
         if self.on_change is not None:
             self.on_change()
 
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -340,10 +340,10 @@
             known = current and record.tasks is not None
             tasks = frozenset(record.tasks) if known else None
             self._cluster.restore_worker(record.entry, until, tasks)
-        self._update_workers()
         for job in list(self._table.jobs.values()):
             if job.accepted:
                 self._add_job(job)
+        self._update_workers()
         self._table.on_job = self._on_job
         self._registry.on_change = self._update_workers
         self._log.write(
@@ -368,6 +368,8 @@
     def configure(self) -> None:
         """Put a new configuration into force."""
         self._cluster.set_desired_state(self._intake.desired)
+        # It may name the services of entries that were not used before.
+        self._registry.notify()
         self._plan_needed.set()
 
     def _on_job(self, job: TableJob) -> None:
@@ -463,6 +465,8 @@
         now = self._clock()
         for entry in self._registry.entries.values():
             known = self._cluster.workers.get(entry.worker_id)
+            if known is None and not self._cluster.uses_service(entry.service):
+                continue
             if known is None or not known.listed or known.entry != entry:
                 with self._faults.contain("worker", entry.worker_id):
                     worker = self._cluster.set_worker(entry, now)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -7,9 +7,10 @@
 
 from flamingoway.model import Resources
 from flamingoway.queues import records
-from flamingoway.queues.model import Step, StepJobSpec
+from flamingoway.queues.model import StartReply, Step, StepJobSpec
+from flamingoway.queues.ports import PollRefused
 from flamingoway.store import Put
-from tests.queue_world import LEASE_S, FakeWorker
+from tests.queue_world import DESIRED, LEASE_S, FakeWorker, World
 from tests.test_queue_term import MAX_IDLE_S, leading_world
 from tests.virtual import run_virtual
 
@@ -169,3 +170,59 @@
         return set(used), world.checker.violations
 
     assert run_virtual(main) == ({None}, [])
+
+
+def test_a_worker_of_a_service_that_is_not_configured_is_left_alone():
+    """Guards against tokens sent to workers of others, and theirs that end a term."""
+
+    async def main():
+        world, term = await leading_world([])
+        polled = []
+        port = world.ports[world.leader()]
+        poll = port.poll
+
+        async def poll_or_refuse(entry, *args):
+            if entry.worker_id != "w9":
+                return await poll(entry, *args)
+            polled.append(entry.worker_id)
+            raise PollRefused(StartReply.FENCED)
+
+        port.poll = poll_or_refuse
+        worker = await add_foreign_worker(world, "elsewhere")
+        await asyncio.sleep(3.0)
+        leads = world.nodes[world.leader()]._term is term
+        before = [*polled]
+        port.poll = poll
+        worker.up = True
+        queue = replace(DESIRED.queues[1], name="new", service="elsewhere")
+        desired = replace(DESIRED, version=2, queues=(*DESIRED.queues, queue))
+        await world.configure(desired)
+        await asyncio.sleep(1.0)
+        step = Step(1, Resources(1000, 1000), 1.0)
+        assert await world.submit("n0", StepJobSpec("a1", "new", "x", (step,)))
+        await asyncio.sleep(MAX_IDLE_S)
+        started = set(world.checker.started)
+        await world.end()
+        return before, leads, started
+
+    assert run_virtual(main) == ([], True, {"a1"})
+
+
+def test_workers_of_a_service_that_was_removed_finish_its_jobs_after_a_takeover():
+    """Guards against accepted jobs whose workers count as those of others."""
+
+    async def main():
+        world = World(1, failure_share=0.0)
+        await world.begin()
+        due_at = await submit_chain(world, "a1")
+        await asyncio.sleep(1.0)
+        others = tuple(replace(q, service="other") for q in DESIRED.queues[:1])
+        await world.configure(replace(DESIRED, version=2, queues=others))
+        await asyncio.sleep(1.0)
+        await kill_leader(world)
+        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
+        found = running(world)
+        await world.end()
+        return found, world.checker.violations
+
+    assert run_virtual(main) == ({"a1.0.1.0"}, [])
