Give a worker that comes back no lower fencing token than it has seen

What callers may see: a worker is cut off and unlisted for some seconds while its token had been raised after an unanswered order. When it is back, its first poll ends the leader's term, and accepted jobs wait for the next one.

Cause: the state of a forgotten worker that is listed again begins with the first token of the epoch, which the worker rejects as fenced; that counts as a newer leader.

Change: a new state begins with the highest token of the workers forgotten in this epoch.

Test: test_a_worker_that_comes_back_after_it_was_forgotten_does_not_end_the_term, failed before.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -121,6 +121,7 @@
         self._waiting: dict[str, StepRun] = {}
         self._scheduled: dict[str, OpenJob] = {}
         self._starting = 0
+        self._first_token = epoch * TOKENS_PER_EPOCH
 
     @property
     def epoch(self) -> int:
@@ -411,6 +412,8 @@
         """Remove a worker that can no longer run anything."""
         self._workers.pop(worker.entry.worker_id, None)
         self._unsettled.pop(worker.entry.worker_id, None)
+        # If it comes back, it may have seen this token, and rejects lower ones.
+        self._first_token = max(self._first_token, worker.token)
         self._forget_incarnation(worker.entry.worker_id)
 
     def holds(self, worker: WorkerState) -> bool:
@@ -460,8 +463,7 @@
     def _worker(self, entry: WorkerEntry) -> WorkerState:
         worker = self._workers.get(entry.worker_id)
         if worker is None:
-            token = self._epoch * TOKENS_PER_EPOCH
-            worker = WorkerState(entry, token, WorkerHealth())
+            worker = WorkerState(entry, self._first_token, WorkerHealth())
             self._workers[entry.worker_id] = worker
         return worker
 
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -59,3 +59,30 @@
         return started, world.checker.violations
 
     assert run_virtual(main) == ({"a1"}, [])
+
+
+def test_a_worker_that_comes_back_after_it_was_forgotten_does_not_end_the_term():
+    """Guards against a first token that is lower than one the worker has seen."""
+
+    async def main():
+        world, term = await leading_world([])
+        worker = await add_worker(world)
+        state = term.cluster.workers[worker.worker_id]
+        for _ in range(3):
+            term.cluster.raise_token(state, state.token)
+            term._after_event()
+            await asyncio.sleep(0.5)
+        for port in world.ports.values():
+            port.unreachable.add(worker.worker_id)
+        await world.unregister_worker(worker)
+        await wait_for_event(world, "worker forgotten", worker)
+        for port in world.ports.values():
+            port.unreachable.clear()
+        await world.register_worker(worker)
+        await asyncio.sleep(2.0)
+        leads = world.nodes[world.leader()]._term is term
+        usable = term.cluster.workers[worker.worker_id].usable
+        await world.end()
+        return leads, usable
+
+    assert run_virtual(main) == (True, True)
