Try to record a worker again once its entry has changed

What callers may see: the store rejects the record of a worker as invalid, for example since its entry is too large. The worker starts again under its id with an entry that can be stored, and is not used until another process leads.

Change: the rejected entry is kept, and a worker with another one is recorded again.

Test: test_a_worker_whose_record_was_rejected_is_used_after_a_restart, failed before.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -209,7 +209,9 @@
         self._log = log
         self._faults = faults
         self._set_aside: set[str] = set()
-        self._rejected_workers: set[str] = set()
+        # Entries whose records the store rejected, by worker id; another entry of the
+        # worker is tried again.
+        self._rejected_workers: dict[str, WorkerEntry] = {}
         # Writes that hold one operation each, after the store rejected one as invalid.
         self._single_writes_left = 0
         self._cluster = ClusterState(leadership.epoch, lease_s, log)
@@ -906,7 +908,7 @@
             if w.answering
             and w.listed
             and not w.recorded
-            and w.entry.worker_id not in rejected
+            and rejected.get(w.entry.worker_id) != w.entry
         ]
         # Called after each event, so it skips the workers whose record cannot change.
         changed = [
@@ -1088,7 +1090,8 @@
             names = [worker.entry.worker_id for worker in workers]
             self._faults.report_contained("write", " ".join(names), error)
             # Nothing starts on a worker that is not recorded.
-            self._rejected_workers.update(names)
+            for worker in workers:
+                self._rejected_workers[worker.entry.worker_id] = worker.entry
         self._flush_needed.set()
 
     def _apply_progress(self, operations: list[Put | Delete]) -> None:
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from flamingoway.errors import BadRequest
 from flamingoway.model import Resources
 from flamingoway.queues.model import Step, StepJobSpec
 from tests.queue_world import FakeWorker
@@ -86,3 +87,31 @@
         return leads, usable
 
     assert run_virtual(main) == (True, True)
+
+
+def test_a_worker_whose_record_was_rejected_is_used_after_a_restart():
+    """Guards against a rejected entry that counts for all later ones of its id."""
+
+    async def main():
+        world, _ = await leading_world([])
+        store, key = world.stores[world.leader()], "fw/worker/w9"
+        write = store.txn
+
+        async def reject_first_life(compares, operations, reads=None):
+            first_life = "w9" in world.workers and world.workers["w9"].incarnation == 1
+            if first_life and any(o.key == key for o in operations):
+                raise BadRequest("the value is too large")
+            return await write(compares, operations, reads)
+
+        store.txn = reject_first_life
+        worker = await add_worker(world)
+        worker.crash()
+        worker.up = True
+        await world.register_worker(worker)
+        assert await world.submit("n0", job_for_rack())
+        await asyncio.sleep(MAX_IDLE_S)
+        started = set(world.checker.started)
+        await world.end()
+        return started, world.checker.violations
+
+    assert run_virtual(main) == ({"a1"}, [])
