Forget failures on a worker when it restarts

What callers may see: a task that failed on a worker waits for busy workers, although the worker has started again and is idle: until it has waited for 2 s while most of the cluster is free, without a limit otherwise.

Cause: what steps note of a worker is kept by its id and forgotten when it restarts or is removed, except for failures.

Test: test_a_failure_does_not_count_after_a_restart_of_the_worker, failed before.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -1019,10 +1019,11 @@
         step.blocked = False
 
     def _forget_incarnation(self, worker_id: str) -> None:
-        """Forget all advice about a worker's incarnation and its rejections."""
+        """Forget what steps have noted of a worker's incarnation."""
         for job in self._jobs.values():
             for step in job.steps.values():
                 step.rejecting_workers.discard(worker_id)
+                step.failed_workers.pop(worker_id, None)
                 if job.queue.advice is None:
                     continue
                 if step.advice_pending:
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -926,6 +926,21 @@
     assert [run.task_id for run in bench.plan()] == [rejected.task_id]
 
 
+def test_a_failure_does_not_count_after_a_restart_of_the_worker():
+    """Guards against a task that avoids a worker for what a former incarnation did."""
+    bench = Bench(1, Resources(1000, 64_000))
+    bench.submit("b2", step(1, estimate_s=60.0))
+    bench.plan()
+    bench.add_worker("w9")
+    bench.submit("a1", step(1))
+    (first,) = bench.plan()
+    bench.end(first, EndKind.FAILED)
+    assert bench.plan() == []
+    bench.restart("w9")
+    bench.report("w9")
+    assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
+
+
 def test_a_failed_task_does_not_wait_for_workers_that_reject_its_orders():
     """Guards against a task that never returns to the only worker that accepts it."""
     bench = Bench(2)
