Record a worker again when its address changes

What callers may see: a worker starts again under its id at another address and is cut off and unlisted when the leader is replaced. The new leader looks for its runs at the address in its record, the former one. If another worker answers there, it counts the runs as lost and starts their tasks a second time.

Cause: the entry in a record was that of the first time the worker was seen.

Change: a worker counts as recorded only while its record has its present address, so the record is replaced before anything starts there.

Test: test_the_record_of_a_worker_that_moves_is_replaced_before_it_is_used, failed before.

--- a/benchmarks/queue_load.py
+++ b/benchmarks/queue_load.py
@@ -323,7 +323,7 @@
             born_ms=1,
         )
         worker = self.cluster.set_worker(entry, 0.0)
-        worker.recorded = True
+        worker.recorded_address = worker.entry.address
         self._running[worker_id] = {}
         self._ended[worker_id] = []
         self._ended_counts[worker_id] = 0
--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -370,7 +370,7 @@
             tasks: Ids of the only tasks that may run there, if they are known.
         """
         worker = self._worker(entry)
-        worker.recorded = True
+        worker.recorded_address = entry.address
         worker.listed = False
         self._unsettled[entry.worker_id] = InheritedRuns(until, tasks)
 
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -331,7 +331,8 @@
             and run number, with the time of the last stop order.
         answering: Whether it answered the last poll, which had its current token.
         settled: Whether it has also reported all runs that have ended there.
-        recorded: Whether the store records it as a worker on which runs may exist.
+        recorded_address: Its address in its record in the store, by which a new leader
+            looks for its runs; ``None`` without a record.
         recorded_tasks: Ids of the tasks that the store may name as the only ones on it;
             ``None`` if it names none.
         listed: Whether the registry lists it.
@@ -356,7 +357,7 @@
     orphans: dict[tuple[str, int], float] = field(default_factory=dict)
     answering: bool = False
     settled: bool = False
-    recorded: bool = False
+    recorded_address: str | None = None
     recorded_tasks: frozenset[str] | None = None
     listed: bool = True
     clock_ms: int = 0
@@ -373,6 +374,11 @@
         """Resources that are neither used nor reserved."""
         return self.entry.capacity - self.used
 
+    @property
+    def recorded(self) -> bool:
+        """Whether a new leader would find the worker where it is now."""
+        return self.recorded_address == self.entry.address
+
     @property
     def usable(self) -> bool:
         """Whether new runs may be placed."""
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -615,8 +615,8 @@
 
     def _delete_record(self, worker: WorkerState) -> None:
         """Delete the record of a worker on which nothing can run."""
-        if worker.recorded:
-            worker.recorded = False
+        if worker.recorded_address is not None:
+            worker.recorded_address = None
             worker.recorded_tasks = None
             self._removed_workers.append(worker.entry.worker_id)
             self._flush_needed.set()
@@ -1021,7 +1021,7 @@
                 if job.state.final:
                     self._cluster.remove_job(job)
         for worker, record in zip(workers, worker_records, strict=True):
-            worker.recorded = True
+            worker.recorded_address = record.entry.address
             worker.recorded_tasks = record.tasks
             worker_id = worker.entry.worker_id
             if worker_id not in self._cluster.workers:
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -255,7 +255,7 @@
 def decode_worker(fuzz, data):
     entry = wire.to_worker("x1", data)
     worker = fuzz.bench.cluster.set_worker(entry, fuzz.bench.now)
-    worker.recorded = True
+    worker.recorded_address = worker.entry.address
     fuzz.bench.report("x1")
     fuzz.bench.planner.run(fuzz.bench.now)
     fuzz.bench.cluster.remove_worker(worker)
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -67,7 +67,7 @@
             worker_id, "s", f"{worker_id}:1", "z", capacity, labels, born_ms=1
         )
         worker = self.cluster.set_worker(entry, self.now)
-        worker.recorded = True
+        worker.recorded_address = worker.entry.address
         self.report(worker_id)
         return worker
 
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -160,6 +160,7 @@
     def __init__(self, world, worker_id, rack):
         self.world = world
         self.worker_id = worker_id
+        self.address = f"{worker_id}:1"
         self.rack = rack
         self.capacity = Resources(16_000, 65_536)
         self.up = True
@@ -185,7 +186,7 @@
         return WorkerEntry(
             worker_id=self.worker_id,
             service="planner",
-            address=f"{self.worker_id}:1",
+            address=self.address,
             zone="a",
             capacity=self.capacity,
             labels=(self.rack,),
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -6,6 +6,7 @@
 
 from flamingoway.errors import BadRequest
 from flamingoway.model import Resources
+from flamingoway.queues import records
 from flamingoway.queues.model import Step, StepJobSpec
 from tests.queue_world import FakeWorker
 from tests.test_queue_term import MAX_IDLE_S, leading_world
@@ -115,3 +116,39 @@
         return started, world.checker.violations
 
     assert run_virtual(main) == ({"a1"}, [])
+
+
+def test_the_record_of_a_worker_that_moves_is_replaced_before_it_is_used():
+    """Guards against a successor that polls a former address for a worker's runs."""
+
+    async def main():
+        world, term = await leading_world([])
+        worker = await add_worker(world)
+        state = term.cluster.workers["w9"]
+        answered_at = state.last_answer_at
+        for _ in range(1000):
+            if state.last_answer_at > answered_at:
+                break
+            await asyncio.sleep(0.002)
+        addresses = []
+        start = world.ports[world.leader()].start
+
+        async def note_record(entry, order):
+            item = await world.operator.get("fw/worker/w9")
+            record = records.decode(records.WorkerRecord, item.value)
+            addresses.append((entry.address, record.entry.address))
+            return await start(entry, order)
+
+        world.ports[world.leader()].start = note_record
+        worker.crash()
+        worker.up = True
+        worker.address = "w9:2"
+        await world.register_worker(worker)
+        assert await world.submit("n0", job_for_rack())
+        await asyncio.sleep(MAX_IDLE_S)
+        await world.end()
+        return addresses, world.checker.violations
+
+    addresses, violations = run_virtual(main)
+    assert set(addresses) == {("w9:2", "w9:2")}
+    assert violations == []
