Give a VM that takes over the id of a target a state of its own

What callers of checks may see, on the project's own interface: the VM list names a target under its id at another address, after its machine was replaced. Checks went on to the former address until a list without the id was read. And an answer of the former VM that came late, "leaving", kept the new one from all checks for 30 s.

Cause: connections, load and health of a target were kept by its id, which outlives the VM; results of requests were noted by the id as well.

Change: a target is reused only at the same address and in the same zone; results count only for the target that they came from, while it is in the list.

--- a/flamingoway/target.py
+++ b/flamingoway/target.py
@@ -323,6 +323,11 @@
         self._connecting = 0
         self._closed = False
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port of the target."""
+        return self._address
+
     @property
     def open(self) -> int:
         """Connections that are open or being opened."""
--- a/flamingoway/targetset.py
+++ b/flamingoway/targetset.py
@@ -77,7 +77,11 @@
         previous = self._targets
         self._targets = {}
         for vm in vms:
-            target = previous.pop(vm.id, None) or self._open(vm)
+            target = previous.get(vm.id)
+            if target is not None and _is_at(target, vm):
+                del previous[vm.id]
+            else:
+                target = self._open(vm)
             target.share = slot_share(vm.id, vm.slots, process_id, sharing)
             target.pool.limit = _connection_limit(vm.connections, sharing)
             self._targets[vm.id] = target
@@ -132,10 +136,14 @@
         try:
             answer = await target.pool.send(request)
         except FlamingowayError as exc:
-            self._note_failure(target_id, request, exc)
+            if self._holds(target):
+                self._note_failure(target_id, request, exc)
             raise
         finally:
             target.load.in_flight -= 1
+        if not self._holds(target):
+            # Another VM may have the id by now.
+            return answer
         if answer.leaving:
             self._ejection.note_leaving(target_id, self._clock())
             self.refresh()
@@ -155,8 +163,6 @@
         self, target_id: str, request: TargetRequest, exc: FlamingowayError
     ) -> None:
         now = self._clock()
-        if target_id not in self._targets:
-            return
         if exc.code == Code.ANSWER_LATE and request.timeout_s < MIN_COUNTED_TIMEOUT_S:
             return
         if exc.details.get("leaving"):
@@ -170,11 +176,20 @@
             if self._ejection.note_failure(target_id, now, unreachable):
                 self.refresh()
 
+    def _holds(self, target: Target) -> bool:
+        """Return whether a target is still in the VM list, at the same address."""
+        return self._targets.get(target.load.target_id) is target
+
     def _open(self, vm) -> Target:
         load = TargetLoad(vm.id, vm.zone, 0)
         return Target(load, TargetPool(vm.ip, vm.port, vm.connections, self._clock))
 
 
+def _is_at(target: Target, vm) -> bool:
+    """Return whether a VM of the list is the one that a target stands for."""
+    return target.pool.address == (vm.ip, vm.port) and target.load.zone == vm.zone
+
+
 def _connection_limit(connections: int, processes: Iterable[str]) -> int:
     """Return how many connections one process may open to one target."""
     return max(1, connections // max(1, len(set(processes))))
