Use a restarted worker only by the entry of its own incarnation

Until the registry's new entry has been read, tasks that need the former label start there, beyond its capacity.

Cause: when a poll showed a restart before the registry did, the leader kept service, labels and capacity of the former entry and replaced only its time of start.

Change: such a worker gets nothing until the registry shows the entry of the incarnation that answers. If that entry has been read before, because the worker's time of day was set back and it looked older, it is used at once. An order to start that was decided before a restart and has waited since is not sent any more.

Tests, failed before: test_a_worker_is_not_used_by_the_entry_of_a_former_incarnation, test_an_order_decided_before_a_restart_is_not_sent_after_it. test_a_restarted_worker_is_used_by_its_new_entry guards the other side. test_a_registry_entry_older_than_a_restart_does_not_undo_it relied on the fault: it placed tasks on a worker whose new entry had never been read. The new entry now comes before the tasks and the older one after them; what it asserts is unchanged.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -388,6 +388,7 @@
                 "worker draining", worker=entry.worker_id, draining=entry.draining
             )
         worker.entry = entry
+        worker.entry_outdated = False
         worker.listed = True
         return worker
 
@@ -522,10 +523,12 @@
             wall: Wall-clock time, in seconds.
         """
         if report.born_ms and report.born_ms != worker.entry.born_ms:
-            if worker.entry.born_ms and worker.clock_at > float("-inf"):
-                entry = replace(worker.entry, born_ms=report.born_ms)
+            # Its service, labels and capacity are those of another incarnation.
+            worker.entry_outdated = bool(worker.entry.born_ms)
+            entry = replace(worker.entry, born_ms=report.born_ms)
+            if worker.entry_outdated and worker.clock_at > float("-inf"):
                 self._begin_incarnation(worker, entry, now)
-            worker.entry = replace(worker.entry, born_ms=report.born_ms)
+            worker.entry = entry
         worker.clock_ms, worker.clock_at = report.clock_ms, now
         unobserved_s = now - worker.last_answer_at - MAX_OBSERVED_GAP_S
         if unobserved_s > 0:
@@ -935,7 +938,10 @@
         worker = run.worker
         tracked = worker.runs.get(run.key) is run
         leaving = worker.entry.draining or not worker.listed
-        return tracked and run.phase is RunPhase.STARTING and not leaving
+        # The worker may have restarted since the decision.
+        outdated = run.token != worker.token
+        starting = run.phase is RunPhase.STARTING
+        return tracked and starting and not leaving and not outdated
 
     def on_start_reply(self, run: Run, reply: StartReply, now: float) -> None:
         """Process the result of an order to start a run."""
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -336,6 +336,8 @@
         recorded_tasks: Ids of the tasks that the store may name as the only ones on it;
             ``None`` if it names none.
         listed: Whether the registry lists it.
+        entry_outdated: Whether its answers show another incarnation than the one that
+            the registry describes.
         clock_ms: The worker's clock at ``clock_at``.
         lease_ms: Latest end of a lease that was sent, on the worker's clock.
         processed: Sequence number of the last end that was processed.
@@ -360,6 +362,7 @@
     recorded_address: str | None = None
     recorded_tasks: frozenset[str] | None = None
     listed: bool = True
+    entry_outdated: bool = False
     clock_ms: int = 0
     clock_at: float = float("-inf")
     lease_ms: int = 0
@@ -387,6 +390,7 @@
             and self.recorded
             and self.recorded_tasks is None
             and self.listed
+            and not self.entry_outdated
             and not self.entry.draining
             and not self.orphans
         )
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -547,9 +547,20 @@
         self._metrics.polls.inc()
         now = self._clock()
         self._cluster.on_report(worker, report, sent_at, token, now, time.time())
+        if worker.entry_outdated:
+            self._use_entry_of_incarnation(worker)
         self._after_event()
         return True
 
+    def _use_entry_of_incarnation(self, worker: WorkerState) -> None:
+        """Use the registry entry of a worker's incarnation if it has been read before.
+
+        It looked outdated then if the worker's time of day has been set back.
+        """
+        entry = self._registry.entries.get(worker.entry.worker_id)
+        if entry is not None and entry.born_ms == worker.entry.born_ms:
+            self._cluster.set_worker(entry, self._clock())
+
     async def _wait_for_flush(self, worker: WorkerState, wake: asyncio.Event) -> None:
         """Wait until ended runs of a worker are stored, at most ``FLUSH_DELAY_S``.
 
--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -166,6 +166,8 @@
         self.up = True
         self.draining = False
         self.incarnation = 0
+        # A step of the time of day before the start of the incarnation.
+        self.born_offset_ms = 0
         self.ended_log = []
         self._begin_incarnation()
 
@@ -191,9 +193,13 @@
             capacity=self.capacity,
             labels=(self.rack,),
             draining=self.draining,
-            born_ms=1_000_000 + self.incarnation,
+            born_ms=self.born_ms,
         )
 
+    @property
+    def born_ms(self):
+        return 1_000_000 + self.incarnation + self.born_offset_ms
+
     @property
     def clock_ms(self):
         return int((self.world.now - self.started_at) * 1000 * 0.98)
@@ -311,7 +317,7 @@
         ended = tuple(self.ended[:ENDED_ROWS])
         return WorkerReport(
             self.clock_ms,
-            1_000_000 + self.incarnation,
+            self.born_ms,
             running,
             ended,
             complete=len(ended) < ENDED_ROWS,
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -1,5 +1,7 @@
 """Checks which tasks the cluster state counts as running, ended or lost."""
 
+from dataclasses import replace
+
 import pytest
 
 from flamingoway.model import Resources
@@ -572,6 +574,7 @@
     bench = Bench(2)
     former = bench.worker("w0").entry
     bench.report("w0", born_ms=2)
+    bench.restart("w0")
     bench.report("w0")
     job = bench.submit("a1", step(2, cpu=9000))
     bench.plan()
@@ -580,6 +583,36 @@
     assert len(job.steps[0, 0].live) == 2 and bench.plan() == []
 
 
+@pytest.mark.parametrize("settled_before", [True, False])
+def test_a_worker_is_not_used_by_the_entry_of_a_former_incarnation(settled_before):
+    """Guards against starts on a worker that came back as another kind."""
+    bench = Bench(0)
+    former = WorkerEntry("w0", "s", "w0:1", "z", LARGE, ("a",), born_ms=1)
+    worker = bench.cluster.set_worker(former, bench.now)
+    worker.recorded_address = former.address
+    if settled_before:
+        bench.report("w0")
+    bench.submit("a1", step(1, label="a"))
+    bench.submit("b1", step(1, label="b"))
+    bench.report("w0", born_ms=2)
+    bench.report("w0", born_ms=2)
+    assert worker.settled and bench.plan() == []
+    bench.cluster.set_worker(former, bench.now)
+    assert bench.plan() == []
+    bench.cluster.set_worker(replace(former, labels=("b",), born_ms=2), bench.now)
+    assert [run.task_id for run in bench.plan()] == ["b1.0.0.0"]
+
+
+def test_an_order_decided_before_a_restart_is_not_sent_after_it():
+    """Guards against a start on an incarnation that may not run the task."""
+    bench = Bench(1)
+    bench.submit("a1", step(1))
+    (run,) = bench.plan()
+    assert bench.cluster.may_start(run)
+    bench.restart("w0")
+    assert not bench.cluster.may_start(run)
+
+
 def test_a_silent_restarted_worker_may_run_starts_until_their_leases_expire():
     """Guards against a second run while a new incarnation cannot be polled."""
     bench = Bench(2)
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -152,3 +152,39 @@
     addresses, violations = run_virtual(main)
     assert set(addresses) == {("w9:2", "w9:2")}
     assert violations == []
+
+
+@pytest.mark.parametrize("clock_step_ms", [0, -5000], ids=["steady", "set back"])
+@pytest.mark.parametrize("entry_first", [True, False])
+def test_a_restarted_worker_is_used_by_its_new_entry(entry_first, clock_step_ms):
+    """Guards against a worker that waits for an entry which has been read already."""
+
+    async def main():
+        world, term = await leading_world([])
+        worker = await add_worker(world)
+        port, poll = world.ports[world.leader()], world.ports[world.leader()].poll
+        answered = asyncio.Event()
+
+        async def poll_later(entry, *args):
+            if entry.worker_id == "w9":
+                await answered.wait()
+            return await poll(entry, *args)
+
+        worker.crash()
+        worker.born_offset_ms = clock_step_ms
+        worker.up = True
+        if entry_first:
+            port.poll = poll_later
+            await world.register_worker(worker)
+            await asyncio.sleep(1.0)
+            answered.set()
+        else:
+            await asyncio.sleep(1.0)
+            await world.register_worker(worker)
+        assert await world.submit("n0", job_for_rack())
+        await asyncio.sleep(MAX_IDLE_S)
+        started = set(world.checker.started)
+        await world.end()
+        return started, world.checker.violations
+
+    assert run_virtual(main) == ({"a1"}, [])
