Blame a service that fails on all workers of its kind, however few

A gang and a sound lasting task of another service that need the kind do not start in 17 and 40 s, beside two workers that are nearly empty.

Cause: failures of a lasting task did not count against its worker only if its service had failed on at least three workers. On two, both were quarantined again and again, and the failing tasks took the one probe of each.

Change: fewer workers suffice if they are all that may run the step; then its failures say nothing about any one of them. Other work still counts against a worker.

Test: test_a_service_that_fails_on_all_workers_of_its_kind_quarantines_none, both forms failed before. test_workers_that_fail_the_tasks_of_a_sound_service_are_quarantined holds.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
+from itertools import islice
 
 from .decisions import DecisionLog
 from .health import WorkerHealth
@@ -82,8 +83,8 @@
 # A worker that has not answered for this long is recorded with its tasks, so that a
 # lease that is renewed late does not cause a write.
 SILENT_S = 0.3
-# A service whose tasks failed within this time on at least so many workers, and on most
-# of those that run it, is at fault itself.
+# A service whose tasks failed within this time on at least so many workers, or on all
+# that may run it, and on most of those that do, is at fault itself.
 SERVICE_FAULT_WINDOW_S = 30.0
 MIN_FAILED_WORKERS = 3
 # Wall clocks of two processes differ by less than this.
@@ -796,7 +797,7 @@
         job = step.job
         step.failed_workers[worker.entry.worker_id] = now
         step.failed_at = now
-        if not _is_service_at_fault(step, now) and worker.health.note_failure(now):
+        if not self._is_service_at_fault(step, now) and worker.health.note_failure(now):
             self._log.write(
                 "worker quarantined",
                 worker=worker.entry.worker_id,
@@ -813,6 +814,23 @@
             why = f"{ended.task_id} failed {len(failed)} times"
             self._end_job(job, StepJobState.FAILED, now, wall, why)
 
+    def _is_service_at_fault(self, step: StepRun, now: float) -> bool:
+        """Return whether a failure of a lasting task says nothing about its worker.
+
+        A service that fails on most of its workers would otherwise quarantine them all,
+        as no number of failures ends it.
+        """
+        if not step.spec.lasting:
+            return False
+        since = now - SERVICE_FAULT_WINDOW_S
+        failed = {
+            w for w, failed_at in step.failed_workers.items() if failed_at > since
+        }
+        workers = failed | {run.worker.entry.worker_id for run in step.live.values()}
+        # If it may run on fewer workers, it has to fail on all of them.
+        required = sum(1 for _ in islice(self.eligible(step), MIN_FAILED_WORKERS))
+        return len(failed) >= required and 2 * len(failed) > len(workers)
+
     def _remove_run(self, run: Run) -> bool:
         """Free the resources of a run; return whether it was allocated any."""
         worker = run.worker
@@ -1114,6 +1132,9 @@
     def eligible(self, step: StepRun) -> Iterable[WorkerState]:
         """Yield the workers on which tasks of a step may run."""
         for worker in self._workers.values():
+            allowed = step.allowed_workers
+            if allowed is not None and worker.entry.worker_id not in allowed:
+                continue
             if worker.usable and step.may_run_on(worker.entry):
                 yield worker
 
@@ -1169,20 +1190,6 @@
     )
 
 
-def _is_service_at_fault(step: StepRun, now: float) -> bool:
-    """Return whether a failure of a lasting task says nothing about its worker.
-
-    A service that fails on most of its workers would otherwise quarantine them all, as
-    no number of failures ends it.
-    """
-    if not step.spec.lasting:
-        return False
-    since = now - SERVICE_FAULT_WINDOW_S
-    failed = {w for w, failed_at in step.failed_workers.items() if failed_at > since}
-    workers = failed | {run.worker.entry.worker_id for run in step.live.values()}
-    return len(failed) >= MIN_FAILED_WORKERS and 2 * len(failed) > len(workers)
-
-
 def _is_newer_incarnation(known: WorkerEntry, entry: WorkerEntry) -> bool:
     return bool(known.born_ms and entry.born_ms > known.born_ms)
 
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -457,6 +457,25 @@
     assert len(bench.plan()) == 8
 
 
+@pytest.mark.parametrize("workers", [1, 2])
+def test_a_service_that_fails_on_all_workers_of_its_kind_quarantines_none(workers):
+    """Guards against other work of the kind that waits beside nearly empty workers."""
+    bench = Bench(4)
+    for index in range(workers):
+        bench.add_worker(f"b{index}", labels=("b",))
+    spread = step(workers, label="b", per_worker=1, lasting=True)
+    bench.submit("f1", spread)
+    for _ in range(10):
+        for run in bench.plan():
+            bench.end(run, EndKind.FAILED)
+        bench.now += 1.0
+    assert quarantined(bench) == set()
+    bench.submit("a1", step(1, label="b", lasting=True))
+    bench.submit("b1", step(workers, cpu=9000, label="b", gang=True))
+    started = {run.step.job.spec.job_id for run in bench.plan()}
+    assert started == {"f1", "a1", "b1"}
+
+
 def test_workers_that_fail_the_tasks_of_a_sound_service_are_quarantined():
     """Guards against faulty workers that go unnoticed because a service lasts."""
     bench = Bench(8)
