Grant leases of at most 7 s

The rule allows 6 s and 3 s.

That a worker has left cannot be told from one that is cut off, so its tasks start again only once its leases have expired.

Change: no lease is longer than 7 s. It is not shortened for a worker with a run that no poll has shown: that run may be on an incarnation that has not been noticed, whose clock began anew, so that it took the longest lease that a worker accepts. The wait of a takeover is unchanged too, as the former leader may be of a build that grants longer leases. Outages of the store are survived for 12 s where it was 14.5 s; the longest in the site files takes 9 s. Where workers accept 6 s nothing changes.

--- a/flamingoway/queues/cluster.py
+++ b/flamingoway/queues/cluster.py
@@ -33,6 +33,8 @@
 from .records import StepProgress
 from .rows import MAX_CHECKPOINT_CHARS, write_rows
 from .runs import (
+    LEASE_EXPIRY_MARGIN_S,
+    MAX_GRANTED_LEASE_S,
     MAX_LEASE_FACTOR,
     MAX_ORDER_DELAY_S,
     MIN_CLOCK_RATE,
@@ -100,7 +102,8 @@
 
     Args:
         epoch: Number of the leader epoch.
-        lease_s: Duration of the leases granted to workers, in seconds.
+        lease_s: Longest lease that workers accept, in seconds. Leaders of earlier
+            builds granted leases of this length.
         log: Decision log.
 
     Attributes:
@@ -112,7 +115,8 @@
         self.orders: list[Order] = []
         self.fenced = False
         self._epoch = epoch
-        self._lease_s = lease_s
+        self._lease_s = min(lease_s, MAX_GRANTED_LEASE_S)
+        self._accepted_lease_s = lease_s
         self._max_lease_s = lease_s * MAX_LEASE_FACTOR / MIN_CLOCK_RATE
         self._log = log
         self._desired: DesiredState | None = None
@@ -129,6 +133,11 @@
         """Number of the leader epoch."""
         return self._epoch
 
+    @property
+    def lease_s(self) -> float:
+        """Length of the leases that are granted, in seconds."""
+        return self._lease_s
+
     @property
     def jobs(self) -> dict[str, OpenJob]:
         """Open jobs, and ended jobs whose end is not stored yet, by id."""
@@ -430,7 +439,18 @@
             return now >= max(inherited.until, worker.leases_expire_at())
         # An unanswered start order counts as a run.
         may_run = worker.runs or worker.orphans
-        return not may_run or now >= worker.leases_expire_at()
+        return not may_run or now >= self._leases_expire_at(worker)
+
+    def _leases_expire_at(self, worker: WorkerState) -> float:
+        """Return the time by which the leases of all runs of a worker have expired.
+
+        A run that no poll has shown may be on an incarnation that has not been noticed.
+        Its clock began anew, so that it took the longest lease that a worker accepts.
+        """
+        if all(run.reported for run in worker.runs.values()):
+            return worker.leases_expire_at()
+        longest_s = self._accepted_lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+        return max(worker.leases_expire_at(), worker.lease_sent_at + longest_s)
 
     def drop_runs(self, worker: WorkerState, now: float, why: str) -> None:
         """Treat all runs of a worker as ended with unknown outcome."""
@@ -936,8 +956,7 @@
         self._starting += 1
         worker.health.note_busy(True, now)
         worker.used = worker.used + allocated_resources(step.spec)
-        lease_ms = worker.clock_estimate(now) + int(self._lease_s * 1000)
-        worker.lease_ms = max(worker.lease_ms, lease_ms)
+        lease_ms = worker.renew_lease(now, self._lease_s)
         ticket = step.tickets.get(worker.entry.worker_id)
         order = RunOrder(
             worker_id=worker.entry.worker_id,
--- a/flamingoway/queues/runs.py
+++ b/flamingoway/queues/runs.py
@@ -15,8 +15,12 @@
 MIN_CLOCK_RATE = 0.97
 # A lease counts as expired only this long after its latest possible end.
 LEASE_EXPIRY_MARGIN_S = 0.2
-# A worker may accept leases that are longer than those granted, by this factor.
+# A worker accepts leases of up to this many times ``Platform.lease_s``.
 MAX_LEASE_FACTOR = 1.06
+# Longest lease that is granted. By the users' rules a lasting task must run again
+# within 9 s of the loss of its worker. Up to 1.5 s of that are for the drift of the
+# worker's clock, for noticing that the lease has expired, and for the start.
+MAX_GRANTED_LEASE_S = 7.0
 # An order that is not answered may be executed up to this long after it was sent.
 MAX_ORDER_DELAY_S = 8.0
 # Fencing tokens per leader epoch; the token rises after each unanswered order.
@@ -340,6 +344,7 @@
             the registry describes.
         clock_ms: The worker's clock at ``clock_at``.
         lease_ms: Latest end of a lease that was sent, on the worker's clock.
+        lease_sent_at: Time of the last decision to send a lease.
         processed: Sequence number of the last end that was processed.
         acknowledged: Sequence number up to which all ends are stored.
         unstored: Ends whose changes are not stored: sequence number, job, job version.
@@ -366,6 +371,7 @@
     clock_ms: int = 0
     clock_at: float = float("-inf")
     lease_ms: int = 0
+    lease_sent_at: float = float("-inf")
     processed: int = 0
     acknowledged: int = 0
     unstored: deque[tuple[int, OpenJob, int]] = field(default_factory=deque)
@@ -399,6 +405,13 @@
         """Record that its runs are not known until it answers again."""
         self.answering = self.settled = False
 
+    def renew_lease(self, now: float, lease_s: float) -> int:
+        """Note that a lease is sent; return its end on the worker's clock, in ms."""
+        lease_ms = self.clock_estimate(now) + int(lease_s * 1000)
+        self.lease_ms = max(self.lease_ms, lease_ms)
+        self.lease_sent_at = now
+        return lease_ms
+
     def clock_estimate(self, now: float) -> int:
         """Return an estimate of the worker's clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_at) * 1000)
--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -54,9 +54,9 @@
 from .table import JobTable, TableJob
 
 # A leader keeps sending orders for this long after its last contact with the store.
-# The leases of its workers then last as long again, which covers the outages of
-# the platform's store. A new leader waits this long plus a worker's lease before it
-# gives up the tasks of a worker that it cannot reach.
+# The leases of its workers then last as long again, which covers the outages of the
+# platform's store. A new leader waits this long plus the longest lease that a worker
+# accepts before it gives up the tasks of a worker that it cannot reach.
 MAX_STORE_AGE_S = 5.0
 # Nothing starts on a copy that is older than this, unless the store does not answer. It
 # is shorter than the time in which a cancellation must be in force.
@@ -160,7 +160,7 @@
             results.
         relay: Sends requests to other processes.
         process: Registration of this process.
-        lease_s: Length of the leases given to workers.
+        lease_s: Longest lease that workers accept.
         retention_s: How long ended jobs are kept.
         clock: Monotonic clock that counts suspended time, in seconds.
         metrics: Metrics of the process.
@@ -519,8 +519,7 @@
         lease_ms = 0
         # An unresponsive worker's lease is not renewed, so that it expires.
         if worker.answering:
-            lease_ms = worker.clock_estimate(sent_at) + int(self._lease_s * 1000)
-            worker.lease_ms = max(worker.lease_ms, lease_ms)
+            lease_ms = worker.renew_lease(sent_at, self._cluster.lease_s)
         wait_s = POLL_WAIT_S if worker.settled else 0.0
         # A worker that restarted numbers its ends anew, and would discard them unseen.
         acknowledged = worker.acknowledged if worker.answering else 0
--- a/tests/queue_cluster.py
+++ b/tests/queue_cluster.py
@@ -52,10 +52,10 @@
 class Bench:
     """A cluster state with its planner; tests read the orders that both issue."""
 
-    def __init__(self, workers=2, capacity=LARGE, epoch=1):
+    def __init__(self, workers=2, capacity=LARGE, epoch=1, lease_s=LEASE_S):
         self.log = RecordingLog()
         self.now = 100.0
-        self.cluster = ClusterState(epoch, LEASE_S, self.log)
+        self.cluster = ClusterState(epoch, lease_s, self.log)
         self.planner = Planner(self.cluster, self.log)
         self.cluster.set_desired_state(DesiredState(1, (PLANS, SORTS, CHECKS, ADVISED)))
         self.clock = {}
--- a/tests/test_queue_cluster.py
+++ b/tests/test_queue_cluster.py
@@ -17,7 +17,7 @@
     WorkerEntry,
 )
 from flamingoway.queues.records import ProgressRecord, StepProgress
-from flamingoway.queues.runs import RUNS_PER_EPOCH, PollNow
+from flamingoway.queues.runs import MAX_GRANTED_LEASE_S, RUNS_PER_EPOCH, PollNow
 from tests.queue_cluster import LARGE, PLANS, Bench, step
 
 
@@ -632,6 +632,19 @@
     assert not bench.cluster.may_start(run)
 
 
+@pytest.mark.parametrize("reported", [True, False])
+def test_a_run_that_no_poll_has_shown_may_have_the_longest_lease(reported):
+    """Guards against a second run beside one that a restarted worker has taken."""
+    bench = Bench(1, lease_s=9.5)
+    _, (run,) = running(bench, step(1))
+    worker = bench.worker("w0")
+    if reported:
+        bench.report("w0", [run.key])
+    expected_s = (MAX_GRANTED_LEASE_S if reported else 9.5) / 0.97
+    assert not bench.cluster.all_runs_expired(worker, bench.now + expected_s)
+    assert bench.cluster.all_runs_expired(worker, bench.now + expected_s + 0.3)
+
+
 def test_a_silent_restarted_worker_may_run_starts_until_their_leases_expire():
     """Guards against a second run while a new incarnation cannot be polled."""
     bench = Bench(2)
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -13,11 +13,20 @@
 from flamingoway.queues.runs import MAX_CALLS_PER_WORKER
 from flamingoway.queues.table import TableJob
 from flamingoway.queues.term import MAX_STORE_AGE_S, LeadershipLost, _Deletions
-from tests.queue_world import LATENCY_S, LEASE_S, FakeRun, FakeWorker, World
+from tests.queue_world import (
+    LATENCY_S,
+    LEASE_S,
+    LONG_LEASE_BOUNDS,
+    FakeRun,
+    FakeWorker,
+    World,
+)
 from tests.virtual import run_virtual
 
 # Longest time for which a job may have nothing running beside idle workers.
 MAX_IDLE_S = 3.0
+# Longest time for which a lasting task may be away from its last run on.
+LASTING_GAP_S = 6.0 + MAX_IDLE_S
 
 
 async def leading_world(errors):
@@ -571,3 +580,38 @@
         return len(outdated), records.decode(records.WorkerRecord, stored.value).tasks
 
     assert run_virtual(main) == (1, ())
+
+
+@pytest.mark.parametrize("drains", [True, False], ids=["planned", "lost"])
+def test_a_lasting_task_runs_again_soon_after_its_worker_has_left(drains):
+    """Guards against a task that is away for over 9 s although workers are idle."""
+
+    async def main():
+        world = World(1, failure_share=0.0, bounds=LONG_LEASE_BOUNDS)
+        await world.begin()
+        world.duration = lambda task_id: 600.0
+        step = Step(1, Resources(6000, 1000), 1.0, lasting=True)
+        assert await world.submit("n0", StepJobSpec("a1", "checks", "x", (step,)))
+        gaps = []
+        for _ in range(5):
+            await asyncio.sleep(3.0)
+            (worker,) = (w for w in world.workers.values() if w.runs)
+            if drains:
+                worker.draining = True
+                await world.register_worker(worker)
+                await asyncio.sleep(2.5)
+            worker.crash()
+            left_at = world.now
+            if drains:
+                await world.unregister_worker(worker)
+            for _ in range(1500):
+                if any(w.runs for w in world.workers.values()):
+                    break
+                await asyncio.sleep(0.01)
+            gaps.append(world.now - left_at)
+        await world.end()
+        return gaps, world.checker.violations
+
+    gaps, violations = run_virtual(main)
+    assert max(gaps) < LASTING_GAP_S
+    assert violations == []
