Log which workers a takeover waits for

The new line "takeover unfinished" names up to ten of them every 2 s, those that hold back all inherited jobs first, with the time left. The tests of records that delay one takeover check it.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -103,6 +103,9 @@
 REPLY_LOG_DELAY_S = 0.05
 # An order that has waited for this long since its decision has a line of its own.
 LATE_START_S = 1.0
+# Interval at which the log names workers that a takeover waits for, and their number.
+TAKEOVER_LOG_S = 2.0
+MAX_LOGGED_WORKERS = 10
 
 
 class LeadershipLost(Exception):
@@ -265,6 +268,7 @@
             self._spawn(self._plan_loop())
             self._spawn(self._flush_loop())
             self._spawn(self._tick_loop())
+            self._spawn(self._log_takeover())
             self._spawn(self._handover_loop())
             self._spawn(self._promotion_loop())
             self._spawn(self._expiry_loop())
@@ -357,9 +361,7 @@
             jobs=len(self._cluster.jobs),
             workers=len(self._cluster.workers),
             unsettled=len(self._cluster.unsettled),
-            unsettled_with_known_tasks=sum(
-                runs.tasks is not None for runs in self._cluster.unsettled.values()
-            ),
+            unsettled_with_known_tasks=self._unsettled_with_known_tasks,
         )
         rows = [
             self._job_row(self._table.jobs[job_id], job)
@@ -367,6 +369,30 @@
         ]
         write_rows(self._log, "jobs taken over", rows, epoch=self._cluster.epoch)
 
+    async def _log_takeover(self) -> None:
+        """Name the workers that may have runs of former leaders, until none is left."""
+        while True:
+            await asyncio.sleep(TAKEOVER_LOG_S)
+            unsettled = self._cluster.unsettled
+            if not unsettled:
+                return
+            # Those that hold back all inherited jobs come first.
+            names = sorted(unsettled, key=lambda w: (unsettled[w].tasks is not None, w))
+            until = max(runs.until for runs in unsettled.values())
+            self._log.write(
+                "takeover unfinished",
+                epoch=self._cluster.epoch,
+                unsettled=len(unsettled),
+                unsettled_with_known_tasks=self._unsettled_with_known_tasks,
+                workers=names[:MAX_LOGGED_WORKERS],
+                left_s=round(until - self._clock(), 2),
+            )
+
+    @property
+    def _unsettled_with_known_tasks(self) -> int:
+        unsettled = self._cluster.unsettled.values()
+        return sum(runs.tasks is not None for runs in unsettled)
+
     def configure(self) -> None:
         """Put a new configuration into force."""
         self._cluster.set_desired_state(self._intake.desired)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -17,6 +17,7 @@
 # Longer than a new leader waits for a worker that it cannot reach.
 TAKEOVER_WAIT_S = 2 * LEASE_S + 5.0
 TASK_S = 4.0
+EVENT = "takeover unfinished"
 
 
 class ForeignWorker(FakeWorker):
@@ -100,6 +101,9 @@
         await kill_leader(world)
         await asyncio.sleep(TAKEOVER_WAIT_S)
         kept = await world.operator.get("fw/worker/w9")
+        lines = [fields for _, _, event, fields in world.lines if event == EVENT]
+        named = {tuple(fields["workers"]) for fields in lines}
+        assert named == {("w9",)}
         due_at = await submit_chain(world, "a1")
         await asyncio.sleep(1.0)
         await kill_leader(world)
