Play workers that come back, and entries of other writers, in the histories

Two faults join the seeded histories: workers that expire from the registry and are back within 2.5 s, as another life, at another address, or still alive; and entries of other writers behind which nobody answers. The seeds of the newer faults choose among the same faults as before.

--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -157,11 +157,12 @@
 class FakeWorker:
     """A worker process; a crash starts the next incarnation."""
 
-    def __init__(self, world, worker_id, rack):
+    def __init__(self, world, worker_id, rack, service="planner"):
         self.world = world
         self.worker_id = worker_id
         self.address = f"{worker_id}:1"
         self.rack = rack
+        self.service = service
         self.capacity = Resources(16_000, 65_536)
         self.up = True
         self.draining = False
@@ -187,7 +188,7 @@
     def entry(self):
         return WorkerEntry(
             worker_id=self.worker_id,
-            service="planner",
+            service=self.service,
             address=self.address,
             zone="a",
             capacity=self.capacity,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -20,21 +20,15 @@
 EVENT = "takeover unfinished"
 
 
-class ForeignWorker(FakeWorker):
-    """A registry entry of another writer; no worker of ours stands behind it."""
-
-    def __init__(self, world, service):
-        super().__init__(world, "w9", "r9")
-        self.service = service
-        self.up = False
-
-    @property
-    def entry(self):
-        return replace(super().entry, service=self.service)
+def foreign_worker(world, service):
+    """Return a worker of another writer, behind whose entry nobody answers."""
+    worker = world.workers["w9"] = FakeWorker(world, "w9", "r9", service)
+    worker.up = False
+    return worker
 
 
 async def add_foreign_worker(world, service):
-    worker = world.workers["w9"] = ForeignWorker(world, service)
+    worker = foreign_worker(world, service)
     await world.register_worker(worker)
     await asyncio.sleep(1.0)
     return worker
@@ -90,8 +84,7 @@
 
     async def main():
         world, _ = await leading_world([])
-        worker = ForeignWorker(world, "planner")
-        world.workers["w9"] = worker
+        worker = foreign_worker(world, "planner")
         value = records.encode(records.WorkerRecord(worker.entry))
         put = Put("fw/worker/w9", value if readable else b"\xff")
         await world.operator.txn([], [put])
@@ -123,7 +116,7 @@
         entry = world.workers["w0"].entry
         value = records.encode(records.WorkerRecord(entry))
         await world.operator.txn([], [Put("fw/worker/w9", value)])
-        world.workers["w9"] = ForeignWorker(world, "planner")
+        foreign_worker(world, "planner")
         await asyncio.sleep(1.0)
         await kill_leader(world)
         await asyncio.sleep(TAKEOVER_WAIT_S)
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -35,6 +35,7 @@
     LEASE_S,
     LONG_LEASE_BOUNDS,
     RESTORE_S,
+    FakeWorker,
     World,
 )
 from tests.virtual import run_virtual
@@ -45,6 +46,7 @@
 UNEVEN_SEEDS = range(200, 215)
 LONG_LEASE_SEEDS = range(300, 320)
 NEWER_FAULT_SEEDS = range(400, 412)
+LATEST_FAULT_SEEDS = range(600, 612)
 TRAFFIC_S = 20.0
 # After a takeover, tasks of an unreachable worker wait up to 14 s.
 SETTLE_S = 45.0
@@ -411,6 +413,52 @@
             world.start_node(name)
 
 
+# Earlier seeds of newer faults choose among these.
+NEWER_FAULTS = sorted(FAULTS)
+
+
+@fault
+async def worker_listed_again(world, rng):
+    """Let workers expire from the registry and come back soon after, or still alive."""
+    for _ in range(3):
+        worker = rng.choice([w for w in world.workers.values() if w.up])
+        ports = list(world.ports.values())
+        with world.disruptions.during(worker.worker_id):
+            crashes = rng.random() < 0.5
+            if crashes:
+                worker.crash()
+            for port in ports:
+                port.unreachable.add(worker.worker_id)
+            await asyncio.sleep(rng.uniform(0.5, 4.5))
+            await world.unregister_worker(worker)
+            await asyncio.sleep(rng.uniform(0.0, 2.5))
+            if rng.random() < 0.3:
+                worker.address = f"{worker.worker_id}:{rng.randint(2, 9)}"
+            worker.up = True
+            for port in ports:
+                port.unreachable.discard(worker.worker_id)
+            await world.register_worker(worker)
+
+
+@fault
+async def foreign_entries(world, rng):
+    """List workers of other writers, behind which nobody answers."""
+    added = []
+    for number in range(3):
+        service = rng.choice(["planner", "elsewhere"])
+        worker = FakeWorker(world, f"x{number}", "r0", service)
+        worker.up = False
+        world.workers[worker.worker_id] = worker
+        await world.register_worker(worker)
+        added.append(worker)
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+    for worker in added:
+        await world.unregister_worker(worker)
+
+
+LATEST_FAULTS = sorted(FAULTS.keys() - set(NEWER_FAULTS))
+
+
 def run_history(
     seed, names, power_by_name=None, bounds=BOUNDS, choose_plan=random_plan
 ):
@@ -480,12 +528,20 @@
 def newer_faults_of(seed):
     """Return faults of a seed, among them one that ``faults_of`` does not choose."""
     rng = random.Random(seed * 6007)
-    names = [rng.choice(sorted(FAULTS)) for _ in range(rng.randint(0, 4))]
-    newer = rng.choice(sorted(FAULTS.keys() - set(SEEDED_FAULTS)))
+    names = [rng.choice(NEWER_FAULTS) for _ in range(rng.randint(0, 4))]
+    newer = rng.choice(sorted(set(NEWER_FAULTS) - set(SEEDED_FAULTS)))
     names.insert(rng.randint(0, len(names)), newer)
     return names
 
 
+def latest_faults_of(seed):
+    """Return faults of a seed: workers that come back, or entries of other writers."""
+    rng = random.Random(seed * 5003)
+    names = [rng.choice(sorted(FAULTS)) for _ in range(rng.randint(1, 4))]
+    names.insert(rng.randint(0, len(names)), rng.choice(LATEST_FAULTS))
+    return names
+
+
 def test_tasks_of_a_lost_worker_start_again_when_its_lease_has_expired():
     """Guards against failing polls that extend a lease without limit."""
     # Orders sent before a leader notices that a worker is silent extend its lease too.
@@ -567,6 +623,13 @@
     assert world.checker.violations == [], names
 
 
+@pytest.mark.parametrize("seed", LATEST_FAULT_SEEDS)
+def test_the_rules_hold_while_workers_come_back_and_others_write_entries(seed):
+    names = latest_faults_of(seed)
+    world = run_history(seed, names, bounds=LONG_LEASE_BOUNDS)
+    assert world.checker.violations == [], names
+
+
 @pytest.mark.parametrize("seed", UNEVEN_SEEDS)
 def test_the_rules_hold_when_one_process_has_more_processor_time(seed):
     """Guards against violations when a fault hits while the leadership is moving.
@@ -744,6 +807,7 @@
     "default": (faults_of, BOUNDS),
     "long-leases": (faults_of, LONG_LEASE_BOUNDS),
     "newer-faults": (newer_faults_of, LONG_LEASE_BOUNDS),
+    "latest-faults": (latest_faults_of, LONG_LEASE_BOUNDS),
 }
 
 
