--- a/tests/queue_world.py
+++ b/tests/queue_world.py
@@ -163,6 +163,8 @@
         self.address = f"{worker_id}:1"
         self.rack = rack
         self.service = service
+        # Whether another writer has listed it and nobody answers at its address.
+        self.foreign = False
         self.capacity = Resources(16_000, 65_536)
         self.up = True
         self.draining = False
@@ -455,7 +457,8 @@
     async def ask(self, step_id, workers, timeout_s):
         await asyncio.sleep(QUEUE.advice.duration(len(workers)))
         # Picks the same four of six workers, whichever workers the call names.
-        ranked = sorted(self.world.workers, key=lambda w: unit_hash(step_id + w))
+        own = [w for w, worker in self.world.workers.items() if not worker.foreign]
+        ranked = sorted(own, key=lambda w: unit_hash(step_id + w))
         good = [w for w in ranked[:4] if w in workers]
         return Advice({w: f"t-{w}" for w in good}, QUEUE.advice.valid_s)
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -23,7 +23,7 @@
 def foreign_worker(world, service):
     """Return a worker of another writer, behind whose entry nobody answers."""
     worker = world.workers["w9"] = FakeWorker(world, "w9", "r9", service)
-    worker.up = False
+    worker.foreign, worker.up = True, False
     return worker
 
 
--- a/tests/test_queue_world.py
+++ b/tests/test_queue_world.py
@@ -447,7 +447,7 @@
     for number in range(3):
         service = rng.choice(["planner", "elsewhere"])
         worker = FakeWorker(world, f"x{number}", "r0", service)
-        worker.up = False
+        worker.foreign, worker.up = True, False
         world.workers[worker.worker_id] = worker
         await world.register_worker(worker)
         added.append(worker)
