Let the soak list two valid entries that no worker stands behind

Beside the invalid entries, one of the service of the soak and one of another, at an address where nothing listens, stay listed for the rest of a play.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -729,7 +729,13 @@
 
 @fault
 async def write_invalid_records(soak):
-    """Write invalid entries beside those of workers and processes, and over one."""
+    """Write invalid entries beside those of workers and processes, and over one.
+
+    Two more are valid, but no worker stands behind them.
+    """
+    for service in (SERVICE, "elsewhere"):
+        value = invalid_records.worker_entry(service).encode()
+        await soak.operator.txn([], [Put(f"servers/foreign-{service}", value)])
     entries = list(invalid_records.worker_entries(SERVICE).values())
     for number in range(soak.rng.randint(1, 6)):
         key = soak.rng.choice(
