Use the entry of a restarted worker as soon as it is read

A poll shows the restart of a worker of the same kind before the registry does. The new entry then differs from the one in use in nothing but what the poll has shown already, so it was taken for known, and the worker stayed unused until its next poll, up to a second.

Test: test_a_restarted_worker_of_the_same_kind_is_used_once_its_entry_is_read, failed before.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -495,7 +495,8 @@
             known = self._cluster.workers.get(entry.worker_id)
             if known is None and not self._cluster.uses_service(entry.service):
                 continue
-            if known is None or not known.listed or known.entry != entry:
+            outdated = known is not None and known.entry_outdated
+            if known is None or not known.listed or outdated or known.entry != entry:
                 with self._faults.contain("worker", entry.worker_id):
                     worker = self._cluster.set_worker(entry, now)
                     self._ensure_poll_loop(worker)
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -188,3 +188,25 @@
         return started, world.checker.violations
 
     assert run_virtual(main) == ({"a1"}, [])
+
+
+def test_a_restarted_worker_of_the_same_kind_is_used_once_its_entry_is_read():
+    """Guards against an entry that differs in nothing but its incarnation."""
+
+    async def main():
+        world, term = await leading_world([])
+        worker = await add_worker(world)
+        worker.crash()
+        worker.up = True
+        await wait_for_event(world, "worker restarted", worker)
+        await asyncio.sleep(0.1)
+        state = term.cluster.workers[worker.worker_id]
+        before = state.usable
+        await world.register_worker(worker)
+        # The registry is read every 0.12 s, and a poll waits for a second.
+        await asyncio.sleep(0.3)
+        after = state.usable
+        await world.end()
+        return before, after
+
+    assert run_virtual(main) == (False, True)
