--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -44,8 +44,12 @@
     return world.now + TASK_S
 
 
-def running(world):
-    return {t for w in world.workers.values() for t in w.runs}
+async def running_in_time(world, due_at):
+    """Return the tasks that run soon after a step was due, and violations."""
+    await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
+    found = {t for w in world.workers.values() for t in w.runs}
+    await world.end()
+    return found, world.checker.violations
 
 
 async def kill_leader(world):
@@ -69,10 +73,7 @@
         due_at = await submit_chain(world, "a1")
         await asyncio.sleep(1.0)
         await kill_leader(world)
-        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
-        found = running(world)
-        await world.end()
-        return found, world.checker.violations
+        return await running_in_time(world, due_at)
 
     assert run_virtual(main) == ({"a1.0.1.0"}, [])
 
@@ -100,10 +101,7 @@
         due_at = await submit_chain(world, "a1")
         await asyncio.sleep(1.0)
         await kill_leader(world)
-        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
-        found = running(world)
-        await world.end()
-        return kept, found, world.checker.violations
+        return kept, *await running_in_time(world, due_at)
 
     assert run_virtual(main) == (None, {"a1.0.1.0"}, [])
 
@@ -217,9 +215,6 @@
         await world.configure(replace(DESIRED, version=2, queues=others))
         await asyncio.sleep(1.0)
         await kill_leader(world)
-        await asyncio.sleep(due_at + MAX_IDLE_S - world.now)
-        found = running(world)
-        await world.end()
-        return found, world.checker.violations
+        return await running_in_time(world, due_at)
 
     assert run_virtual(main) == ({"a1.0.1.0"}, [])
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -40,6 +40,15 @@
     return StepJobSpec(job_id, "checks", "x", (step,))
 
 
+async def started_in_time(world):
+    """Submit a job for the rack; return the jobs started in time, and violations."""
+    assert await world.submit("n0", job_for_rack())
+    await asyncio.sleep(MAX_IDLE_S)
+    started = set(world.checker.started)
+    await world.end()
+    return started, world.checker.violations
+
+
 @pytest.mark.parametrize("away_s", [0.0, 0.1, 0.25, 0.4, 0.49, 1.0])
 def test_a_worker_that_is_listed_again_soon_after_it_was_forgotten_gets_work(away_s):
     """Guards against a loop that goes on polling for the forgotten state."""
@@ -54,11 +63,7 @@
         await asyncio.sleep(away_s)
         worker.up = True
         await world.register_worker(worker)
-        assert await world.submit("n0", job_for_rack())
-        await asyncio.sleep(MAX_IDLE_S)
-        started = set(world.checker.started)
-        await world.end()
-        return started, world.checker.violations
+        return await started_in_time(world)
 
     assert run_virtual(main) == ({"a1"}, [])
 
@@ -109,11 +114,7 @@
         worker.crash()
         worker.up = True
         await world.register_worker(worker)
-        assert await world.submit("n0", job_for_rack())
-        await asyncio.sleep(MAX_IDLE_S)
-        started = set(world.checker.started)
-        await world.end()
-        return started, world.checker.violations
+        return await started_in_time(world)
 
     assert run_virtual(main) == ({"a1"}, [])
 
@@ -181,11 +182,7 @@
         else:
             await asyncio.sleep(1.0)
             await world.register_worker(worker)
-        assert await world.submit("n0", job_for_rack())
-        await asyncio.sleep(MAX_IDLE_S)
-        started = set(world.checker.started)
-        await world.end()
-        return started, world.checker.violations
+        return await started_in_time(world)
 
     assert run_virtual(main) == ({"a1"}, [])
 
