Write the record of a silent worker once

Cause: "Delete the record of a worker once nothing can run there" notes the tasks of a record after its write as they are in it, a tuple, and compares them with a set. So the record of a silent worker seemed outdated and was written again with each flush, up to 40 times a second, and delayed the progress of all jobs.

Change: they are noted as a set.

Test: test_a_silent_worker_is_recorded_once, failed before.

--- a/flamingoway/queues/term.py
+++ b/flamingoway/queues/term.py
@@ -1059,7 +1059,8 @@
                     self._cluster.remove_job(job)
         for worker, record in zip(workers, worker_records, strict=True):
             worker.recorded_address = record.entry.address
-            worker.recorded_tasks = record.tasks
+            tasks = record.tasks
+            worker.recorded_tasks = None if tasks is None else frozenset(tasks)
             worker_id = worker.entry.worker_id
             if worker_id not in self._cluster.workers:
                 # It was forgotten during the write.
--- a/tests/test_queue_term.py
+++ b/tests/test_queue_term.py
@@ -582,6 +582,21 @@
     assert run_virtual(main) == (1, ())
 
 
+def test_a_silent_worker_is_recorded_once():
+    """Guards against a leader that writes the same record again with each flush."""
+
+    async def main():
+        world, _ = await leading_world([])
+        for port in world.ports.values():
+            port.unreachable.add("w3")
+        await asyncio.sleep(3.0)
+        recorded = [line for line in world.lines if line[2] == "silent worker recorded"]
+        await world.end()
+        return [line[3]["worker"] for line in recorded]
+
+    assert run_virtual(main) == ["w3"]
+
+
 @pytest.mark.parametrize("drains", [True, False], ids=["planned", "lost"])
 def test_a_lasting_task_runs_again_soon_after_its_worker_has_left(drains):
     """Guards against a task that is away for over 9 s although workers are idle."""
