--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -65,7 +65,7 @@
 
 @pytest.mark.parametrize("service", ["nowhere", "planner"])
 def test_a_takeover_does_not_wait_for_an_entry_that_no_worker_stands_behind(service):
-    """Guards against inherited jobs that stand still beside idle workers."""
+    """Guards against inherited jobs that wait beside idle workers."""
 
     async def main():
         world, _ = await leading_world([])
--- a/tests/test_queue_planning.py
+++ b/tests/test_queue_planning.py
@@ -897,8 +897,8 @@
     assert set(call.workers) == {"w0", "w1", "w2"}
 
 
-def test_a_failed_task_does_not_wait_for_busy_workers_beside_an_idle_one():
-    """Guards against a job that waits for minutes although a worker is free."""
+def bench_with_failed_task():
+    """Return a bench whose task failed on ``w9``; the only other worker is busy."""
     bench = Bench(1, Resources(1000, 64_000))
     bench.submit("b2", step(1, estimate_s=60.0))
     bench.plan()
@@ -907,6 +907,12 @@
     (first,) = bench.plan()
     bench.end(first, EndKind.FAILED)
     assert bench.plan() == []
+    return bench
+
+
+def test_a_failed_task_does_not_wait_for_busy_workers_beside_an_idle_one():
+    """Guards against a job that waits for minutes although a worker is free."""
+    bench = bench_with_failed_task()
     bench.now += 2.1
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
 
@@ -928,14 +934,7 @@
 
 def test_a_failure_does_not_count_after_a_restart_of_the_worker():
     """Guards against a task that avoids a worker for what a former incarnation did."""
-    bench = Bench(1, Resources(1000, 64_000))
-    bench.submit("b2", step(1, estimate_s=60.0))
-    bench.plan()
-    bench.add_worker("w9")
-    bench.submit("a1", step(1))
-    (first,) = bench.plan()
-    bench.end(first, EndKind.FAILED)
-    assert bench.plan() == []
+    bench = bench_with_failed_task()
     bench.restart("w9")
     bench.report("w9")
     assert [run.task_id for run in bench.plan()] == ["a1.0.0.0"]
